--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := base state upstreams routing daemon standins
+TOPOLOGY ?= akureyri
+SEED ?= 1
+ROUNDS ?= 20
+
+.PHONY: setup demo test lint binary bench faults capacity
+
+setup: $(VENV)/.done
+
+$(VENV)/.done: requirements.lock $(foreach l,$(LIBS),libs/$(l)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps --no-build-isolation $(foreach l,$(LIBS),-e libs/$(l))
+	touch $@
+
+demo: setup
+	$(BIN)/ruddersaddle-standin demo --topology $(TOPOLOGY)
+
+lint: setup
+	$(BIN)/ruff format --check libs
+	$(BIN)/ruff check libs
+
+test: setup
+	$(BIN)/python -m ruddersaddle_standins.suites
+
+binary: setup
+	$(BIN)/python -m ruddersaddle_standins.binaries build/ruddersaddle
+
+faults: setup
+	$(BIN)/ruddersaddle-standin faults --seed $(SEED) --rounds $(ROUNDS)
+
+bench: setup
+	$(BIN)/ruddersaddle-standin bench --seed $(SEED)
+
+capacity: setup
+	$(BIN)/ruddersaddle-standin capacity
--- /dev/null
+++ b/libs/base/ruddersaddle_base/codecs.py
@@ -0,0 +1,40 @@
+"""Encoders and decoders of typed messages, on `msgspec`."""
+
+from typing import TypeVar
+
+import msgspec
+
+from ruddersaddle_base.failures import Code, Failure, Step
+
+T = TypeVar("T")
+
+
+def encode_json(value: object) -> bytes:
+    """Return `value` as JSON."""
+    return msgspec.json.encode(value)
+
+
+def encode_text(value: object) -> str:
+    """Return `value` as JSON text."""
+    return msgspec.json.encode(value).decode()
+
+
+def decode_json(data: bytes | str, kind: type[T], step: Step, peer: str) -> T | Failure:
+    """Return JSON `data` as `kind`, or a failure that names the field that is wrong."""
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Failure(Code.BAD_REQUEST, step, peer, str(error))
+
+
+def encode_packed(value: object) -> bytes:
+    """Return `value` as MessagePack, for messages between our own processes."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode_packed(data: bytes, kind: type[T], step: Step, peer: str) -> T | Failure:
+    """Return MessagePack `data` as `kind`, or a failure."""
+    try:
+        return msgspec.msgpack.decode(data, type=kind)
+    except msgspec.MsgspecError as error:
+        return Failure(Code.CORRUPT, step, peer, str(error))
--- /dev/null
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -0,0 +1,76 @@
+"""Failures as sentinel values: what went wrong, at which step and peer, and whether it ran."""
+
+from enum import Enum
+
+import msgspec
+
+
+class Ran(Enum):
+    """Whether the call that failed was run by an upstream."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Step(Enum):
+    """The step of a request at which a failure arose."""
+
+    PARSE = "parse"
+    AUTHENTICATE = "authenticate"
+    ADMIT = "admit"
+    QUEUE = "queue"
+    CLAIM = "claim"
+    VOID = "void"
+    CONNECT = "connect"
+    SEND = "send"
+    READ = "read"
+    FETCH = "fetch"
+    KEEP = "keep"
+    APPEND = "append"
+    PEER = "peer"
+    PUBLISH = "publish"
+    ORDER = "order"
+
+
+class Code(Enum):
+    """The reason for a failure, stable for callers."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not_found"
+    KEY_EXPIRED = "key_expired"
+    KEY_NOT_DATED = "key_not_dated"
+    KEY_IN_USE = "key_in_use"
+    KEY_MISMATCH = "key_mismatch"
+    DEADLINE = "deadline"
+    OVERLOADED = "overloaded"
+    STOPPING = "stopping"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_FAILED = "upstream_failed"
+    LOG_UNAVAILABLE = "log_unavailable"
+    PEER_GONE = "peer_gone"
+    CORRUPT = "corrupt"
+    NOT_READY = "not_ready"
+    INTERNAL = "internal"
+
+
+class Failure(msgspec.Struct, frozen=True):
+    """A value returned in place of a result when a step failed.
+
+    `retry_after_s` is in seconds; `retry_token` is the position that a caller sends back to
+    try the same key again after `not_run`.
+    """
+
+    code: Code
+    step: Step
+    peer: str
+    detail: str = ""
+    ran: Ran = Ran.NOT_RUN
+    retry_after_s: float = 0.0
+    retry_token: int | None = None
+
+    def with_ran(self, ran: Ran) -> "Failure":
+        """Return the same failure with another statement of whether it ran."""
+        return msgspec.structs.replace(self, ran=ran)
--- /dev/null
+++ b/libs/base/ruddersaddle_base/ids.py
@@ -0,0 +1,58 @@
+"""Ids of the system's things, each a type of its own, and the functions that make new ones."""
+
+import secrets
+import uuid
+from typing import NewType
+
+HostId = NewType("HostId", str)
+HallId = NewType("HallId", str)
+WorkspaceId = NewType("WorkspaceId", str)
+UpstreamId = NewType("UpstreamId", str)
+PoolId = NewType("PoolId", str)
+ModelId = NewType("ModelId", str)
+StoreId = NewType("StoreId", str)
+RequestId = NewType("RequestId", str)
+RecordId = NewType("RecordId", str)
+CallKey = NewType("CallKey", str)
+"""The caller's idempotency key, scoped to its workspace."""
+BlockKey = NewType("BlockKey", str)
+"""Hex digest that names one block of kept context."""
+Incarnation = NewType("Incarnation", str)
+"""One start of one host's process; a restart gets a new one."""
+Position = NewType("Position", int)
+"""Place of a record in a log stream: the append's offset and the index inside its batch."""
+
+INDEX_BITS = 10
+"""Bits of a position that hold the index inside a batch, so a batch has at most 1024 records."""
+START = Position(-1)
+"""The position before the first record."""
+
+
+def join_position(offset: int, index: int) -> Position:
+    """Return the position of the record at `index` of the batch appended at `offset`."""
+    return Position((offset << INDEX_BITS) | index)
+
+
+def split_offset(position: Position) -> int:
+    """Return the append offset of a position; -1 for `START`."""
+    return position >> INDEX_BITS
+
+
+def new_incarnation(host: HostId) -> Incarnation:
+    """Return a fresh incarnation of `host`, unique across restarts."""
+    return Incarnation(f"{host}.{secrets.token_hex(6)}")
+
+
+def incarnation_host(incarnation: Incarnation) -> HostId:
+    """Return the host that an incarnation ran on."""
+    return HostId(incarnation.rpartition(".")[0])
+
+
+def new_record_id() -> RecordId:
+    """Return a fresh id for a log record."""
+    return RecordId(uuid.uuid4().hex)
+
+
+def new_request_id() -> RequestId:
+    """Return a fresh id for a caller's request."""
+    return RequestId(uuid.uuid4().hex[:16])
--- /dev/null
+++ b/libs/base/ruddersaddle_base/loggers.py
@@ -0,0 +1,48 @@
+"""JSON-line logs with a fixed prefix for each part of the system."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+FIELDS = "%(asctime)s %(levelname)s %(message)s"
+PART_BY_MODULE_ENDING = {
+    "gateways": "gateway",
+    "commands": "command",
+    "daemons": "daemon",
+    "peers": "peer",
+    "followers": "log",
+    "appenders": "log",
+    "engines": "engine",
+    "services": "service",
+    "stores": "store",
+}
+"""Prefix of a module's log sentences; a module that is not listed uses its own name."""
+
+
+class PrefixFilter(logging.Filter):
+    """Put the part's prefix before each sentence and the host beside it."""
+
+    def __init__(self, host: str) -> None:
+        super().__init__()
+        self.host = host
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Add the prefix; always keep the record."""
+        module = record.name.rpartition(".")[2]
+        part = PART_BY_MODULE_ENDING.get(module, module)
+        record.msg = f"{part}: {record.msg}"
+        record.host = self.host
+        return True
+
+
+def start_logging(level: str, host: str) -> None:
+    """Write the whole process's logs to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    renames = {"asctime": "time", "levelname": "level", "message": "text"}
+    handler.setFormatter(JsonFormatter(FIELDS, rename_fields=renames))
+    handler.addFilter(PrefixFilter(host))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    logging.getLogger("urllib3").setLevel(logging.ERROR)
--- /dev/null
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -0,0 +1,286 @@
+"""Settings of one process: a table of defaults, then read, check and normalise.
+
+A file in INI comes first, then the environment (`RUDDERSADDLE_SECTION_KEY`), then options given
+on the command line as `section.key=value`. `DEFAULTS` documents every key.
+"""
+
+import configparser
+import difflib
+import logging
+import os
+import re
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import NamedTuple
+
+import msgspec
+
+logger = logging.getLogger(__name__)
+
+ENVIRONMENT_PREFIX = "RUDDERSADDLE_"
+
+
+class Default(NamedTuple):
+    """One key's default, its kind, its bounds and what it means, units included."""
+
+    section: str
+    key: str
+    value: str
+    kind: type
+    about: str
+    lowest: float = 0
+    highest: float = 1e12
+
+    @property
+    def name(self) -> str:
+        """The key's full name."""
+        return f"{self.section}.{self.key}"
+
+
+DEFAULTS = (
+    Default("host", "id", "host-1", str, "this host's id, as the host list names it"),
+    Default("host", "hall", "hall-1", str, "the hall that this host stands in"),
+    Default("host", "address", "127.0.0.1", str, "IP number to listen on"),
+    Default("host", "port", "8080", int, "port for callers and operators", 1, 65535),
+    Default("host", "peer_port", "8081", int, "port for the other hosts", 1, 65535),
+    Default("host", "operator_digest", "", str, "SHA-256 of the operators' key"),
+    Default("host", "log_level", "INFO", str, "DEBUG, INFO, WARNING or ERROR"),
+    Default("platform", "log", "127.0.0.1:9000", str, "IP:port of the log service"),
+    Default("platform", "host_list", "127.0.0.1:9001", str, "IP:port of the host list"),
+    Default("platform", "poll_s", "1.0", float, "seconds between reads of the host list", 0.05, 60),
+    Default("platform", "timeout_s", "2.0", float, "seconds for one platform call", 0.05, 60),
+    Default("platform", "snapshot_after", "500", int, "records between snapshots", 2),
+    Default("platform", "retention_s", "86400", float, "seconds that the log keeps records", 1),
+    Default("requests", "body_max", "1048576", int, "largest body in bytes", 1024),
+    Default("requests", "read_timeout_s", "10", float, "seconds a caller has to send", 0.1, 600),
+    Default("requests", "deadline_s", "30", float, "deadline where a caller names none", 0.1, 3600),
+    Default("requests", "concurrent_max", "2000", int, "requests at once before refusal", 1),
+    Default("requests", "gather_ms", "25", float, "tokens are gathered this long", 0, 60),
+    Default("requests", "stop_lag_s", "3", float, "seconds served on after a planned stop", 0, 600),
+    Default("requests", "stop_max_s", "600", float, "longest wait for streams at a stop", 0, 86400),
+    Default("claims", "memory_s", "3600", float, "seconds that a key is remembered", 1, 86400),
+    Default("claims", "skew_s", "30", float, "most seconds that clocks differ", 0, 600),
+    Default("claims", "wait_s", "2.0", float, "longest wait for a claim", 0.05, 60),
+    Default("claims", "ticket_s", "120", float, "seconds for which a ticket may be used", 1, 3600),
+    Default("claims", "answers_max", "67108864", int, "bytes of answers kept for repeats", 0),
+    Default("contexts", "keep", "yes", bool, "whether contexts are kept on store hosts"),
+    Default("contexts", "min_blocks", "4", int, "shortest context worth keeping, in blocks", 1),
+    Default("contexts", "prefill_tokens_s", "8000", float, "tokens an engine prefills a second", 1),
+    Default("contexts", "timeout_s", "5", float, "seconds for one transfer", 0.05, 120),
+    Default("contexts", "prefetch_s", "20", float, "seconds before an event to prefetch", 0, 3600),
+    Default("routing", "policy", "predicted", str, "predicted, round_robin, least_load, hash"),
+    Default("routing", "load_poll_s", "0.5", float, "seconds between load reports", 0.05, 60),
+    Default("routing", "retry_share", "0.1", float, "retries as a share of first tries", 0, 1),
+    Default("routing", "limit_start", "8", int, "first concurrency limit of an upstream", 1, 10000),
+    Default("routing", "limit_max", "64", int, "highest limit of an upstream", 1, 10000),
+    Default("routing", "failures_open", "3", int, "failures in a row that open a circuit", 1, 100),
+    Default("routing", "open_s", "2.0", float, "seconds that a circuit stays open", 0.05, 600),
+    Default("routing", "connect_s", "1.0", float, "seconds to connect to an upstream", 0.05, 60),
+    Default("routing", "read_s", "15", float, "seconds between bytes of an upstream", 0.05, 600),
+    Default("leases", "length_s", "6", float, "seconds that a lease is held", 0.2, 600),
+    Default("leases", "margin_s", "2", float, "seconds a successor waits past a lease", 0, 600),
+    Default("traces", "file", "", str, "file to record a trace to; empty for none"),
+)
+"""Every key that settings may have."""
+
+DEFAULT_BY_NAME = {default.name: default for default in DEFAULTS}
+LIMITS_BY_POLICY = ("predicted", "round_robin", "least_load", "hash")
+TRUE_WORDS = ("yes", "true", "on", "1")
+FALSE_WORDS = ("no", "false", "off", "0")
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """One wrong setting: where it stands, what was expected and the nearest known key."""
+
+    source: str
+    line: int
+    name: str
+    expected: str
+
+    def __str__(self) -> str:
+        place = f"{self.source}:{self.line}" if self.line else self.source
+        return f"{place}: {self.name}: {self.expected}"
+
+
+class Given(msgspec.Struct, frozen=True):
+    """One value as it was given, with its place."""
+
+    name: str
+    text: str
+    source: str
+    line: int = 0
+
+
+class Settings:
+    """Checked values by full name (`section.key`)."""
+
+    def __init__(self, by_name: Mapping[str, object]) -> None:
+        self.by_name = dict(by_name)
+
+    @classmethod
+    def from_defaults(cls, **changes: object) -> "Settings":
+        """Return the defaults; `changes` are named `section__key`."""
+        by_name = {default.name: _convert(default, default.value) for default in DEFAULTS}
+        for name, value in changes.items():
+            by_name[name.replace("__", ".")] = value
+        return cls(by_name)
+
+    def text(self, name: str) -> str:
+        """Return a text value."""
+        return str(self.by_name[name])
+
+    def number(self, name: str) -> float:
+        """Return a number, in the unit that `DEFAULTS` gives."""
+        return float(self.by_name[name])
+
+    def whole(self, name: str) -> int:
+        """Return a whole number."""
+        return int(self.by_name[name])
+
+    def flag(self, name: str) -> bool:
+        """Return a yes or no."""
+        return bool(self.by_name[name])
+
+
+def read_settings(
+    path: str | None, environment: Mapping[str, str], options: Sequence[str]
+) -> Settings | list[Problem]:
+    """Read, check and normalise the settings; return every problem if there is one.
+
+    Unknown keys of a file are logged with a suggestion and passed over; an unknown option is a
+    problem, since somebody has just typed it.
+    """
+    given: list[Given] = []
+    problems: list[Problem] = []
+    if path:
+        given += _read_file(path, problems)
+    given += _read_environment(environment)
+    given += _read_options(options, problems)
+    by_name = {default.name: default.value for default in DEFAULTS}
+    values = {name: _convert(DEFAULT_BY_NAME[name], text) for name, text in by_name.items()}
+    for item in given:
+        _check(item, values, problems)
+    _check_together(values, problems)
+    return problems if problems else Settings(values)
+
+
+def describe_settings() -> str:
+    """Return the table of defaults as Markdown."""
+    lines = ["| key | default | meaning |", "| --- | --- | --- |"]
+    lines += [f"| `{each.name}` | `{each.value}` | {each.about} |" for each in DEFAULTS]
+    return "\n".join(lines)
+
+
+def _read_file(path: str, problems: list[Problem]) -> list[Given]:
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        parser.read_string(text, source=path)
+    except (OSError, UnicodeDecodeError) as error:
+        problems.append(Problem(path, 0, "file", f"a readable file ({error})"))
+        return []
+    except configparser.Error as error:
+        problems.append(Problem(path, getattr(error, "lineno", 0) or 0, "file", _one_line(error)))
+        return []
+    found = []
+    for section in parser.sections():
+        for key, value in parser.items(section):
+            line = find_line(text, section, key)
+            found.append(Given(f"{section}.{key}", value, path, line))
+    return found
+
+
+def find_line(text: str, section: str, key: str) -> int:
+    """Return the line number of a key in INI `text`, or 0."""
+    current = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        heading = re.match(r"\s*\[(.+)\]", line)
+        if heading:
+            current = heading.group(1)
+        elif current == section and re.match(rf"\s*{re.escape(key)}\s*[=:]", line, re.IGNORECASE):
+            return number
+    return 0
+
+
+def _read_environment(environment: Mapping[str, str]) -> list[Given]:
+    found = []
+    for default in DEFAULTS:
+        variable = f"{ENVIRONMENT_PREFIX}{default.section}_{default.key}".upper()
+        if variable in environment:
+            found.append(Given(default.name, environment[variable], variable))
+    return found
+
+
+def _read_options(options: Sequence[str], problems: list[Problem]) -> list[Given]:
+    found = []
+    for option in options:
+        name, equals, text = option.partition("=")
+        if not equals:
+            problems.append(Problem("option", 0, option, "section.key=value"))
+        elif name not in DEFAULT_BY_NAME:
+            problems.append(Problem("option", 0, name, suggest(name, DEFAULT_BY_NAME)))
+        else:
+            found.append(Given(name, text, "option"))
+    return found
+
+
+def suggest(name: str, known: Sequence[str] | Mapping[str, object]) -> str:
+    """Return a sentence that names the nearest known key."""
+    near = difflib.get_close_matches(name, list(known), n=1, cutoff=0.4)
+    if near:
+        return f"a known key; the nearest is {near[0]}"
+    return "a known key"
+
+
+def _check(item: Given, values: dict[str, object], problems: list[Problem]) -> None:
+    default = DEFAULT_BY_NAME.get(item.name)
+    if default is None:
+        unknown = Problem(item.source, item.line, item.name, suggest(item.name, DEFAULT_BY_NAME))
+        logger.warning("Unknown key passed over. %s", unknown)
+        return
+    value = _convert(default, item.text)
+    if value is None:
+        expected = f"expected {default.kind.__name__}, got {item.text!r}"
+        problems.append(Problem(item.source, item.line, item.name, expected))
+    elif default.kind in (int, float) and not default.lowest <= value <= default.highest:
+        expected = f"expected {default.lowest:g} to {default.highest:g}, got {item.text!r}"
+        problems.append(Problem(item.source, item.line, item.name, expected))
+    else:
+        values[item.name] = value
+
+
+def _check_together(values: dict[str, object], problems: list[Problem]) -> None:
+    if values["routing.policy"] not in LIMITS_BY_POLICY:
+        expected = f"expected one of {', '.join(LIMITS_BY_POLICY)}"
+        problems.append(Problem("settings", 0, "routing.policy", expected))
+    needed = float(values["claims.memory_s"]) + 2 * float(values["claims.skew_s"])
+    if needed > float(values["platform.retention_s"]):
+        expected = "claims.memory_s and twice claims.skew_s within platform.retention_s"
+        problems.append(Problem("settings", 0, "claims.memory_s", expected))
+
+
+def _convert(default: Default, text: str) -> object | None:
+    stripped = text.strip()
+    if default.kind is str:
+        return stripped
+    if default.kind is bool:
+        return _convert_flag(stripped.lower())
+    try:
+        return default.kind(stripped)
+    except ValueError:
+        return None
+
+
+def _convert_flag(word: str) -> bool | None:
+    if word in TRUE_WORDS:
+        return True
+    return False if word in FALSE_WORDS else None
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split())
+
+
+def process_environment() -> Mapping[str, str]:
+    """Return this process's environment."""
+    return os.environ
--- /dev/null
+++ b/libs/daemon/ruddersaddle/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host's daemon and the operators' command line."""
--- /dev/null
+++ b/libs/daemon/ruddersaddle/answers.py
@@ -0,0 +1,117 @@
+"""Answers of calls that may not be repeated, kept so that a repeat gets the same whole answer."""
+
+import time
+from collections import OrderedDict
+
+import eventlet
+import msgspec
+from eventlet.event import Event as Signal
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import CallKey
+from ruddersaddle_upstreams.connections import Reply
+
+from ruddersaddle.messages import ServiceCall
+
+Answer = Reply | Failure
+
+
+class Slot:
+    """One call that this process runs or ran."""
+
+    def __init__(self, call: ServiceCall) -> None:
+        self.fingerprint = call.fingerprint()
+        self.signal: Signal = Signal()
+        self.answer: Answer | None = None
+        self.began = time.time()
+
+    @property
+    def size(self) -> int:
+        """Bytes that the answer takes."""
+        return len(self.answer.body) if isinstance(self.answer, Reply) else 0
+
+
+class KeptAnswers:
+    """Slots by key; the oldest answers are dropped first, their keys stay."""
+
+    def __init__(self, bytes_max: int, memory_s: float) -> None:
+        self.bytes_max = bytes_max
+        self.memory_s = memory_s
+        self.bytes_kept = 0
+        self.by_key: OrderedDict[CallKey, Slot] = OrderedDict()
+
+    def begin(self, key: CallKey, call: ServiceCall) -> Slot:
+        """Take the slot of a call that this process is about to run."""
+        self._forget_old()
+        slot = Slot(call)
+        self.by_key[key] = slot
+        return slot
+
+    def finish(self, slot: Slot, answer: Answer) -> None:
+        """Keep a call's answer and wake whoever waits for it."""
+        slot.answer = answer
+        self.bytes_kept += slot.size
+        slot.signal.send(None)
+        self._drop_oldest()
+
+    def remove(self, key: CallKey, answer: Answer) -> None:
+        """Give a slot up for a call that was not run; those who wait get `answer`."""
+        slot = self.by_key.pop(key, None)
+        if slot is not None and slot.answer is None:
+            slot.answer = answer
+            slot.signal.send(None)
+
+    def join(self, key: CallKey, call: ServiceCall, timeout_s: float) -> Answer | None:
+        """Return the answer of a slot, waiting for it; None if it is still running."""
+        slot = self.by_key[key]
+        if slot.fingerprint != call.fingerprint():
+            detail = "the key was used for another call"
+            return Failure(Code.KEY_MISMATCH, Step.CLAIM, "caller", detail, Ran.UNKNOWN)
+        if slot.answer is None:
+            with eventlet.Timeout(timeout_s, False):
+                slot.signal.wait()
+        return slot.answer
+
+    def _drop_oldest(self) -> None:
+        for slot in self.by_key.values():
+            if self.bytes_kept <= self.bytes_max:
+                return
+            if isinstance(slot.answer, Reply):
+                self.bytes_kept -= slot.size
+                slot.answer = dropped_answer()
+
+    def _forget_old(self) -> None:
+        oldest = time.time() - self.memory_s
+        while self.by_key:
+            key, slot = next(iter(self.by_key.items()))
+            if slot.began >= oldest or slot.answer is None:
+                return
+            self.bytes_kept -= slot.size
+            del self.by_key[key]
+
+
+def dropped_answer() -> Failure:
+    """Return what a repeat gets once the answer itself is no longer kept."""
+    detail = "the call ran; its answer is no longer kept"
+    return Failure(Code.KEY_IN_USE, Step.CLAIM, "host", detail, Ran.RAN)
+
+
+class AnswerCounts(msgspec.Struct):
+    """How keyed calls ended on this host."""
+
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    ran: int = 0
+
+    def note(self, answer: Answer) -> None:
+        """Count one answer."""
+        if isinstance(answer, Reply):
+            self.answered += 1
+            return
+        match answer.ran:
+            case Ran.NOT_RUN:
+                self.not_run += 1
+            case Ran.UNKNOWN:
+                self.unknown += 1
+            case Ran.RAN:
+                self.ran += 1
--- /dev/null
+++ b/libs/daemon/ruddersaddle/callers.py
@@ -0,0 +1,207 @@
+"""Callers' requests: who asks, and what is asked, as typed values."""
+
+import email.utils
+import re
+import string
+import time
+import uuid
+from collections.abc import Mapping
+from hashlib import sha256
+
+import msgspec
+from ruddersaddle_base.codecs import decode_json
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.ids import RequestId
+from ruddersaddle_base.settings import suggest
+from ruddersaddle_state.configurations import Configuration
+from ruddersaddle_state.entries import Template, Workspace
+
+CALLER = "caller"
+BEARER = "bearer "
+ASSISTANT_OPENING = "assistant: "
+"""Opens the answer of a chat, so that prompt and answer are a prefix of the next turn's prompt."""
+MAX_TOKENS_MOST = 65536
+DEADLINE_HEADER = "HTTP_DEADLINE_MS"
+CLASS_HEADER = "HTTP_PRIORITY_CLASS"
+KEY_HEADER = "HTTP_IDEMPOTENCY_KEY"
+DATE_HEADER = "HTTP_IDEMPOTENCY_DATE"
+TOKEN_HEADER = "HTTP_RETRY_TOKEN"
+PRIORITY_BY_CLASS = {"urgent": 0, "normal": 1, "batch": 2}
+KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
+UUID_TIME_SHIFT = 80
+MS_PER_S = 1000
+
+
+class Message(msgspec.Struct, frozen=True):
+    """One message of a chat."""
+
+    role: str
+    content: str
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """Body of a completion or of a chat, as callers of models send it."""
+
+    model: str
+    prompt: str = ""
+    messages: tuple[Message, ...] = ()
+    max_tokens: int = 256
+    stream: bool = False
+    adapter: str = ""
+    template: str = ""
+    parameters: dict[str, str] = {}
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """A request's priority class and its deadline, in monotonic seconds."""
+
+    group: str
+    deadline: float
+
+    @property
+    def priority(self) -> int:
+        """The engine's priority; lower goes first."""
+        return PRIORITY_BY_CLASS[self.group]
+
+    def remaining_s(self) -> float:
+        """Return the seconds left."""
+        return self.deadline - time.monotonic()
+
+
+class PromptRequest(msgspec.Struct, frozen=True):
+    """A checked prompt."""
+
+    id: RequestId
+    workspace: Workspace
+    body: CompletionBody
+    text: str
+    chat: bool
+    limits: Limits
+
+
+class KeyDate(msgspec.Struct, frozen=True):
+    """A call's key and the key's own time, in Unix seconds."""
+
+    key: str
+    dated: float
+
+
+def find_workspace(configuration: Configuration, header: str) -> Workspace | Failure:
+    """Return the workspace whose caller key the `Authorization` header bears."""
+    if header.lower().startswith(BEARER):
+        digest = digest_key(header[len(BEARER) :].strip())
+        for workspace in configuration.values(Workspace):
+            if digest in workspace.key_digests:
+                return workspace
+    detail = "expected Authorization: Bearer and a known key"
+    return Failure(Code.UNAUTHORIZED, Step.AUTHENTICATE, CALLER, detail)
+
+
+def digest_key(key: str) -> str:
+    """Return the digest by which a caller's key is published."""
+    return sha256(key.encode()).hexdigest()
+
+
+def read_limits(environ: Mapping[str, str], default_s: float) -> Limits | Failure:
+    """Return the class and the deadline that the headers give."""
+    group = environ.get(CLASS_HEADER, "normal")
+    if group not in PRIORITY_BY_CLASS:
+        return _bad(f"Priority-Class: {suggest(group, PRIORITY_BY_CLASS)}")
+    text = environ.get(DEADLINE_HEADER, "")
+    if not text:
+        return Limits(group, time.monotonic() + default_s)
+    if not text.isdigit() or not 0 < int(text) <= 3_600_000:
+        return _bad("Deadline-Ms: expected 1 to 3600000")
+    return Limits(group, time.monotonic() + int(text) / MS_PER_S)
+
+
+def read_completion(data: bytes, chat: bool) -> CompletionBody | Failure:
+    """Return the checked body of a completion or chat."""
+    body = decode_json(data, CompletionBody, Step.PARSE, CALLER)
+    if isinstance(body, Failure):
+        return body
+    if chat and not body.messages:
+        return _bad("messages: expected at least one message")
+    if not chat and not body.prompt and not body.template:
+        return _bad("prompt: expected text, or a template")
+    if not 1 <= body.max_tokens <= MAX_TOKENS_MOST:
+        return _bad(f"max_tokens: expected 1 to {MAX_TOKENS_MOST}")
+    return body
+
+
+def render_prompt(
+    configuration: Configuration, workspace: Workspace, body: CompletionBody
+) -> str | Failure:
+    """Return the prompt's whole text: the template's, then the messages or the prompt."""
+    prefix = ""
+    if body.template:
+        found = _render_template(configuration, workspace, body)
+        if isinstance(found, Failure):
+            return found
+        prefix = found
+    lines = "".join(f"{each.role}: {each.content}\n" for each in body.messages)
+    opening = ASSISTANT_OPENING if body.messages else ""
+    return prefix + lines + opening + body.prompt
+
+
+def _render_template(
+    configuration: Configuration, workspace: Workspace, body: CompletionBody
+) -> str | Failure:
+    own = [t for t in configuration.values(Template) if t.workspace == workspace.id]
+    by_id = {template.id: template for template in own}
+    template = by_id.get(body.template)
+    if template is None:
+        return _bad(f"template {body.template}: {suggest(body.template, by_id)}")
+    for name in body.parameters:
+        if name not in template.parameters:
+            return _bad(f"parameter {name}: {suggest(name, template.parameters)}")
+    missing = [name for name in template.parameters if name not in body.parameters]
+    if missing:
+        return _bad(f"parameters: missing {', '.join(missing)}")
+    return string.Template(template.text).substitute(body.parameters)
+
+
+def read_key(environ: Mapping[str, str]) -> KeyDate | Failure:
+    """Return the call's key and its date.
+
+    The key is a UUID of version 7, which holds its time (RFC 9562), or any other text beside an
+    `Idempotency-Date` in HTTP's form. Without a date a forgotten key looks like a new one.
+    """
+    key = environ.get(KEY_HEADER, "")
+    if not KEY_PATTERN.fullmatch(key):
+        detail = "this call may not be repeated: expected an Idempotency-Key of 1 to 200 letters"
+        return Failure(Code.KEY_NOT_DATED, Step.PARSE, CALLER, detail)
+    dated = _uuid_time(key)
+    if dated is not None:
+        return KeyDate(key, dated)
+    date = environ.get(DATE_HEADER, "")
+    try:
+        dated = email.utils.parsedate_to_datetime(date).timestamp()
+    except (ValueError, TypeError):
+        detail = "expected a UUID of version 7 as Idempotency-Key, or an Idempotency-Date"
+        return Failure(Code.KEY_NOT_DATED, Step.PARSE, CALLER, detail)
+    return KeyDate(f"{key}@{int(dated)}", dated)
+
+
+def _uuid_time(key: str) -> float | None:
+    try:
+        found = uuid.UUID(key)
+    except ValueError:
+        return None
+    if found.version != 7:
+        return None
+    return (found.int >> UUID_TIME_SHIFT) / MS_PER_S
+
+
+def read_retry_token(environ: Mapping[str, str]) -> int | None | Failure:
+    """Return the retry token of the caller's last `not_run`, or None."""
+    text = environ.get(TOKEN_HEADER, "")
+    if not text:
+        return None
+    if not text.isdigit() or len(text) > 18:
+        return _bad("Retry-Token: expected the number that a not_run answer gave")
+    return int(text)
+
+
+def _bad(detail: str) -> Failure:
+    return Failure(Code.BAD_REQUEST, Step.PARSE, CALLER, detail)
--- /dev/null
+++ b/libs/daemon/ruddersaddle/commands.py
@@ -0,0 +1,343 @@
+"""The command line: the daemon and the operators' client, in one executable."""
+
+import logging
+import os
+import sys
+from typing import NoReturn
+
+import defopt
+import msgspec
+from ruddersaddle_base.codecs import decode_json, encode_text
+from ruddersaddle_base.failures import Failure, Step
+from ruddersaddle_base.loggers import start_logging
+from ruddersaddle_base.settings import Settings, describe_settings, read_settings
+from ruddersaddle_state.configurations import check_references
+from ruddersaddle_state.records import Change, Stream
+
+from ruddersaddle.callers import digest_key
+from ruddersaddle.published_files import Problem, format_published, read_published
+from ruddersaddle.publishers import Published, Publisher, Word, call_operator
+from ruddersaddle.reports import Accepted, Stats, Status
+from ruddersaddle.traces import Arrival, Fault, Stated, read_trace
+
+logger = logging.getLogger(__name__)
+
+EXIT_GOOD = 0
+EXIT_PROBLEM = 1
+EXIT_USAGE = 2
+EXIT_REJECTED = 3
+EXIT_UNKNOWN = 4
+EXIT_UNREACHABLE = 5
+EXIT_BY_WORD = {
+    Word.ACCEPTED: EXIT_GOOD,
+    Word.REJECTED: EXIT_REJECTED,
+    Word.UNKNOWN: EXIT_UNKNOWN,
+}
+WAIT_S = 5.0
+"""Longest wait for a change's fate, in seconds."""
+
+
+class HistoryRow(msgspec.Struct):
+    """One change of the configuration and how it ended."""
+
+    offset: int
+    change: str
+    author: str
+    outcome: str
+    reason: str
+    entries: list[str]
+
+
+class TraceSummary(msgspec.Struct):
+    """What a trace holds; seconds and counts."""
+
+    seconds: float
+    arrivals: int
+    faults: int
+    stated: int
+    arrivals_by_path: dict[str, int]
+
+
+def serve(*, file: str = "", set: list[str] = ()) -> None:  # noqa: A002
+    """Run this host until its planned stop (SIGTERM, or `drain`).
+
+    Example: ruddersaddle serve --file host.ini --set host.id=host-1
+
+    :param file: settings in INI
+    :param set: settings as section.key=value, which go before the file and the environment
+    """
+    settings = _settings(file, set)
+    start_logging(settings.text("host.log_level"), settings.text("host.id"))
+    from ruddersaddle.daemons import Daemon
+
+    Daemon.from_settings(settings).serve()
+
+
+def settings(*, file: str = "", set: list[str] = ()) -> None:  # noqa: A002
+    """Check settings; print the table of defaults when no file is given.
+
+    Example: ruddersaddle settings --file host.ini
+
+    :param file: settings in INI
+    :param set: settings as section.key=value
+    """
+    _settings(file, set)
+    print(describe_settings() if not file else f"{file}: good")
+
+
+def check(file: str) -> None:
+    """Check a configuration file as publishing does.
+
+    Example: ruddersaddle config check clinics.ini
+
+    :param file: configuration in INI
+    """
+    wanted = _published(file)
+    print(f"{file}: good, {len(wanted)} entries")
+
+
+def publish(
+    file: str, *, author: str = "operator", json: bool = False, log: str = "", hosts: str = ""
+) -> None:
+    """Publish a configuration file; end with accepted (0), rejected (3) or unknown (4).
+
+    Example: ruddersaddle config publish clinics.ini --author anna
+
+    :param file: configuration in INI
+    :param author: who publishes
+    :param json: print JSON
+    :param log: IP:port of the log service
+    :param hosts: IP:port of the host list
+    """
+    wanted = _published(file)
+    publisher = _publisher(log, hosts)
+    edits = publisher.edits_for(wanted)
+    if not edits:
+        _print(json, Accepted("unchanged"), "unchanged: everything is in force already")
+        return
+    published = publisher.publish(author, edits, WAIT_S)
+    if published.word is Word.ACCEPTED:
+        published = publisher.await_in_force(published)
+        _warn_references(publisher)
+    _print(json, published, describe_published(published))
+    sys.exit(EXIT_BY_WORD[published.word])
+
+
+def show(*, change: str = "", json: bool = False, log: str = "", hosts: str = "") -> None:
+    """Show the configuration in force, or the fate of one change.
+
+    Example: ruddersaddle config show --change 5f0c…
+
+    :param change: id of a change
+    :param json: print JSON
+    :param log: IP:port of the log service
+    :param hosts: IP:port of the host list
+    """
+    publisher = _publisher(log, hosts)
+    configuration = publisher.configuration
+    if change:
+        fate = configuration.fate_by_id.get(change)
+        if fate is None:
+            _exit(EXIT_UNKNOWN, f"{change}: not in what the log still has; it has not landed")
+        _print(json, fate, f"{fate.outcome.value} at {fate.position} {fate.reason}")
+        return
+    entries = [configuration.by_key[key] for key in sorted(configuration.by_key)]
+    values = [entry.value for entry in entries if entry.value is not None]
+    _print(json, entries, format_published(values))
+
+
+def history(*, json: bool = False, log: str = "", hosts: str = "") -> None:
+    """List the changes that the log still has, with how each ended.
+
+    Example: ruddersaddle config history --json
+
+    :param json: print JSON
+    :param log: IP:port of the log service
+    :param hosts: IP:port of the host list
+    """
+    publisher = _publisher(log, hosts)
+    rows = read_history(publisher)
+    lines = [f"{row.offset} {row.author} {row.outcome} {' '.join(row.entries)}" for row in rows]
+    _print(json, rows, "\n".join(lines))
+
+
+def digest() -> None:
+    """Read a caller's key from standard input and print the digest to publish.
+
+    Example: ruddersaddle config digest < key.txt
+    """
+    print(digest_key(sys.stdin.readline().strip()))
+
+
+def status(address: str, *, json: bool = False) -> None:
+    """Show one host's status.
+
+    Example: ruddersaddle status 127.0.0.1:8080
+
+    :param address: IP:port of the host
+    :param json: print JSON
+    """
+    found = _ask(address, "GET", "/operator/status", Status)
+    lines = [f"{found.incarnation} in {found.hall}: {found.state}, {found.active} active"]
+    lines.append(f"configuration at {found.configuration_position}, log {found.log_reachable}")
+    for row in found.upstreams:
+        state = "leaving" if row.leaving else row.circuit
+        lines.append(f"  {row.pool}/{row.upstream} {state} limit {row.limit:.1f} {row.version}")
+    _print(json, found, "\n".join(lines))
+
+
+def stats(address: str, *, json: bool = False) -> None:
+    """Show one host's percentiles for each workspace and class, in milliseconds.
+
+    Example: ruddersaddle stats 127.0.0.1:8080
+
+    :param address: IP:port of the host
+    :param json: print JSON
+    """
+    found = _ask(address, "GET", "/operator/stats", Stats)
+    lines = ["measure workspace class count p50 p95 p99"]
+    for row in found.rows:
+        lines.append(" ".join(str(value) for value in msgspec.structs.astuple(row)))
+    _print(json, found, "\n".join(lines))
+
+
+def drain(address: str) -> None:
+    """Begin the planned stop of one host, from its own machine or with the operators' key.
+
+    Example: ruddersaddle drain 127.0.0.1:8080
+
+    :param address: IP:port of the host
+    """
+    print(_ask(address, "POST", "/operator/drain", Accepted).state)
+
+
+def replay(file: str, *, json: bool = False) -> None:
+    """Check a trace and tell what it holds; the stand-ins' `bench` sends it.
+
+    Example: ruddersaddle trace replay opening.jsonl --json
+
+    :param file: trace in JSON lines
+    :param json: print JSON
+    """
+    lines = read_trace(file)
+    if isinstance(lines, Failure):
+        _exit(EXIT_PROBLEM, f"{lines.peer}: {lines.detail}")
+    summary = summarize_trace(lines)
+    text = f"{summary.arrivals} arrivals, {summary.faults} faults in {summary.seconds:.1f} s"
+    _print(json, summary, text)
+
+
+def summarize_trace(lines: list) -> TraceSummary:
+    """Return what a trace holds."""
+    arrivals = [line for line in lines if isinstance(line, Arrival)]
+    counts: dict[str, int] = {}
+    for arrival in arrivals:
+        counts[arrival.path] = counts.get(arrival.path, 0) + 1
+    seconds = max((line.at for line in lines if not isinstance(line, Stated)), default=0.0)
+    faults = sum(isinstance(line, Fault) for line in lines)
+    stated = sum(isinstance(line, Stated) for line in lines)
+    return TraceSummary(seconds, len(arrivals), faults, stated, counts)
+
+
+def read_history(publisher: Publisher) -> list[HistoryRow]:
+    """Return a row for each change that the log still has."""
+    rows = []
+    start = 0
+    while True:
+        page = publisher.client.read(Stream.CONFIGURATION, start, 0.0)
+        if isinstance(page, Failure) or not page.placed:
+            return rows
+        for placed in page.placed:
+            if isinstance(placed.record, Change):
+                rows.append(_history_row(publisher, placed.position, placed.record))
+        start = page.next
+
+
+def _history_row(publisher: Publisher, position: int, change: Change) -> HistoryRow:
+    fate = publisher.configuration.fate_by_id.get(change.id)
+    outcome = "unknown" if fate is None else fate.outcome.value
+    reason = "" if fate is None else fate.reason
+    entries = [edit.key for edit in change.edits]
+    return HistoryRow(position, change.id, change.author, outcome, reason, entries)
+
+
+def describe_published(published: Published) -> str:
+    """Return how a change ended, as one sentence."""
+    if published.word is not Word.ACCEPTED:
+        return f"{published.word.value}: change {published.change}. {published.reason}"
+    where = f"{published.hosts_in_force} of {published.hosts_listed} hosts"
+    return (
+        f"accepted: change {published.change} at offset {published.offset}, "
+        f"in force on {where} after {published.seconds:.1f} s"
+    )
+
+
+def _settings(file: str, options: list[str]) -> Settings:
+    found = read_settings(file or None, os.environ, list(options))
+    if isinstance(found, Settings):
+        return found
+    _exit(EXIT_USAGE, "\n".join(str(problem) for problem in found))
+
+
+def _published(file: str) -> list:
+    wanted = read_published(file)
+    problems = [each for each in wanted if isinstance(each, Problem)]
+    if problems:
+        _exit(EXIT_PROBLEM, "\n".join(str(problem) for problem in problems))
+    return wanted
+
+
+def _publisher(log: str, hosts: str) -> Publisher:
+    found = _settings("", [])
+    log_address = log or found.text("platform.log")
+    list_address = hosts or found.text("platform.host_list")
+    publisher = Publisher(log_address, list_address, found.number("platform.timeout_s"))
+    if not publisher.read():
+        _exit(EXIT_UNREACHABLE, f"the log at {log_address} was not reached")
+    return publisher
+
+
+def _warn_references(publisher: Publisher) -> None:
+    publisher.read()
+    for problem in check_references(publisher.configuration):
+        print(f"warning: {problem}", file=sys.stderr)
+
+
+def _ask(address: str, method: str, path: str, kind: type) -> object:
+    key = os.environ.get("RUDDERSADDLE_OPERATOR_KEY", "")
+    data = call_operator(address, method, path, WAIT_S, key)
+    found = data if isinstance(data, Failure) else decode_json(data, kind, Step.READ, address)
+    if isinstance(found, Failure):
+        _exit(EXIT_UNREACHABLE, f"{address}: {found.code.value}: {found.detail}")
+    return found
+
+
+def _print(as_json: bool, value: object, text: str) -> None:
+    print(encode_text(value) if as_json else text)
+
+
+def _exit(code: int, text: str) -> NoReturn:
+    print(text, file=sys.stderr)
+    sys.exit(code)
+
+
+COMMANDS = {
+    "serve": serve,
+    "settings": settings,
+    "config": {
+        "check": check,
+        "publish": publish,
+        "show": show,
+        "history": history,
+        "digest": digest,
+    },
+    "status": status,
+    "stats": stats,
+    "drain": drain,
+    "trace": {"replay": replay},
+}
+
+
+def run() -> None:
+    """Run one command."""
+    defopt.run(COMMANDS)
--- /dev/null
+++ b/libs/daemon/ruddersaddle/contexts.py
@@ -0,0 +1,181 @@
+"""Kept context: found on store hosts, fetched into engines, and kept after a stream has ended.
+
+The store host of a context is its first choice by rendezvous hash over the published store hosts,
+so every host finds it without a directory: 2.2 million kept prompts cost a host no memory.
+"""
+
+import logging
+from collections.abc import Sequence
+
+import eventlet
+import msgspec
+from eventlet.event import Event as Signal
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import BlockKey, RequestId
+from ruddersaddle_base.settings import Settings
+from ruddersaddle_routing.choices import Kept
+from ruddersaddle_routing.rendezvous import rank_names
+from ruddersaddle_state.configurations import Configuration
+from ruddersaddle_state.entries import Store
+from ruddersaddle_upstreams.engines import EngineClient
+from ruddersaddle_upstreams.links import Link
+from ruddersaddle_upstreams.stores import StoreClient
+
+logger = logging.getLogger(__name__)
+
+KEEPING_MAX = 64
+"""Contexts that wait to be kept; more are dropped, since keeping is only a hint for later."""
+
+
+class ContextCounts(msgspec.Struct):
+    """Counts of what was done with kept context."""
+
+    found: int = 0
+    fetched_blocks: int = 0
+    fetch_failures: int = 0
+    kept_blocks: int = 0
+    keep_dropped: int = 0
+    keep_failures: int = 0
+
+
+class Found(msgspec.Struct, frozen=True):
+    """Where a chain is kept and what that means for a choice."""
+
+    kept: Kept
+    store: StoreClient | None = None
+    bytes_per_block: int = 0
+
+
+class KeptContexts:
+    """The contexts kept on store hosts, as this host uses them."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.enabled = settings.flag("contexts.keep")
+        self.min_blocks = settings.whole("contexts.min_blocks")
+        self.store_by_address: dict[str, StoreClient] = {}
+        self.counts = ContextCounts()
+        self._fetch_by_target: dict[tuple[str, BlockKey], Signal] = {}
+        self._keeping = 0
+
+    def update(self, configuration: Configuration) -> None:
+        """Take the newest published store hosts."""
+        wanted = {store.address: store for store in configuration.values(Store)}
+        for gone in set(self.store_by_address) - set(wanted):
+            del self.store_by_address[gone]
+        for address, store in wanted.items():
+            known = self.store_by_address.get(address)
+            if known is None or known.link.capacity_bytes_s != store.link_bytes_s:
+                self.store_by_address[address] = self._client(store)
+
+    def _client(self, store: Store) -> StoreClient:
+        connect_s = self.settings.number("routing.connect_s")
+        timeout_s = self.settings.number("contexts.timeout_s")
+        return StoreClient(store.address, Link(store.link_bytes_s), connect_s, timeout_s)
+
+    def _home(self, keys: Sequence[BlockKey]) -> StoreClient | None:
+        """Return the first choice of store host for a chain, or the next if its link is down."""
+        for address in rank_names(keys[0], self.store_by_address):
+            store = self.store_by_address[address]
+            if store.link.up:
+                return store
+        return None
+
+    def find(self, keys: list[BlockKey]) -> Found:
+        """Return what is kept of a chain; finding nothing is no failure."""
+        if not self.enabled or len(keys) < self.min_blocks:
+            return Found(Kept())
+        store = self._home(keys)
+        if store is None:
+            return Found(Kept())
+        count = store.find(keys)
+        if isinstance(count, Failure):
+            store.link.fail()
+            return Found(Kept())
+        if count.count == 0:
+            return Found(Kept(), store)
+        self.counts.found += 1
+        per_block = count.bytes // count.count
+        per_block_s = per_block / max(1.0, store.link.rate_bytes_s)
+        kept = Kept(count.count, per_block_s, store.link.estimate_s(0))
+        return Found(kept, store, per_block)
+
+    def fetch(self, found: Found, engine: EngineClient, keys: list[BlockKey]) -> int:
+        """Move verified blocks from a store host into an engine; return how many.
+
+        One fetch of the same blocks to the same engine runs at a time; others wait for it.
+        """
+        target = (engine.address, keys[-1])
+        running = self._fetch_by_target.get(target)
+        if running is not None:
+            return running.wait()
+        signal: Signal = Signal()
+        self._fetch_by_target[target] = signal
+        count = 0
+        try:
+            count = self._fetch(found, engine, keys)
+        finally:
+            del self._fetch_by_target[target]
+            signal.send(count)
+        return count
+
+    def _fetch(self, found: Found, engine: EngineClient, keys: list[BlockKey]) -> int:
+        store = found.store
+        size = len(keys) * found.bytes_per_block
+        store.link.waiting_bytes += size
+        frames = store.read(keys)
+        store.link.waiting_bytes -= size
+        if isinstance(frames, Failure) or not frames:
+            self.counts.fetch_failures += 1
+            return 0
+        data = b"".join(frame.sealed for frame in frames)
+        taken = engine.import_blocks(data)
+        if isinstance(taken, Failure):
+            self.counts.fetch_failures += 1
+            return 0
+        store.link.useful_bytes += len(data)
+        self.counts.fetched_blocks += len(frames)
+        return len(frames)
+
+    def keep_later(self, engine: EngineClient, request: RequestId) -> None:
+        """Keep a finished request's context in the background."""
+        if not self.enabled or not self.store_by_address or self._keeping >= KEEPING_MAX:
+            self.counts.keep_dropped += 1
+            return
+        self._keeping += 1
+        eventlet.spawn(self._keep_counted, engine, request)
+
+    def _keep_counted(self, engine: EngineClient, request: RequestId) -> None:
+        try:
+            self.keep(engine, request)
+        finally:
+            self._keeping -= 1
+
+    def keep(self, engine: EngineClient, request: RequestId) -> int:
+        """Export what its store host lacks of a request's context; return how many blocks."""
+        keys = engine.blocks_of(request)
+        if isinstance(keys, Failure) or len(keys) < self.min_blocks:
+            return 0
+        store = self._home(keys)
+        count = store.find(keys) if store is not None else None
+        if count is None or isinstance(count, Failure):
+            self.counts.keep_failures += 1
+            return 0
+        lacking = keys[count.count :]
+        return self._export(engine, store, lacking) if lacking else 0
+
+    def _export(self, engine: EngineClient, store: StoreClient, keys: list[BlockKey]) -> int:
+        frames = engine.export_blocks(keys)
+        if isinstance(frames, Failure):
+            self.counts.keep_failures += 1
+            return 0
+        if not store.link.take_background(len(frames)):
+            self.counts.keep_dropped += 1
+            return 0
+        written = store.write(frames)
+        if isinstance(written, Failure):
+            logger.info("Context was not kept on %s. %s", store.address, written.detail)
+            self.counts.keep_failures += 1
+            return 0
+        self.counts.kept_blocks += len(keys)
+        return len(keys)
--- /dev/null
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -0,0 +1,275 @@
+"""Generations: choose an engine, fetch what is kept, stream, and resume after an engine's death."""
+
+import logging
+import time
+from collections.abc import Iterator
+
+import eventlet
+import msgspec
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.histograms import Histograms, Measure
+from ruddersaddle_base.ids import BlockKey
+from ruddersaddle_routing.choices import Choice, Kept, Prompt
+from ruddersaddle_state.configurations import Configuration
+from ruddersaddle_state.entries import Model
+from ruddersaddle_upstreams.chains import block_keys, context_salt, count_tokens
+from ruddersaddle_upstreams.engines import EngineClient, EngineRequest, TokenStream
+
+from ruddersaddle.callers import PromptRequest
+from ruddersaddle.contexts import Found, KeptContexts
+from ruddersaddle.pools import PoolView, Slot
+
+logger = logging.getLogger(__name__)
+
+TRIES_MAX = 4
+"""Engines tried for one request, first try included."""
+BUSY_PAUSE_S = 0.02
+"""Pause before another engine is looked for when all are busy, in seconds."""
+SLOW_FACTOR = 4.0
+SLOW_FLOOR_S = 1.0
+"""A first token later than its prediction by the factor, and than the floor, counts as overload."""
+MS_PER_S = 1000.0
+
+
+class GenerationCounts(msgspec.Struct):
+    """Counts of one host's generations."""
+
+    started: int = 0
+    finished: int = 0
+    resumed: int = 0
+    failed: int = 0
+    refused: int = 0
+
+
+class Generator:
+    """Starts generations on the engines of a pool."""
+
+    def __init__(
+        self, contexts: KeptContexts, configuration: Configuration, histograms: Histograms
+    ) -> None:
+        self.contexts = contexts
+        self.configuration = configuration
+        self.histograms = histograms
+        self.counts = GenerationCounts()
+
+    def start(self, request: PromptRequest, view: PoolView) -> "Generation | Failure":
+        """Wait for a slot and start a generation; its first events have not been read yet."""
+        slot = view.enter(
+            request.workspace, count_tokens(request.text), request.limits.remaining_s()
+        )
+        if isinstance(slot, Failure):
+            self.counts.refused += 1
+            return slot
+        view.budget.note_first()
+        generation = Generation(self, request, view, slot)
+        failure = generation.begin()
+        if failure is not None:
+            generation.finish()
+            self.counts.failed += 1
+            return failure
+        self.counts.started += 1
+        return generation
+
+    def version_of(self, model: str) -> str:
+        """Return the weight version in force."""
+        found = self.configuration.get(Model, model)
+        return found.version if isinstance(found, Model) else ""
+
+
+class Generation:
+    """One request's stream over as many engines as it takes."""
+
+    def __init__(
+        self, generator: Generator, request: PromptRequest, view: PoolView, slot: Slot
+    ) -> None:
+        self.generator = generator
+        self.request = request
+        self.view = view
+        self.slot = slot
+        self.version = ""
+        self.tokens = 0
+        self.tries = 0
+        self.choice: Choice | None = None
+        self.stream: TokenStream | None = None
+        self._began = time.monotonic()
+        self._last_event = self._began
+        self._keys_by_version: dict[str, list[BlockKey]] = {}
+        self._tried: set[str] = set()
+        self._slow = False
+
+    def keys_of(self, version: str) -> list[BlockKey]:
+        """Return the prompt's chain for a weight version."""
+        keys = self._keys_by_version.get(version)
+        if keys is None:
+            keys = block_keys(self._salt(version), self.request.text)
+            self._keys_by_version[version] = keys
+        return keys
+
+    def _salt(self, version: str) -> str:
+        body = self.request.body
+        workspace = self.request.workspace.id
+        return context_salt(workspace, body.model, version, body.adapter)
+
+    def begin(self) -> Failure | None:
+        """Open a stream on the best engine; try others while that is sure not to repeat work."""
+        failure = self._no_engine()
+        while self.tries < TRIES_MAX and self.request.limits.remaining_s() > 0:
+            if self.tries and not self.view.budget.take():
+                return failure
+            self.tries += 1
+            opened = self._open_best()
+            if not isinstance(opened, Failure):
+                return None
+            failure = opened
+        return failure
+
+    def _no_engine(self) -> Failure:
+        detail = "no engine is open"
+        return Failure(Code.NO_UPSTREAM, Step.CONNECT, self.view.pool.id, detail, retry_after_s=1.0)
+
+    def _open_best(self) -> Failure | None:
+        prompt = Prompt(count_tokens(self.request.text), self.keys_of)
+        found = self._find_kept()
+        choice = self._choose(prompt, found.kept)
+        if choice is None:
+            return self._no_engine()
+        load = choice.load
+        self.choice = choice
+        self.version = self.version or load.version
+        self._tried.add(load.address)
+        load.limit.begin()
+        load.circuit.begin()
+        load.note_sent(choice.missing_tokens, self.keys_of(self.version))
+        engine = self.view.engine_by_address[load.address]
+        self._fetch(choice, found, engine)
+        opened = engine.generate(self._engine_request())
+        if isinstance(opened, Failure):
+            self._end_try(opened)
+            return opened
+        self.stream = opened
+        return None
+
+    def _find_kept(self) -> Found:
+        version = self.version or self._likely_version()
+        return self.generator.contexts.find(self.keys_of(version))
+
+    def _likely_version(self) -> str:
+        wanted = self.generator.version_of(self.request.body.model)
+        versions = [load.version for load in self.view.loads() if load.version]
+        return wanted if wanted in versions or not versions else versions[0]
+
+    def _choose(self, prompt: Prompt, kept: Kept) -> Choice | None:
+        """Choose among the engines of one weight version, waiting while all are at their limit."""
+        while self.request.limits.remaining_s() > 0:
+            version = self.version or self._likely_version()
+            able = [load for load in self.view.loads() if load.version in (version, "")]
+            fresh = [load for load in able if load.address not in self._tried]
+            choice = self.view.chooser.choose(fresh or able, prompt, kept)
+            if choice is not None or not any(load.may_come_free for load in able):
+                return choice
+            eventlet.sleep(BUSY_PAUSE_S)
+        return None
+
+    def _fetch(self, choice: Choice, found: Found, engine: EngineClient) -> None:
+        keys = self.keys_of(self.version)[: choice.fetch_until]
+        if found.store is None or choice.fetch_until <= choice.cached_blocks:
+            return
+        self.generator.contexts.fetch(found, engine, keys[choice.cached_blocks :])
+
+    def _engine_request(self) -> EngineRequest:
+        body = self.request.body
+        return EngineRequest(
+            id=self.request.id,
+            model=body.model,
+            version=self.version,
+            adapter=body.adapter,
+            salt=self._salt(self.version),
+            prompt=self.request.text,
+            max_tokens=body.max_tokens,
+            priority=self.request.limits.priority,
+            chat=self.request.chat,
+            first_token=self.tokens,
+        )
+
+    def events(self) -> Iterator[bytes | Failure]:
+        """Yield whole events as they arrive; a failure, if any, comes last."""
+        while True:
+            data = self.stream.read_some()
+            if isinstance(data, Failure):
+                failure = self._resume(data)
+                if failure is not None:
+                    self.generator.counts.failed += 1
+                    yield failure
+                    return
+                continue
+            if not data:
+                self.generator.counts.finished += 1
+                return
+            self._note_events()
+            yield data
+
+    def _note_events(self) -> None:
+        now = time.monotonic()
+        added = self.stream.next_token - self.tokens
+        first = self.tokens == 0
+        self.tokens = self.stream.next_token
+        measure = Measure.FIRST_TOKEN if first else Measure.BETWEEN_TOKENS
+        elapsed_s = (now - self._last_event) / max(1, added)
+        self._last_event = now
+        self._record(measure, elapsed_s)
+        if first:
+            self._judge_first(elapsed_s)
+
+    def _judge_first(self, elapsed_s: float) -> None:
+        expected_s = max(SLOW_FLOOR_S, self.choice.predicted_s * SLOW_FACTOR)
+        self._slow = elapsed_s > expected_s
+
+    def _record(self, measure: Measure, elapsed_s: float) -> None:
+        workspace = self.request.workspace.id
+        group = self.request.limits.group
+        self.generator.histograms.record(measure, workspace, group, elapsed_s * MS_PER_S)
+
+    def _resume(self, failure: Failure) -> Failure | None:
+        """Go on from the last token delivered, on another engine of the same weight version."""
+        self._close_stream()
+        self._end_try(failure)
+        if not self.view.budget.take():
+            return failure
+        logger.info(
+            "Stream of %s is resumed at token %d.",
+            self.request.id,
+            self.tokens,
+            extra={"request": self.request.id},
+        )
+        again = self.begin()
+        if again is None:
+            self.generator.counts.resumed += 1
+            return None
+        return again.with_ran(Ran.UNKNOWN)
+
+    def _end_try(self, failure: Failure | None) -> None:
+        if self.choice is None:
+            return
+        load = self.choice.load
+        overloaded = failure is not None and failure.code is Code.OVERLOADED
+        load.limit.end(overloaded or self._slow)
+        load.circuit.end(failure is not None and not overloaded)
+        self.choice = None
+
+    def _close_stream(self) -> None:
+        if self.stream is not None:
+            self.stream.finish()
+            self.stream = None
+
+    def finish(self) -> None:
+        """End the request: give back what it holds, and keep its context for later."""
+        whole = self.stream is not None and self.stream.done
+        choice = self.choice
+        self._close_stream()
+        self._end_try(None)
+        self.slot.release()
+        if whole and choice is not None:
+            self._record(Measure.WHOLE, time.monotonic() - self._began)
+            engine = self.view.engine_by_address.get(choice.load.address)
+            if engine is not None:
+                self.generator.contexts.keep_later(engine, self.request.id)
--- /dev/null
+++ b/libs/daemon/ruddersaddle/keyed_calls.py
@@ -0,0 +1,236 @@
+"""Calls that may not be repeated: claim first, dispatch once, and a `not_run` that is true.
+
+The claim goes through the log. Only the attempt whose claim was read back accepted dispatches, and
+only once. `not_run` is said only after this host's void was read back accepted; it carries the
+void's position, which the caller sends back to try the same key again. See docs/at-most-once.md.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+
+import msgspec
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import START, CallKey, Incarnation, Position, RecordId, new_record_id
+from ruddersaddle_state.appenders import Appender
+from ruddersaddle_state.claims import Claims
+from ruddersaddle_state.followers import Follower
+from ruddersaddle_state.records import Claim, Fate, Outcome, Void
+
+from ruddersaddle.answers import Answer, KeptAnswers
+from ruddersaddle.messages import AnswerMessage, AskAnswer, ServiceCall
+
+logger = logging.getLogger(__name__)
+
+LOG = "log"
+RETRY_AFTER_S = 2.0
+"""When a caller should ask again after an answer that the log could not settle, in seconds."""
+ASK_S = 1.5
+"""Longest wait for the owner of a key to say that it still runs the call, in seconds."""
+STILL_RUNNING_S = 0.5
+"""An owner that is asked says that it still runs the call after this long, in seconds."""
+
+Dispatch = Callable[[ServiceCall], Answer]
+AskOwner = Callable[[Incarnation, AskAnswer, float], AnswerMessage | Failure]
+
+
+class KeyedCall(msgspec.Struct, frozen=True):
+    """A call with its key, the key's date and the retry token that the caller was given."""
+
+    key: CallKey
+    dated: float
+    token: int | None
+    call: ServiceCall
+    deadline: float
+
+    def remaining_s(self) -> float:
+        """Return the seconds left."""
+        return self.deadline - time.monotonic()
+
+
+class KeyedCalls:
+    """This host's keyed calls."""
+
+    def __init__(
+        self,
+        incarnation: Incarnation,
+        follower: Follower,
+        appender: Appender,
+        answers: KeptAnswers,
+        wait_s: float,
+    ) -> None:
+        self.incarnation = incarnation
+        self.follower = follower
+        self.appender = appender
+        self.answers = answers
+        self.wait_s = wait_s
+
+    @property
+    def claims(self) -> Claims:
+        """The folded claims."""
+        return self.follower.fold
+
+    def run(self, keyed: KeyedCall, dispatch: Dispatch, ask: AskOwner) -> Answer:
+        """Run a call at most once, whoever else has its key, and return its answer."""
+        if (
+            self.claims.is_forgotten(keyed.dated)
+            or keyed.dated < time.time() - self.claims.memory_s
+        ):
+            return _expired()
+        if keyed.dated > time.time() + self.claims.skew_s:
+            detail = "the key's date is in the future"
+            return Failure(Code.KEY_NOT_DATED, Step.CLAIM, "caller", detail, Ran.UNKNOWN)
+        if keyed.key in self.answers.by_key:
+            return self._join(keyed)
+        owner = self.claims.owner_of(keyed.key)
+        if owner is not None:
+            return self._ask_owner(keyed, owner, ask)
+        if not self._can_claim(keyed):
+            return _unsettled("the log can't be reached or read yet")
+        return self._claim(keyed, dispatch, ask)
+
+    def _can_claim(self, keyed: KeyedCall) -> bool:
+        follower = self.follower
+        known = follower.reached_end and self.claims.is_known(keyed.dated)
+        return known and follower.reachable and not self.appender.down
+
+    def _join(self, keyed: KeyedCall) -> Answer:
+        answer = self.answers.join(keyed.key, keyed.call, keyed.remaining_s())
+        return _still_running() if answer is None else answer
+
+    def _claim(self, keyed: KeyedCall, dispatch: Dispatch, ask: AskOwner) -> Answer:
+        base = START if keyed.token is None else Position(keyed.token)
+        claim = Claim(new_record_id(), keyed.key, self.incarnation, base, keyed.dated)
+        slot = self.answers.begin(keyed.key, keyed.call)
+        fate = self._settle(claim, min(self.wait_s, keyed.remaining_s()))
+        if fate is not None and fate.outcome is Outcome.ACCEPTED:
+            answer = dispatch(keyed.call)
+            if isinstance(answer, Failure) and answer.ran is Ran.NOT_RUN:
+                answer = self._void(keyed, claim.id, answer)
+            if not isinstance(answer, Failure) or answer.ran is not Ran.NOT_RUN:
+                self.answers.finish(slot, answer)
+                return answer
+        else:
+            answer = self._lost_claim(keyed, claim.id, fate, ask)
+        self.answers.remove(keyed.key, answer)
+        return answer
+
+    def _lost_claim(
+        self, keyed: KeyedCall, attempt: RecordId, fate: Fate | None, ask: AskOwner
+    ) -> Answer:
+        """Answer a call whose claim was refused, or not read back in time."""
+        if fate is None:
+            return self._give_up(keyed, attempt)
+        owner = self.claims.owner_of(keyed.key)
+        if fate.outcome is Outcome.EXPIRED:
+            return _expired()
+        if fate.outcome is Outcome.HELD and owner is not None:
+            return self._ask_owner(keyed, owner, ask)
+        detail = "an earlier try was given up; send the retry token to try again"
+        refusal = Failure(Code.KEY_IN_USE, Step.CLAIM, LOG, detail)
+        return self._void(keyed, attempt, refusal)
+
+    def _give_up(self, keyed: KeyedCall, attempt: RecordId) -> Answer:
+        """Answer a call whose claim may still land; it will not be dispatched."""
+        failure = _unsettled("the claim was not settled in time")
+        if self.appender.down:
+            # The void blocks the claim when the log is back; the caller is not kept waiting.
+            self.appender.post(self._void_record(keyed, attempt))
+            return failure
+        return self._void(keyed, attempt, failure)
+
+    def refuse(self, keyed: KeyedCall, failure: Failure) -> Answer:
+        """Refuse a call before any claim; say `not_run` only if a void proves it of the key."""
+        if keyed.key in self.answers.by_key or self.claims.owner_of(keyed.key) is not None:
+            return failure.with_ran(Ran.UNKNOWN)
+        if not self._can_claim(keyed):
+            return failure.with_ran(Ran.UNKNOWN)
+        return self._void(keyed, new_record_id(), failure)
+
+    def _void(self, keyed: KeyedCall, attempt: RecordId, failure: Failure) -> Failure:
+        """Void an attempt; return `failure` as `not_run` with a token only once it is read back."""
+        void = self._void_record(keyed, attempt)
+        fate = self._settle(void, self.wait_s)
+        if fate is None or fate.outcome is not Outcome.ACCEPTED:
+            return failure.with_ran(Ran.UNKNOWN)
+        closed = failure.with_ran(Ran.NOT_RUN)
+        return msgspec.structs.replace(closed, retry_token=fate.position)
+
+    def _void_record(self, keyed: KeyedCall, attempt: RecordId) -> Void:
+        return Void(new_record_id(), keyed.key, attempt, keyed.dated)
+
+    def _settle(self, record: Claim | Void, timeout_s: float) -> Fate | None:
+        """Append a record and wait until it is read back; None if that took too long.
+
+        An append whose answer is lost may have taken effect, so the fate counts, not the answer.
+        """
+        self.follower.expect(record.id)
+        try:
+            self.appender.post(record, self.follower.give_up)
+            return self.follower.wait(record.id, timeout_s)
+        finally:
+            self.follower.forget(record.id)
+            self.appender.withdraw(record)
+
+    def _ask_owner(self, keyed: KeyedCall, owner: Incarnation, ask: AskOwner) -> Answer:
+        """Get the answer from the process that holds the key; gone means `unknown` at once."""
+        if owner == self.incarnation:
+            self._release(keyed.key)
+            return _forsaken()
+        question = AskAnswer(owner, keyed.key, keyed.call)
+        while keyed.remaining_s() > 0:
+            message = ask(owner, question, min(ASK_S, keyed.remaining_s()))
+            if isinstance(message, Failure):
+                return message.with_ran(Ran.UNKNOWN)
+            if message.reply is not None:
+                return message.reply
+            if message.failure is not None:
+                return message.failure
+        return _still_running()
+
+    def serve(self, question: AskAnswer) -> AnswerMessage:
+        """Answer another host that asks for the answer of a key which this process holds."""
+        if question.owner != self.incarnation:
+            return AnswerMessage(failure=_forsaken())
+        if question.key not in self.answers.by_key:
+            self._release(question.key)
+            return AnswerMessage(failure=_forsaken())
+        answer = self.answers.join(question.key, question.call, STILL_RUNNING_S)
+        return to_message(answer)
+
+    def _release(self, key: CallKey) -> None:
+        """Free a key whose claim landed after this process had given it up."""
+        state = self.claims.by_key.get(key)
+        if state is None or state.owner != self.incarnation or key in self.answers.by_key:
+            return
+        logger.info("A claim that was given up has landed. It is freed.")
+        self.appender.post(Void(new_record_id(), key, state.holder, state.dated))
+
+
+def to_message(answer: Answer | None) -> AnswerMessage:
+    """Return an answer, or None for one that is still running, as a message."""
+    if answer is None:
+        return AnswerMessage()
+    if isinstance(answer, Failure):
+        return AnswerMessage(failure=answer)
+    return AnswerMessage(reply=answer)
+
+
+def _expired() -> Failure:
+    detail = "the key is older than keys are remembered; it is not run"
+    return Failure(Code.KEY_EXPIRED, Step.CLAIM, LOG, detail, Ran.UNKNOWN)
+
+
+def _unsettled(detail: str) -> Failure:
+    text = f"this try was not run, an earlier one may have been: {detail}"
+    return Failure(Code.LOG_UNAVAILABLE, Step.CLAIM, LOG, text, Ran.UNKNOWN, RETRY_AFTER_S)
+
+
+def _still_running() -> Failure:
+    detail = "the call was still running at the deadline"
+    return Failure(Code.DEADLINE, Step.READ, "host", detail, Ran.UNKNOWN, RETRY_AFTER_S)
+
+
+def _forsaken() -> Failure:
+    detail = "the process that held the key is gone, or gave the call up"
+    return Failure(Code.PEER_GONE, Step.CLAIM, "host", detail, Ran.UNKNOWN, RETRY_AFTER_S)
--- /dev/null
+++ b/libs/daemon/ruddersaddle/orders.py
@@ -0,0 +1,156 @@
+"""Orders to engines: one lease holder per pool keeps them on the published weight version.
+
+The lease and its fence come from the log. Engines that check fences refuse a stale holder. For
+the others the holder reads the lease stream to its end before each order, which leaves a pause
+between that read and the order as the only risk.
+"""
+
+import logging
+import time
+
+import eventlet
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import Incarnation, PoolId, Position, new_record_id
+from ruddersaddle_base.settings import Settings
+from ruddersaddle_state.appenders import Appender
+from ruddersaddle_state.configurations import Configuration
+from ruddersaddle_state.entries import Model, PoolKind
+from ruddersaddle_state.followers import Follower
+from ruddersaddle_state.leases import Leases
+from ruddersaddle_state.records import Grant, Outcome, Release
+from ruddersaddle_upstreams.engines import Order
+
+from ruddersaddle.pools import Pools, PoolView
+
+logger = logging.getLogger(__name__)
+
+STEP_S = 0.5
+"""Pause between looks at what there is to order, in seconds."""
+LOADS_AT_ONCE = 2
+"""Engines that load weights at the same time; more of them slow each other."""
+ORDER_S = 10.0
+RENEW_SHARE = 0.5
+"""A lease is renewed once this share of it has passed."""
+
+
+class OrderCounts:
+    """Counts of orders given and refused."""
+
+    def __init__(self) -> None:
+        self.given = 0
+        self.refused = 0
+        self.withheld = 0
+
+
+class OrderTask:
+    """Takes the lease of each pool that needs an order, gives orders, and releases it."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: Incarnation,
+        pools: Pools,
+        configuration: Configuration,
+        follower: Follower,
+        appender: Appender,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.pools = pools
+        self.configuration = configuration
+        self.follower = follower
+        self.appender = appender
+        self.counts = OrderCounts()
+        self._own_until: dict[PoolId, float] = {}
+        self._ordered_at: dict[str, float] = {}
+
+    @property
+    def leases(self) -> Leases:
+        """The folded leases."""
+        return self.follower.fold
+
+    def start(self) -> None:
+        """Start the task."""
+        eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            for view in list(self.pools.by_id.values()):
+                if view.pool.kind is PoolKind.ENGINE:
+                    self._look_after(view)
+            eventlet.sleep(STEP_S)
+
+    def _look_after(self, view: PoolView) -> None:
+        model = self.configuration.get(Model, view.pool.model)
+        if not isinstance(model, Model) or not self._behind(view, model):
+            self._let_go(view.pool.id)
+            return
+        fence = self._hold(view.pool.id)
+        if fence is not None:
+            self._order_some(view, model, fence)
+
+    def _behind(self, view: PoolView, model: Model) -> list[str]:
+        """Return the addresses of the engines that report another weight version."""
+        loads = [load for load in view.loads() if not load.leaving]
+        return [load.address for load in loads if load.version not in ("", model.version)]
+
+    def _hold(self, pool: PoolId) -> Position | None:
+        """Return the fence of our lease, taking or renewing it; None while another holds it."""
+        length_s = self.settings.number("leases.length_s")
+        lease = self.leases.by_pool.get(pool)
+        own = lease is not None and lease.holder == self.incarnation
+        until = self._own_until.get(pool, 0.0)
+        if own and time.monotonic() < until - length_s * RENEW_SHARE:
+            return lease.fence
+        if lease is not None and not own and time.time() <= lease.until + self.leases.margin_s:
+            return None
+        began = time.monotonic()
+        grant = Grant(new_record_id(), pool, self.incarnation, length_s)
+        self.follower.expect(grant.id)
+        self.appender.post(grant, self.follower.give_up)
+        fate = self.follower.wait(grant.id, length_s)
+        self.follower.forget(grant.id)
+        if fate is None or fate.outcome is not Outcome.ACCEPTED:
+            return None
+        # Our own end of the lease counts from before the append, so it is never late.
+        self._own_until[pool] = began + length_s
+        return fate.position
+
+    def _let_go(self, pool: PoolId) -> None:
+        if self._own_until.pop(pool, None) is not None:
+            self.appender.post(Release(new_record_id(), pool, self.incarnation))
+
+    def _order_some(self, view: PoolView, model: Model, fence: Position) -> None:
+        now = time.monotonic()
+        loading = [at for at in self._ordered_at.values() if now - at < ORDER_S]
+        for address in self._behind(view, model):
+            if len(loading) >= LOADS_AT_ONCE:
+                return
+            if now - self._ordered_at.get(address, -ORDER_S) < ORDER_S:
+                continue
+            loading.append(now)
+            self._ordered_at[address] = now
+            eventlet.spawn(self._order, view, address, Order(model.id, model.version, fence))
+
+    def _order(self, view: PoolView, address: str, order: Order) -> None:
+        """Give one order, if the lease is still ours as of the end of its stream."""
+        if not view.pool.checks_fences and not self._still_holds(view.pool.id, order.fence):
+            self.counts.withheld += 1
+            return
+        done = view.engine_by_address[address].order(order)
+        self._ordered_at.pop(address, None)
+        if isinstance(done, Failure):
+            logger.warning("Order to %s failed. %s", address, done.detail)
+        elif done:
+            self.counts.given += 1
+            logger.info("Engine %s loads version %s.", address, order.version)
+        else:
+            self.counts.refused += 1
+            logger.warning("Engine %s refused a stale fence.", address)
+
+    def _still_holds(self, pool: PoolId, fence: Position) -> bool:
+        if not self.follower.read_to_end():
+            return False
+        lease = self.leases.by_pool.get(pool)
+        in_time = time.monotonic() < self._own_until.get(pool, 0.0)
+        return in_time and lease is not None and lease.fence == fence
--- /dev/null
+++ b/libs/daemon/ruddersaddle/peers.py
@@ -0,0 +1,146 @@
+"""Messages to and from the other hosts, over `pynng` push and pull sockets.
+
+One pull socket takes all that comes; one push socket for each peer is opened when it is first
+needed, so that links grow with use and not with the square of the hosts. `pynng` only moves the
+bytes; who is a peer comes from the host list.
+"""
+
+import itertools
+import logging
+from collections.abc import Callable
+
+import eventlet
+import pynng
+from eventlet.event import Event as Signal
+from eventlet.hubs import trampoline
+from ruddersaddle_base.codecs import decode_packed, encode_packed
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+
+from ruddersaddle.messages import Envelope, Message
+
+logger = logging.getLogger(__name__)
+
+CONNECT_S = 0.5
+"""Longest wait for a first connection to a peer, in seconds."""
+CONNECT_STEP_S = 0.01
+QUEUE_MESSAGES = 256
+"""Messages that wait for a slow peer before it counts as gone."""
+MESSAGE_MAX = 16 * 1024 * 1024
+TASK_THREADS = 2
+"""Threads of the library; it would start about 30."""
+
+Handler = Callable[[Message], Message]
+
+
+def limit_threads() -> None:
+    """Keep the library's threads few; call before the first socket is opened."""
+    library = pynng._nng.lib
+    for name in ("TASK", "EXPIRE", "POLLER"):
+        library.nng_init_set_parameter(getattr(library, f"NNG_INIT_NUM_{name}_THREADS"), 1)
+        library.nng_init_set_parameter(getattr(library, f"NNG_INIT_MAX_{name}_THREADS"), 1)
+    library.nng_init_set_parameter(library.NNG_INIT_NUM_TASK_THREADS, TASK_THREADS)
+    library.nng_init_set_parameter(library.NNG_INIT_MAX_TASK_THREADS, TASK_THREADS)
+    library.nng_init_set_parameter(library.NNG_INIT_NUM_RESOLVER_THREADS, 1)
+
+
+class Peers:
+    """This host's end of the messages to all others."""
+
+    def __init__(self, address: str, handler: Handler) -> None:
+        self.address = address
+        self.handler = handler
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self._socket: pynng.Pull0 | None = None
+        self._push_by_address: dict[str, pynng.Push0] = {}
+        self._signal_by_exchange: dict[int, Signal] = {}
+        self._exchanges = itertools.count(1)
+
+    def start(self) -> None:
+        """Listen, and start the task that takes messages."""
+        self._socket = pynng.Pull0(
+            listen=f"tcp://{self.address}", recv_max_size=MESSAGE_MAX, recv_buffer_size=512
+        )
+        eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                data = self._socket.recv(block=False)
+            except pynng.TryAgain:
+                trampoline(self._socket.recv_fd, read=True)
+                continue
+            except pynng.Closed:
+                return
+            self.received_bytes += len(data)
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        envelope = decode_packed(data, Envelope, Step.PEER, "peer")
+        if isinstance(envelope, Failure):
+            logger.warning("Unreadable message. %s", envelope.detail)
+        elif envelope.is_answer:
+            self._take_answer(envelope)
+        else:
+            eventlet.spawn(self._serve, envelope)
+
+    def _take_answer(self, envelope: Envelope) -> None:
+        signal = self._signal_by_exchange.get(envelope.exchange)
+        # An answer that comes after its asker gave up finds no signal and is dropped.
+        if signal is not None and not signal.ready():
+            signal.send(envelope.message)
+
+    def _serve(self, envelope: Envelope) -> None:
+        answer = self.handler(envelope.message)
+        reply = Envelope(self.address, envelope.exchange, True, answer)
+        self._send(envelope.sender, reply)
+
+    def ask(self, address: str, message: Message, timeout_s: float) -> Message | Failure:
+        """Ask the host at a peer address; a failure says that no answer came, not that it ran."""
+        exchange = next(self._exchanges)
+        signal: Signal = Signal()
+        self._signal_by_exchange[exchange] = signal
+        try:
+            if not self._send(address, Envelope(self.address, exchange, False, message)):
+                return self._gone(address, "not connected")
+            with eventlet.Timeout(timeout_s, False):
+                return signal.wait()
+            return self._gone(address, f"no answer within {timeout_s:.1f} s")
+        finally:
+            del self._signal_by_exchange[exchange]
+
+    def _send(self, address: str, envelope: Envelope) -> bool:
+        socket = self._push_by_address.get(address)
+        if socket is None:
+            socket = self._dial(address)
+        if not self._await_connection(socket):
+            return False
+        data = encode_packed(envelope)
+        try:
+            socket.send(data, block=False)
+        except pynng.NNGException as error:
+            logger.warning("Message to %s was not sent. %s", address, error)
+            return False
+        self.sent_bytes += len(data)
+        return True
+
+    def _dial(self, address: str) -> pynng.Push0:
+        socket = pynng.Push0(send_buffer_size=QUEUE_MESSAGES)
+        socket.dial(f"tcp://{address}", block=False)
+        self._push_by_address[address] = socket
+        return socket
+
+    def _await_connection(self, socket: pynng.Push0) -> bool:
+        waited_s = 0.0
+        while not socket.pipes and waited_s < CONNECT_S:
+            eventlet.sleep(CONNECT_STEP_S)
+            waited_s += CONNECT_STEP_S
+        return bool(socket.pipes)
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the sockets to peers that are no longer listed."""
+        for address in set(self._push_by_address) - addresses:
+            self._push_by_address.pop(address).close()
+
+    def _gone(self, address: str, detail: str) -> Failure:
+        return Failure(Code.PEER_GONE, Step.PEER, address, detail, Ran.UNKNOWN)
--- /dev/null
+++ b/libs/daemon/ruddersaddle/pools.py
@@ -0,0 +1,186 @@
+"""This host's view of each pool: its upstreams, their load, and the queue for their slots."""
+
+import logging
+import time
+from collections.abc import Iterable
+
+import eventlet
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.ids import PoolId, WorkspaceId
+from ruddersaddle_base.settings import Settings
+from ruddersaddle_routing.choices import Chooser
+from ruddersaddle_routing.limits import AdaptiveLimit
+from ruddersaddle_routing.loads import Load
+from ruddersaddle_routing.queues import FairQueue
+from ruddersaddle_routing.retries import Circuit, RetryBudget
+from ruddersaddle_state.configurations import Configuration
+from ruddersaddle_state.entries import Pool, PoolKind, Upstream, Workspace
+from ruddersaddle_upstreams.engines import EngineClient
+from ruddersaddle_upstreams.host_lists import HostList
+
+logger = logging.getLogger(__name__)
+
+EVENT_WAIT_S = 5.0
+"""Longest wait of one read of an engine's cache events, in seconds."""
+EVENT_RETRY_S = 0.5
+CONTROL_READ_S = 8.0
+"""Longest pause in an engine's answer on the control path, in seconds."""
+
+
+class PoolView:
+    """One pool as this host sees it."""
+
+    def __init__(self, pool: Pool, settings: Settings) -> None:
+        self.pool = pool
+        self.settings = settings
+        self.load_by_address: dict[str, Load] = {}
+        self.engine_by_address: dict[str, EngineClient] = {}
+        self.budget = RetryBudget(settings.number("routing.retry_share"))
+        speed = settings.number("contexts.prefill_tokens_s")
+        self.chooser = Chooser.from_name(settings.text("routing.policy"), speed)
+        self.queue = FairQueue(self.capacity)
+
+    def capacity(self) -> int:
+        """Return how many calls the pool may have in flight from this host."""
+        usable = [load for load in self.loads() if load.may_come_free]
+        return sum(int(load.limit.limit) for load in usable)
+
+    def loads(self) -> Iterable[Load]:
+        """Return the loads of all upstreams."""
+        return self.load_by_address.values()
+
+    def update(self, pool: Pool, hosts: HostList) -> None:
+        """Take a new configuration and host list; start and end the tasks of each upstream."""
+        self.pool = pool
+        wanted = {upstream.address: upstream for upstream in pool.upstreams}
+        for address in set(self.load_by_address) - set(wanted):
+            del self.load_by_address[address]
+            self.engine_by_address.pop(address, None)
+        for address in set(wanted) - set(self.load_by_address):
+            self._add(wanted[address])
+        for load in self.loads():
+            load.leaving = hosts.is_leaving(load.address)
+        self.chooser.hosts = max(1, len(hosts.entries()))
+        self.queue.wake()
+
+    def _add(self, upstream: Upstream) -> None:
+        settings = self.settings
+        start = settings.whole("routing.limit_start")
+        limit = AdaptiveLimit(start, settings.whole("routing.limit_max"))
+        failures = settings.whole("routing.failures_open")
+        circuit = Circuit(failures, settings.number("routing.open_s"))
+        load = Load(upstream.id, upstream.address, upstream.hall, limit, circuit)
+        self.load_by_address[upstream.address] = load
+        if self.pool.kind is PoolKind.ENGINE:
+            self._watch(load)
+
+    def _watch(self, load: Load) -> None:
+        connect_s = self.settings.number("routing.connect_s")
+        control = EngineClient(load.address, connect_s, CONTROL_READ_S)
+        read_s = self.settings.number("routing.read_s")
+        self.engine_by_address[load.address] = EngineClient(load.address, connect_s, read_s)
+        eventlet.spawn(self._follow_load, load, control)
+        eventlet.spawn(self._follow_cache, load, control)
+
+    def _is_member(self, load: Load) -> bool:
+        return self.load_by_address.get(load.address) is load
+
+    def _follow_load(self, load: Load, client: EngineClient) -> None:
+        while self._is_member(load):
+            report = client.load()
+            if not isinstance(report, Failure):
+                load.take_report(report)
+            eventlet.sleep(self.settings.number("routing.load_poll_s"))
+
+    def _follow_cache(self, load: Load, client: EngineClient) -> None:
+        epoch = ""
+        expected = 0
+        while self._is_member(load):
+            page = client.events(expected, EVENT_WAIT_S) if epoch else None
+            if page is None or isinstance(page, Failure) or page.epoch != epoch:
+                epoch, expected = self._resync(load, client)
+                continue
+            for event in page.events:
+                if event.sequence != expected:
+                    logger.info("Cache events of %s have a gap.", load.upstream)
+                    epoch, expected = self._resync(load, client)
+                    break
+                load.take_event(event.stored, event.key)
+                expected += 1
+
+    def _resync(self, load: Load, client: EngineClient) -> tuple[str, int]:
+        listing = client.listing()
+        load.drop_cache()
+        if isinstance(listing, Failure):
+            eventlet.sleep(EVENT_RETRY_S)
+            return "", 0
+        load.cached.update(listing.keys)
+        return listing.epoch, listing.next
+
+    def enter(self, workspace: Workspace, cost: float, remaining_s: float) -> "Slot | Failure":
+        """Wait for a slot in fair turn; refuse at once what can't be in time."""
+        waiting = self.queue.waiting_by_workspace.get(workspace.id, 0)
+        predicted_s = self.queue.predict_wait_s(workspace.id)
+        if waiting >= workspace.concurrent_max:
+            detail = f"{waiting} requests of the workspace wait already"
+            return self._refuse(Code.OVERLOADED, detail, predicted_s)
+        if predicted_s >= remaining_s:
+            detail = f"a slot is {predicted_s:.1f} s away, the deadline {remaining_s:.1f} s"
+            return self._refuse(Code.OVERLOADED, detail, predicted_s)
+        if not self.queue.acquire(workspace.id, workspace.weight, cost, remaining_s):
+            return self._refuse(Code.DEADLINE, "no slot came free in time", predicted_s)
+        return Slot(self.queue, workspace.id)
+
+    def _refuse(self, code: Code, detail: str, retry_after_s: float) -> Failure:
+        after_s = max(1.0, retry_after_s)
+        return Failure(code, Step.QUEUE, self.pool.id, detail, retry_after_s=after_s)
+
+
+class Slot:
+    """A slot of a pool, held by one request until it is released."""
+
+    def __init__(self, queue: FairQueue, workspace: WorkspaceId) -> None:
+        self.queue = queue
+        self.workspace = workspace
+        self.since = time.monotonic()
+        self.released = False
+
+    def release(self) -> None:
+        """Give the slot back, once."""
+        if not self.released:
+            self.released = True
+            self.queue.release(time.monotonic() - self.since)
+
+
+class Pools:
+    """All pools, kept as the configuration and the host list say."""
+
+    def __init__(self, settings: Settings, hosts: HostList) -> None:
+        self.settings = settings
+        self.hosts = hosts
+        self.by_id: dict[PoolId, PoolView] = {}
+
+    def update(self, configuration: Configuration) -> None:
+        """Take the newest configuration and host list."""
+        wanted = {pool.id: pool for pool in configuration.values(Pool)}
+        for gone in set(self.by_id) - set(wanted):
+            self.by_id.pop(gone).load_by_address.clear()
+        for pool in wanted.values():
+            if pool.id not in self.by_id:
+                self.by_id[pool.id] = PoolView(pool, self.settings)
+            self.by_id[pool.id].update(pool, self.hosts)
+
+    def for_model(self, model: str) -> PoolView | None:
+        """Return the pool of engines that serves a model, or None."""
+        for view in self.by_id.values():
+            if view.pool.kind is PoolKind.ENGINE and view.pool.model == model:
+                return view
+        return None
+
+    def for_path(self, path: str) -> PoolView | None:
+        """Return the pool of plain services that has a rule for a path, or None."""
+        for view in self.by_id.values():
+            is_service = view.pool.kind is PoolKind.SERVICE
+            if is_service and view.pool.is_repeatable(path) is not None:
+                return view
+        return None
--- /dev/null
+++ b/libs/daemon/ruddersaddle/prefetches.py
@@ -0,0 +1,135 @@
+"""Work before a marked event: its template is computed, kept and spread before callers come."""
+
+import logging
+import string
+import time
+
+import eventlet
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import HostId, WorkspaceId, new_request_id
+from ruddersaddle_base.settings import Settings
+from ruddersaddle_routing.loads import Load
+from ruddersaddle_routing.rendezvous import rank_names
+from ruddersaddle_state.configurations import Configuration
+from ruddersaddle_state.entries import Event, Template
+from ruddersaddle_upstreams.chains import block_keys, context_salt
+from ruddersaddle_upstreams.engines import EngineRequest
+from ruddersaddle_upstreams.host_lists import HostList
+
+from ruddersaddle.contexts import KeptContexts
+from ruddersaddle.pools import Pools, PoolView
+
+logger = logging.getLogger(__name__)
+
+STEP_S = 0.5
+"""Pause between looks at the marked events, in seconds."""
+BACKGROUND_PRIORITY = 9
+
+
+class Prefetcher:
+    """Prepares marked events.
+
+    The first host by rendezvous hash over the live hosts does an event's work; if two hosts
+    disagree for a moment, the work is done twice and no harm comes of it.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        configuration: Configuration,
+        hosts: HostList,
+        pools: Pools,
+        contexts: KeptContexts,
+    ) -> None:
+        self.host = HostId(settings.text("host.id"))
+        self.lead_s = settings.number("contexts.prefetch_s")
+        self.configuration = configuration
+        self.hosts = hosts
+        self.pools = pools
+        self.contexts = contexts
+        self.prepared = 0
+        self._done: set[tuple[str, float, str]] = set()
+
+    def start(self) -> None:
+        """Start the task."""
+        eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            for event in self.configuration.values(Event):
+                if self._is_due(event) and self._is_mine(event):
+                    self._prepare(event)
+            eventlet.sleep(STEP_S)
+
+    def _is_due(self, event: Event) -> bool:
+        return event.at - self.lead_s <= time.time() < event.at
+
+    def _is_mine(self, event: Event) -> bool:
+        live = [row.id for row in self.hosts.entries() if not self.hosts.is_leaving(row.address)]
+        return bool(live) and rank_names(event.id, live)[0] == self.host
+
+    def _prepare(self, event: Event) -> None:
+        template = self.configuration.get(Template, event.template)
+        view = self.pools.for_model(event.model)
+        if not isinstance(template, Template) or view is None:
+            return
+        text = shared_prefix(template, event)
+        for load in self._targets(event, template.workspace, text, view):
+            label = (event.id, event.at, load.address)
+            if label not in self._done:
+                self._done.add(label)
+                eventlet.spawn(self._warm, event, template.workspace, text, view, load)
+
+    def _targets(
+        self, event: Event, workspace: WorkspaceId, text: str, view: PoolView
+    ) -> list[Load]:
+        """Return the engines that get a copy: the first by the order that routing uses too."""
+        by_address = {load.address: load for load in view.loads() if load.may_come_free}
+        versions = [load.version for load in by_address.values() if load.version]
+        if not versions:
+            return []
+        keys = block_keys(context_salt(workspace, event.model, versions[0]), text)
+        ranked = rank_names(keys[0] if keys else "", by_address)
+        return [by_address[address] for address in ranked[: event.copies]]
+
+    def _warm(
+        self, event: Event, workspace: WorkspaceId, text: str, view: PoolView, load: Load
+    ) -> None:
+        """Bring the template's context into one engine: fetched if it is kept, else computed."""
+        salt = context_salt(workspace, event.model, load.version)
+        keys = block_keys(salt, text)
+        engine = view.engine_by_address[load.address]
+        found = self.contexts.find(keys)
+        if found.store is not None and found.kept.blocks:
+            self.contexts.fetch(found, engine, keys[: found.kept.blocks])
+        request = EngineRequest(
+            id=new_request_id(),
+            model=event.model,
+            version=load.version,
+            adapter="",
+            salt=salt,
+            prompt=text,
+            max_tokens=1,
+            priority=BACKGROUND_PRIORITY,
+            chat=False,
+        )
+        stream = engine.generate(request)
+        if isinstance(stream, Failure):
+            logger.warning("Event %s was not prepared. %s", event.id, stream.detail)
+            return
+        while stream.read_some():
+            if stream.done:
+                break
+        stream.finish()
+        self.prepared += 1
+        logger.info("Event %s is prepared on %s.", event.id, load.upstream)
+        self.contexts.keep(engine, request.id)
+
+
+def shared_prefix(template: Template, event: Event) -> str:
+    """Return the template's text up to the first parameter that the event leaves open."""
+    text = string.Template(template.text).safe_substitute(event.arguments)
+    open_names = [name for name in template.parameters if name not in event.arguments]
+    ends = [text.find(mark) for name in open_names for mark in (f"${name}", f"${{{name}}}")]
+    found = [end for end in ends if end >= 0]
+    return text[: min(found)] if found else text
--- /dev/null
+++ b/libs/daemon/ruddersaddle/publishers.py
@@ -0,0 +1,133 @@
+"""Publishing by operators: a change ends accepted, rejected or unknown, and the word is true.
+
+The operator's own process appends the change and reads the log until the change's fate is there.
+Only that fate counts: an answer of the log that was lost says nothing.
+"""
+
+import time
+from enum import Enum
+
+import msgspec
+from ruddersaddle_base.codecs import decode_json
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import Position, RecordId, new_record_id
+from ruddersaddle_state.configurations import Configuration
+from ruddersaddle_state.followers import Follower
+from ruddersaddle_state.log_clients import LogClient
+from ruddersaddle_state.records import Batch, Change, Edit, Fate, Outcome, Stream
+from ruddersaddle_upstreams.connections import OK, Connections
+from ruddersaddle_upstreams.host_lists import HostList, HostState
+
+from ruddersaddle.published_files import Wanted
+from ruddersaddle.reports import Status
+
+PAUSE_S = 0.1
+IN_FORCE_S = 11.0
+"""Longest wait for a change to be in force everywhere, in seconds."""
+
+
+class Word(Enum):
+    """How a change ended."""
+
+    ACCEPTED = "accepted"
+    REJECTED = "rejected"
+    UNKNOWN = "unknown"
+
+
+class Published(msgspec.Struct):
+    """What the operator is told of a change."""
+
+    word: Word
+    change: RecordId
+    offset: Position | None
+    reason: str
+    hosts_in_force: int = 0
+    hosts_listed: int = 0
+    seconds: float = 0.0
+
+
+class Publisher:
+    """One operator's connection to the log and to the host list."""
+
+    def __init__(self, log_address: str, list_address: str, timeout_s: float) -> None:
+        self.client = LogClient(log_address, timeout_s)
+        self.configuration = Configuration()
+        self.follower = Follower(self.client, Stream.CONFIGURATION, self.configuration)
+        self.hosts = HostList(list_address, PAUSE_S, timeout_s)
+        self.timeout_s = timeout_s
+
+    def read(self) -> bool:
+        """Read the configuration as it stands; return whether the log answered."""
+        return self.follower.read_to_end()
+
+    def edits_for(self, wanted: list[Wanted]) -> list[Edit]:
+        """Return the edits that make the present configuration hold what is wanted."""
+        edits = []
+        for each in wanted:
+            entry = self.configuration.by_key.get(each.key)
+            present = None if entry is None else entry.value
+            if present != each.value:
+                edits.append(Edit(each.key, self.configuration.version(each.key), each.value))
+        return edits
+
+    def publish(self, author: str, edits: list[Edit], wait_s: float) -> Published:
+        """Append a change and tell how it ended, within `wait_s` seconds."""
+        change = Change(new_record_id(), author, tuple(edits))
+        reply = self.client.append(Stream.CONFIGURATION, Batch((change,)))
+        if isinstance(reply, Failure) and reply.ran is Ran.NOT_RUN:
+            reason = f"the log was not reached: {reply.detail}"
+            return Published(Word.REJECTED, change.id, None, reason)
+        fate = self._find_fate(change.id, time.monotonic() + wait_s)
+        if fate is None:
+            reason = f"not read back in {wait_s:g} s; see `config show --change {change.id}`"
+            return Published(Word.UNKNOWN, change.id, None, reason)
+        accepted = fate.outcome is Outcome.ACCEPTED
+        word = Word.ACCEPTED if accepted else Word.REJECTED
+        return Published(word, change.id, fate.position, fate.reason)
+
+    def _find_fate(self, change: RecordId, deadline: float) -> Fate | None:
+        while True:
+            self.follower.read_once(0.0)
+            fate = self.configuration.fate_by_id.get(change)
+            if fate is not None or time.monotonic() >= deadline:
+                return fate
+            time.sleep(PAUSE_S)
+
+    def await_in_force(self, published: Published) -> Published:
+        """Wait until every live host has the change in force; return how many have."""
+        began = time.monotonic()
+        while True:
+            self.hosts.read()
+            rows = [row for row in self.hosts.entries() if row.state is HostState.LIVE]
+            statuses = [self.status_of(row.address) for row in rows]
+            positions = [s.configuration_position for s in statuses if isinstance(s, Status)]
+            in_force = sum(position >= published.offset for position in positions)
+            elapsed = time.monotonic() - began
+            if in_force == len(rows) or elapsed >= IN_FORCE_S:
+                return msgspec.structs.replace(
+                    published, hosts_in_force=in_force, hosts_listed=len(rows), seconds=elapsed
+                )
+            time.sleep(PAUSE_S)
+
+    def status_of(self, address: str) -> Status | Failure:
+        """Return one host's status."""
+        data = call_operator(address, "GET", "/operator/status", self.timeout_s)
+        if isinstance(data, Failure):
+            return data
+        return decode_json(data, Status, Step.READ, address)
+
+
+def call_operator(
+    address: str, method: str, path: str, timeout_s: float, key: str = ""
+) -> bytes | Failure:
+    """Call an operators' path of one host."""
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    connections = Connections(address, timeout_s, timeout_s)
+    reply = connections.call(method, path, b"", headers)
+    connections.close()
+    if isinstance(reply, Failure):
+        return reply
+    if reply.status != OK:
+        detail = f"status {reply.status}: {reply.body.decode(errors='replace')}"
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, address, detail)
+    return reply.body
--- /dev/null
+++ b/libs/daemon/ruddersaddle/service_calls.py
@@ -0,0 +1,83 @@
+"""Calls of plain services: which upstream, and what may be tried again."""
+
+import itertools
+
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.settings import Settings
+from ruddersaddle_routing.loads import Load
+from ruddersaddle_upstreams.connections import Reply
+from ruddersaddle_upstreams.services import ServiceClient
+
+from ruddersaddle.answers import Answer
+from ruddersaddle.messages import ServiceCall
+from ruddersaddle.pools import Pools, PoolView
+
+SERVER_ERROR = 500
+
+
+class ServiceCaller:
+    """Passes calls on to the upstreams of service pools."""
+
+    def __init__(self, settings: Settings, pools: Pools) -> None:
+        self.connect_s = settings.number("routing.connect_s")
+        self.pools = pools
+        self._turn = itertools.count()
+
+    def dispatch_once(self, call: ServiceCall) -> Answer:
+        """Run a call that may not be repeated.
+
+        Only a connection that was never made may be tried on another upstream: once a byte has
+        left, the outcome is the upstream's answer or `unknown`.
+        """
+        return self._dispatch(call, repeatable=False)
+
+    def dispatch(self, call: ServiceCall) -> Answer:
+        """Run a call that may be repeated, with retries inside the pool's budget."""
+        return self._dispatch(call, repeatable=True)
+
+    def _dispatch(self, call: ServiceCall, repeatable: bool) -> Answer:
+        view = self.pools.by_id.get(call.pool)
+        if view is None:
+            return _none_open(call.pool)
+        view.budget.note_first()
+        answer: Answer = _none_open(call.pool)
+        tried: set[str] = set()
+        while True:
+            load = self._next(view, tried)
+            if load is None:
+                return answer
+            if tried and not view.budget.take():
+                return answer
+            tried.add(load.address)
+            answer = self._call(load, call)
+            if not _may_try_again(answer, repeatable):
+                return answer
+
+    def _next(self, view: PoolView, tried: set[str]) -> Load | None:
+        untried = [load for load in view.loads() if load.address not in tried and load.is_open]
+        if not untried:
+            return None
+        start = next(self._turn) % len(untried)
+        turned = untried[start:] + untried[:start]
+        return min(turned, key=lambda load: load.limit.in_flight)
+
+    def _call(self, load: Load, call: ServiceCall) -> Answer:
+        load.limit.begin()
+        load.circuit.begin()
+        client = ServiceClient(load.address, self.connect_s, call.seconds)
+        answer = client.call(call.method, call.path, dict(call.headers), call.body)
+        failed = isinstance(answer, Failure)
+        load.limit.end(overloaded=False)
+        load.circuit.end(failed)
+        return answer
+
+
+def _may_try_again(answer: Answer, repeatable: bool) -> bool:
+    if isinstance(answer, Reply):
+        return repeatable and answer.status > SERVER_ERROR
+    return repeatable or answer.ran is Ran.NOT_RUN
+
+
+def _none_open(pool: str) -> Failure:
+    detail = "no upstream is open"
+    return Failure(Code.NO_UPSTREAM, Step.CONNECT, pool, detail, retry_after_s=1.0)
--- /dev/null
+++ b/libs/daemon/ruddersaddle/snapshots.py
@@ -0,0 +1,69 @@
+"""Snapshots of the configuration: re-appended to the log before its oldest needed record expires.
+
+Any host may write one; a random delay makes it likely that only one does, and a second is harmless.
+"""
+
+import logging
+import random
+import time
+
+import eventlet
+from ruddersaddle_base.ids import START, split_offset
+from ruddersaddle_base.settings import Settings
+from ruddersaddle_state.appenders import Appender
+from ruddersaddle_state.configurations import Configuration
+
+logger = logging.getLogger(__name__)
+
+STEP_S = 1.0
+"""Pause between looks, in seconds."""
+DELAY_MAX_S = 2.0
+RETENTION_SHARE = 0.25
+"""A snapshot is due once the last is this share of the retention old."""
+
+
+class SnapshotTask:
+    """Writes a snapshot when one is due and no other host has."""
+
+    def __init__(
+        self, settings: Settings, configuration: Configuration, appender: Appender
+    ) -> None:
+        self.after = settings.whole("platform.snapshot_after")
+        self.age_s = settings.number("platform.retention_s") * RETENTION_SHARE
+        self.configuration = configuration
+        self.appender = appender
+        self.written = 0
+        self._seen = START
+        self._seen_at = time.monotonic()
+        self._random = random.SystemRandom()
+
+    def start(self) -> None:
+        """Start the task."""
+        eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            eventlet.sleep(STEP_S)
+            if not self.is_due():
+                continue
+            eventlet.sleep(self._random.uniform(0, DELAY_MAX_S))
+            if self.is_due():
+                self.write()
+
+    def is_due(self) -> bool:
+        """Return whether the last snapshot is too many records or too long ago."""
+        configuration = self.configuration
+        if configuration.snapshot_seen != self._seen:
+            self._seen = configuration.snapshot_seen
+            self._seen_at = time.monotonic()
+        if not configuration.complete or configuration.position == START:
+            return False
+        behind = split_offset(configuration.position) - split_offset(self._seen)
+        return behind >= self.after or time.monotonic() - self._seen_at >= self.age_s
+
+    def write(self) -> None:
+        """Append a snapshot."""
+        self.written += 1
+        self._seen_at = time.monotonic()
+        logger.info("Snapshot as of position %d.", self.configuration.position)
+        self.appender.post(self.configuration.snapshot())
--- /dev/null
+++ b/libs/daemon/ruddersaddle/tickets.py
@@ -0,0 +1,105 @@
+"""Tickets: a call that only the process which issued its ticket may run; no log is needed.
+
+A ticket works while the log is out. Its process alone decides, so a run happens at most once even
+if that process is paused; once the process is gone the answer is `unknown`, never a second run.
+"""
+
+import hmac
+import secrets
+import time
+from hashlib import sha256
+
+import msgspec
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import CallKey, Incarnation
+
+from ruddersaddle.answers import Answer, KeptAnswers
+from ruddersaddle.keyed_calls import Dispatch
+from ruddersaddle.messages import ServiceCall
+
+PREFIX = "ticket"
+SEPARATOR = ":"
+SECRET_BYTES = 32
+SIGNATURE_LETTERS = 32
+PARTS = 5
+
+
+class Ticket(msgspec.Struct, frozen=True):
+    """What a ticket's text says: who may run it, and until when in Unix seconds."""
+
+    owner: Incarnation
+    until: float
+    nonce: str
+    signature: str
+
+
+class TicketOffice:
+    """Issues this process's tickets and runs the calls that come with them.
+
+    Tickets are signed with a secret that dies with the process, so only used ones take memory.
+    """
+
+    def __init__(self, incarnation: Incarnation, valid_s: float, answers: KeptAnswers) -> None:
+        self.incarnation = incarnation
+        self.valid_s = valid_s
+        self.answers = answers
+        self.issued = 0
+        self._secret = secrets.token_bytes(SECRET_BYTES)
+
+    def issue(self, workspace: str) -> str:
+        """Return a new ticket for one call of a workspace."""
+        self.issued += 1
+        until = f"{time.time() + self.valid_s:.0f}"
+        nonce = secrets.token_hex(8)
+        signature = self._sign(workspace, until, nonce)
+        return SEPARATOR.join((PREFIX, self.incarnation, until, nonce, signature))
+
+    def _sign(self, workspace: str, until: str, nonce: str) -> str:
+        text = SEPARATOR.join((workspace, until, nonce))
+        return hmac.new(self._secret, text.encode(), sha256).hexdigest()[:SIGNATURE_LETTERS]
+
+    def run(self, workspace: str, text: str, call: ServiceCall, dispatch: Dispatch) -> Answer:
+        """Run a ticket's call if it never was, and return its answer.
+
+        A call that failed before any byte left closes the ticket for good, so that a copy of the
+        call which is still on its way can't run after `not_run` was said.
+        """
+        ticket = parse_ticket(text)
+        if isinstance(ticket, Failure):
+            return ticket
+        signature = self._sign(workspace, f"{ticket.until:.0f}", ticket.nonce)
+        if not hmac.compare_digest(ticket.signature, signature):
+            return _bad("the ticket is not of this workspace and process")
+        key = CallKey(text)
+        if key in self.answers.by_key:
+            answer = self.answers.join(key, call, call.seconds)
+            return _running() if answer is None else answer
+        if time.time() > ticket.until:
+            detail = "the ticket has run out; it is not run"
+            return Failure(Code.KEY_EXPIRED, Step.CLAIM, self.incarnation, detail, Ran.UNKNOWN)
+        slot = self.answers.begin(key, call)
+        answer = dispatch(call)
+        self.answers.finish(slot, answer)
+        return answer
+
+
+def is_ticket(key: str) -> bool:
+    """Return whether an idempotency key is a ticket."""
+    return key.startswith(PREFIX + SEPARATOR)
+
+
+def parse_ticket(text: str) -> Ticket | Failure:
+    """Return what a ticket says, unverified."""
+    parts = text.split(SEPARATOR)
+    if len(parts) != PARTS or not parts[2].isdigit():
+        return _bad("not a ticket")
+    return Ticket(Incarnation(parts[1]), float(parts[2]), parts[3], parts[4])
+
+
+def _bad(detail: str) -> Failure:
+    return Failure(Code.BAD_REQUEST, Step.CLAIM, "caller", detail)
+
+
+def _running() -> Failure:
+    detail = "the call was still running at the deadline"
+    return Failure(Code.DEADLINE, Step.READ, "host", detail, Ran.UNKNOWN)
--- /dev/null
+++ b/libs/routing/ruddersaddle_routing/choices.py
@@ -0,0 +1,144 @@
+"""The choice of an upstream for one prompt, by one of several policies."""
+
+import itertools
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+from ruddersaddle_base.ids import BlockKey
+from ruddersaddle_upstreams.chains import BLOCK_TOKENS
+
+from ruddersaddle_routing.loads import Load
+from ruddersaddle_routing.rendezvous import rank_names
+
+TIE_S = 0.02
+"""Predictions this close count as equal; the rendezvous order then decides, in seconds."""
+
+
+@dataclass(frozen=True)
+class RoundRobin:
+    """Each upstream in turn."""
+
+    turn: itertools.count = field(default_factory=itertools.count)
+
+
+@dataclass(frozen=True)
+class LeastLoad:
+    """The lowest load as reported, lag and all."""
+
+
+@dataclass(frozen=True)
+class HashAffinity:
+    """The prefix's first choice by rendezvous hash that is open."""
+
+
+@dataclass(frozen=True)
+class Predicted:
+    """The lowest predicted time to the first token, over compute and links."""
+
+
+Policy = RoundRobin | LeastLoad | HashAffinity | Predicted
+POLICY_BY_NAME = {
+    "round_robin": RoundRobin,
+    "least_load": LeastLoad,
+    "hash": HashAffinity,
+    "predicted": Predicted,
+}
+
+
+class Prompt(msgspec.Struct):
+    """What a choice has to know of a prompt: its tokens and its chain for each weight version."""
+
+    tokens: int
+    keys_of: Callable[[str], list[BlockKey]]
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """What a store host holds of a chain, and the predicted seconds to fetch each block."""
+
+    blocks: int = 0
+    seconds_per_block: float = 0.0
+    wait_s: float = 0.0
+
+
+class Choice(msgspec.Struct):
+    """An upstream, how many kept blocks to fetch into it first, and the predicted first token."""
+
+    load: Load
+    cached_blocks: int
+    fetch_until: int
+    predicted_s: float
+    missing_tokens: int
+
+
+class Chooser:
+    """Chooses upstreams by one policy; `hosts` is how many entry hosts share the upstreams."""
+
+    def __init__(self, policy: Policy, prefill_tokens_s: float) -> None:
+        self.policy = policy
+        self.prefill_tokens_s = prefill_tokens_s
+        self.hosts = 1
+
+    @classmethod
+    def from_name(cls, name: str, prefill_tokens_s: float) -> "Chooser":
+        """Return a chooser with the policy of that name."""
+        return cls(POLICY_BY_NAME[name](), prefill_tokens_s)
+
+    def choose(self, loads: Sequence[Load], prompt: Prompt, kept: Kept) -> Choice | None:
+        """Return the choice among the loads that are open, or None."""
+        found = [load for load in loads if load.is_open]
+        if not found:
+            return None
+        match self.policy:
+            case RoundRobin(turn):
+                load = found[next(turn) % len(found)]
+            case LeastLoad():
+                load = min(found, key=_reported)
+            case HashAffinity():
+                load = self._first_by_hash(found, prompt)
+            case Predicted():
+                return self._choose_predicted(found, prompt, kept)
+        return self._plan(load, prompt, kept)
+
+    def _choose_predicted(self, loads: list[Load], prompt: Prompt, kept: Kept) -> Choice:
+        plans = [self._plan(load, prompt, kept) for load in loads]
+        best = min(plan.predicted_s for plan in plans)
+        close = [plan for plan in plans if plan.predicted_s <= best + TIE_S]
+        by_address = {plan.load.address: plan for plan in close}
+        return by_address[rank_names(_root(close[0].load, prompt), by_address)[0]]
+
+    def _first_by_hash(self, loads: list[Load], prompt: Prompt) -> Load:
+        by_address = {load.address: load for load in loads}
+        return by_address[rank_names(_root(loads[0], prompt), by_address)[0]]
+
+    def _plan(self, load: Load, prompt: Prompt, kept: Kept) -> Choice:
+        """Return the cheaper of computing and of fetching what the upstream's cache lacks."""
+        keys = prompt.keys_of(load.version)
+        cached = load.count_cached(keys)
+        speed = load.prefill_tokens_s(self.prefill_tokens_s)
+        wait_s = load.waiting_tokens(self.hosts) / speed
+        compute = self._missing(prompt, cached)
+        compute_s = wait_s + compute / speed
+        if kept.blocks <= cached:
+            return Choice(load, cached, 0, compute_s, compute)
+        fetched = kept.blocks - cached
+        fetch_s = kept.wait_s + fetched * kept.seconds_per_block
+        after_fetch = self._missing(prompt, kept.blocks)
+        fetch_total_s = max(wait_s, fetch_s) + after_fetch / speed
+        if fetch_total_s < compute_s:
+            return Choice(load, cached, kept.blocks, fetch_total_s, after_fetch)
+        return Choice(load, cached, 0, compute_s, compute)
+
+    def _missing(self, prompt: Prompt, blocks: int) -> int:
+        return max(1, prompt.tokens - blocks * BLOCK_TOKENS)
+
+
+def _reported(load: Load) -> float:
+    if load.report is None:
+        return 0.0
+    return load.report.waiting_tokens + load.report.running
+
+
+def _root(load: Load, prompt: Prompt) -> str:
+    keys = prompt.keys_of(load.version)
+    return keys[0] if keys else ""
--- /dev/null
+++ b/libs/routing/ruddersaddle_routing/limits.py
@@ -0,0 +1,31 @@
+"""Adaptive concurrency limits: additive increase, multiplicative decrease, per upstream."""
+
+DECREASE = 0.7
+LOWEST = 2.0
+
+
+class AdaptiveLimit:
+    """How many calls one upstream may have in flight from this host."""
+
+    def __init__(self, start: int, highest: int) -> None:
+        self.limit = float(start)
+        self.highest = float(highest)
+        self.in_flight = 0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more call may start."""
+        return self.in_flight < int(self.limit)
+
+    def begin(self) -> None:
+        """Count a call that starts."""
+        self.in_flight += 1
+
+    def end(self, overloaded: bool) -> None:
+        """Count a call that ended, and adapt."""
+        was_full = self.in_flight >= int(self.limit) - 1
+        self.in_flight -= 1
+        if overloaded:
+            self.limit = max(LOWEST, self.limit * DECREASE)
+        elif was_full:
+            self.limit = min(self.highest, self.limit + 1.0 / self.limit)
--- /dev/null
+++ b/libs/routing/ruddersaddle_routing/loads.py
@@ -0,0 +1,117 @@
+"""What a host knows of one upstream: lagged load, what was sent since, cache, limit, circuit."""
+
+import time
+from collections import deque
+
+from ruddersaddle_base.ids import BlockKey, HallId, UpstreamId
+from ruddersaddle_upstreams.engines import LoadReport
+
+from ruddersaddle_routing.limits import AdaptiveLimit
+from ruddersaddle_routing.retries import Circuit
+
+PENDING_S = 10.0
+"""Blocks sent for computation count as cached for this long, until events tell, in seconds."""
+REPORT_MAX_S = 5.0
+"""A report older than this is not used."""
+
+
+class Load:
+    """One upstream's load as this host predicts it."""
+
+    def __init__(
+        self, upstream: UpstreamId, address: str, hall: HallId, limit: AdaptiveLimit, c: Circuit
+    ) -> None:
+        self.upstream = upstream
+        self.address = address
+        self.hall = hall
+        self.limit = limit
+        self.circuit = c
+        self.version = ""
+        self.leaving = False
+        self.cached: set[BlockKey] = set()
+        self.report: LoadReport | None = None
+        self.running = 0
+        self._reported_at = 0.0
+        self._sent: deque[tuple[float, int]] = deque()
+        self._pending: dict[BlockKey, float] = {}
+
+    @property
+    def may_come_free(self) -> bool:
+        """Whether new work may be sent now, or once a call has ended."""
+        return not self.leaving and self.circuit.may_pass()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether new work may be sent now."""
+        return self.may_come_free and self.limit.has_room
+
+    def take_report(self, report: LoadReport) -> None:
+        """Take a new report; what was sent before it was measured is in it."""
+        self.report = report
+        self.version = report.version
+        self._reported_at = time.monotonic()
+        measured = self._reported_at - report.age_s
+        while self._sent and self._sent[0][0] < measured:
+            self._sent.popleft()
+
+    def note_sent(self, tokens: int, keys: list[BlockKey]) -> None:
+        """Count a request that was sent, with the blocks that it will leave in the cache."""
+        now = time.monotonic()
+        self._sent.append((now, tokens))
+        for key in keys:
+            self._pending[key] = now
+
+    def waiting_tokens(self, hosts: int) -> float:
+        """Return the tokens predicted to wait for prefill.
+
+        The other hosts are taken to have sent as much as this one since the last report: the
+        platform's balancer spreads callers evenly.
+        """
+        since = sum(tokens for _, tokens in self._sent) * hosts
+        if self.report is None or time.monotonic() - self._reported_at > REPORT_MAX_S:
+            return since
+        return self.report.waiting_tokens + since
+
+    def prefill_tokens_s(self, default: float) -> float:
+        """Return the reported speed of prefill, or a default."""
+        return self.report.prefill_tokens_s if self.report else default
+
+    def count_cached(self, keys: list[BlockKey]) -> int:
+        """Return how many blocks from the chain's start are cached or soon will be."""
+        count = 0
+        for key in keys:
+            if key not in self.cached and not self._is_pending(key):
+                break
+            count += 1
+        return count
+
+    def count_certain(self, keys: list[BlockKey]) -> int:
+        """Return how many blocks from the chain's start the engine has said are cached."""
+        count = 0
+        for key in keys:
+            if key not in self.cached:
+                break
+            count += 1
+        return count
+
+    def _is_pending(self, key: BlockKey) -> bool:
+        sent_at = self._pending.get(key)
+        if sent_at is None:
+            return False
+        if time.monotonic() - sent_at <= PENDING_S:
+            return True
+        del self._pending[key]
+        return False
+
+    def drop_cache(self) -> None:
+        """Forget the cache, after a gap in events or a restart of the engine."""
+        self.cached.clear()
+        self._pending.clear()
+
+    def take_event(self, stored: bool, key: BlockKey) -> None:
+        """Take one cache event."""
+        self._pending.pop(key, None)
+        if stored:
+            self.cached.add(key)
+        else:
+            self.cached.discard(key)
--- /dev/null
+++ b/libs/routing/ruddersaddle_routing/queues.py
@@ -0,0 +1,112 @@
+"""Fair queueing of workspaces for the slots of a pool.
+
+Start-time fair queueing (Goyal, Vin and Cheng, 1996): each request gets a start tag from its
+workspace's last finish tag, and the smallest tag goes first. A workspace that floods waits behind
+its own requests; the quiet ones do not.
+"""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+import eventlet
+from eventlet.event import Event as Signal
+from ruddersaddle_base.ids import WorkspaceId
+
+SMOOTHING = 0.1
+"""Weight of the newest hold in the mean."""
+HOLD_START_S = 0.3
+"""Mean hold of a slot before any was measured, in seconds."""
+
+
+class Waiter:
+    """A request that waits for a slot."""
+
+    def __init__(self) -> None:
+        self.signal: Signal = Signal()
+        self.left = False
+
+
+class FairQueue:
+    """Slots of one pool on this host; `capacity` tells how many there are right now."""
+
+    def __init__(self, capacity: Callable[[], int]) -> None:
+        self.capacity = capacity
+        self.in_use = 0
+        self.mean_hold_s = HOLD_START_S
+        self.virtual = 0.0
+        self.finish_by_workspace: dict[WorkspaceId, float] = {}
+        self.waiting_by_workspace: dict[WorkspaceId, int] = {}
+        self._heap: list[tuple[float, int, Waiter]] = []
+        self._order = itertools.count()
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a slot is free."""
+        return self.in_use < self.capacity()
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return sum(self.waiting_by_workspace.values())
+
+    def predict_wait_s(self, workspace: WorkspaceId) -> float:
+        """Return about how long a new request of a workspace would wait, in seconds.
+
+        Those ahead of it are its own workspace's and as many of each other waiting one.
+        """
+        if self.waiting == 0 and self.has_room:
+            return 0.0
+        own = self.waiting_by_workspace.get(workspace, 0) + 1
+        ahead = sum(min(count, own) for count in self.waiting_by_workspace.values())
+        return ahead * self.mean_hold_s / max(1, self.capacity())
+
+    def acquire(self, workspace: WorkspaceId, weight: int, cost: float, timeout_s: float) -> bool:
+        """Wait for a slot; return False if none came in time. A granted slot is to be released."""
+        tag = max(self.virtual, self.finish_by_workspace.get(workspace, 0.0))
+        self.finish_by_workspace[workspace] = tag + cost / weight
+        if not self._heap and self.has_room:
+            self._grant(tag)
+            return True
+        item = Waiter()
+        heapq.heappush(self._heap, (tag, next(self._order), item))
+        self._count(workspace, 1)
+        try:
+            with eventlet.Timeout(timeout_s, False):
+                item.signal.wait()
+            return item.signal.ready()
+        finally:
+            item.left = True
+            self._count(workspace, -1)
+
+    def release(self, held_s: float) -> None:
+        """Give a slot back that was held for so many seconds."""
+        self.in_use -= 1
+        self.mean_hold_s += SMOOTHING * (held_s - self.mean_hold_s)
+        self.wake()
+
+    def _count(self, workspace: WorkspaceId, change: int) -> None:
+        count = self.waiting_by_workspace.get(workspace, 0) + change
+        if count:
+            self.waiting_by_workspace[workspace] = count
+        else:
+            self.waiting_by_workspace.pop(workspace, None)
+
+    def _grant(self, tag: float) -> None:
+        self.in_use += 1
+        self.virtual = max(self.virtual, tag)
+
+    def wake(self) -> None:
+        """Give free slots to the requests with the smallest tags."""
+        while self._heap and self.has_room:
+            tag, _, item = heapq.heappop(self._heap)
+            if item.left or item.signal.ready():
+                continue
+            self._grant(tag)
+            item.signal.send(True)
+        if not self._heap:
+            self._forget_idle()
+
+    def _forget_idle(self) -> None:
+        ahead = {k: tag for k, tag in self.finish_by_workspace.items() if tag > self.virtual}
+        self.finish_by_workspace = ahead
--- /dev/null
+++ b/libs/standins/ruddersaddle_standins/processes.py
@@ -0,0 +1,92 @@
+"""Processes of a test or a measure: started, killed, frozen, let go and ended, by id."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import urllib3
+
+START_S = 30.0
+STOP_S = 20.0
+STEP_S = 0.02
+LOOPBACK = "127.0.0.1"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free on loopback right now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((LOOPBACK, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Process:
+    """One process that this tool started; its output goes to a file."""
+
+    def __init__(self, name: str, module: str, arguments: list[str], folder: Path) -> None:
+        self.name = name
+        self.output = folder / f"{name}.log"
+        self.command = [sys.executable, "-m", module, *arguments]
+        self.child: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process, or start it again."""
+        with self.output.open("ab") as file:
+            self.child = subprocess.Popen(
+                self.command, stdout=file, stderr=file, stdin=subprocess.DEVNULL
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.child is not None and self.child.poll() is None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        if self.is_running:
+            self.child.kill()
+            self.child.wait()
+
+    def freeze(self) -> None:
+        """Stop the process where it is."""
+        os.kill(self.child.pid, signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on."""
+        os.kill(self.child.pid, signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to stop as planned."""
+        self.child.terminate()
+
+    def wait(self, seconds: float = STOP_S) -> int:
+        """Wait for the process to end; return its exit code."""
+        return self.child.wait(seconds)
+
+    def read_output(self) -> str:
+        """Return what the process has written."""
+        return self.output.read_text(errors="replace")
+
+
+def wait_until(condition: object, what: str, seconds: float = START_S) -> None:
+    """Wait until `condition()` is true; raise `TimeoutError` that names `what`."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() >= deadline:
+            raise TimeoutError(f"{what}: not within {seconds:g} s")
+        time.sleep(STEP_S)
+
+
+def is_good(url: str) -> bool:
+    """Return whether a GET is answered with 200."""
+    try:
+        return urllib3.request("GET", url, retries=False, timeout=1.0).status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
--- /dev/null
+++ b/libs/state/ruddersaddle_state/configurations.py
@@ -0,0 +1,155 @@
+"""The fold of the configuration stream: same records, same state, on every host.
+
+State never goes back: it carries its position, and neither a snapshot nor a peer's state with a
+lower position is taken over it. A fold that misses earlier records is incomplete: it holds new
+records back until a snapshot covers what it misses.
+"""
+
+import logging
+
+from ruddersaddle_base.ids import START, Position, RecordId, new_record_id, split_offset
+
+from ruddersaddle_state.entries import EntryKey, Event, Model, Template, check_value, entry_key
+from ruddersaddle_state.records import (
+    Change,
+    Edit,
+    Entry,
+    Fate,
+    Outcome,
+    Placed,
+    Snapshot,
+)
+
+logger = logging.getLogger(__name__)
+
+FATES_MAX = 2000
+"""Fates of changes that are remembered for operators who ask."""
+
+
+class Configuration:
+    """The configuration as of one position of its stream."""
+
+    def __init__(self) -> None:
+        self.by_key: dict[EntryKey, Entry] = {}
+        self.position = START
+        self.complete = False
+        self.snapshot_seen = START
+        self.fate_by_id: dict[RecordId, Fate] = {}
+        self._waiting: list[Placed] = []
+        self._waiting_from = START
+
+    def begin(self, first: Position, gap: bool) -> None:
+        """Start reading at `first`; a gap means that records before it are gone."""
+        if not gap:
+            self.complete = True
+            return
+        logger.warning("Records are missing before position %d.", first)
+        self.complete = False
+        self._waiting = []
+        self._waiting_from = first
+
+    def apply(self, placed: Placed) -> Fate:
+        """Fold one record and return its fate."""
+        if placed.position <= self.position:
+            return self.fate_by_id.get(placed.record.id, Fate(Outcome.STALE, placed.position))
+        if isinstance(placed.record, Snapshot):
+            return self._apply_snapshot(placed, placed.record)
+        if not self.complete:
+            self._waiting.append(placed)
+            return Fate(Outcome.HELD, placed.position, "waiting for a snapshot")
+        return self._apply_change(placed)
+
+    def _apply_snapshot(self, placed: Placed, snapshot: Snapshot) -> Fate:
+        self.snapshot_seen = placed.position
+        if self.complete:
+            self.position = placed.position
+            return Fate(Outcome.ACCEPTED, placed.position)
+        covers = split_offset(snapshot.upto) >= split_offset(self._waiting_from) - 1
+        if not covers or not self.adopt(snapshot):
+            return Fate(Outcome.STALE, placed.position, "does not cover what is missing")
+        waiting, self._waiting = self._waiting, []
+        for earlier in waiting:
+            self.apply(earlier)
+        self.position = placed.position
+        return Fate(Outcome.ACCEPTED, placed.position)
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Take over a whole state unless ours is newer; return whether it was taken."""
+        if snapshot.upto < self.position:
+            return False
+        self.by_key = {entry.key: entry for entry in snapshot.entries}
+        self.position = snapshot.upto
+        self.complete = True
+        return True
+
+    def _apply_change(self, placed: Placed) -> Fate:
+        self.position = placed.position
+        record = placed.record
+        if not isinstance(record, Change):
+            return Fate(Outcome.REJECTED, placed.position, "not a record of this stream")
+        known = self.fate_by_id.get(record.id)
+        if known is not None:
+            return known
+        fate = self._decide(record, placed.position)
+        self._remember(record.id, fate)
+        return fate
+
+    def _decide(self, change: Change, position: Position) -> Fate:
+        for edit in change.edits:
+            reason = self.check_edit(edit)
+            if reason:
+                return Fate(Outcome.REJECTED, position, reason)
+        for edit in change.edits:
+            self.by_key[edit.key] = Entry(edit.key, position, edit.value, change.id)
+        return Fate(Outcome.ACCEPTED, position)
+
+    def check_edit(self, edit: Edit) -> str | None:
+        """Return why an edit can't be taken on this state, or None."""
+        current = self.by_key.get(edit.key)
+        version = START if current is None else current.version
+        if edit.base != version:
+            winner = "nothing" if current is None else f"change {current.change}"
+            return f"{edit.key}: based on {edit.base}, but {winner} set it at {version}"
+        if edit.value is None:
+            return None
+        if entry_key(edit.value) != edit.key:
+            return f"{edit.key}: holds a value of another name"
+        wrong = check_value(edit.value)
+        return f"{edit.key}: {wrong}" if wrong else None
+
+    def _remember(self, record: RecordId, fate: Fate) -> None:
+        self.fate_by_id[record] = fate
+        if len(self.fate_by_id) > FATES_MAX:
+            del self.fate_by_id[next(iter(self.fate_by_id))]
+
+    def snapshot(self) -> Snapshot:
+        """Return the whole state as a record."""
+        ordered = tuple(self.by_key[key] for key in sorted(self.by_key))
+        return Snapshot(new_record_id(), self.position, ordered)
+
+    def version(self, key: EntryKey) -> Position:
+        """Return the version that an edit of `key` has to name as its base."""
+        entry = self.by_key.get(key)
+        return START if entry is None else entry.version
+
+    def values(self, kind: type) -> list:
+        """Return the present values of one kind, by key."""
+        ordered = sorted(self.by_key)
+        found = [self.by_key[key].value for key in ordered]
+        return [value for value in found if isinstance(value, kind)]
+
+    def get(self, kind: type, name: str) -> object | None:
+        """Return the value of one entry, or None."""
+        entry = self.by_key.get(EntryKey(f"{kind.__struct_config__.tag}/{name}"))
+        return None if entry is None else entry.value
+
+
+def check_references(configuration: Configuration) -> list[str]:
+    """Return a sentence for each entry that names one which isn't there."""
+    problems = []
+    for event in configuration.values(Event):
+        if configuration.get(Template, event.template) is None:
+            problems.append(f"event/{event.id}: no template {event.template}")
+        if configuration.get(Model, event.model) is None:
+            problems.append(f"event/{event.id}: no model {event.model}")
+    return problems
--- /dev/null
+++ b/libs/state/ruddersaddle_state/followers.py
@@ -0,0 +1,119 @@
+"""A task for each stream that reads the log, folds it, and wakes whoever waits for a record."""
+
+import logging
+import time
+from typing import Protocol
+
+import eventlet
+from eventlet.event import Event as Signal
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import Position, RecordId, join_position, split_offset
+
+from ruddersaddle_state.log_clients import LogClient
+from ruddersaddle_state.records import Fate, Placed, Stream
+
+logger = logging.getLogger(__name__)
+
+READ_WAIT_S = 1.0
+"""Longest wait of one read for something new, in seconds."""
+RETRY_S = 0.2
+"""Pause after a read that failed, in seconds."""
+
+
+class Fold(Protocol):
+    """What a follower needs of a fold."""
+
+    position: Position
+
+    def begin(self, first: Position, gap: bool) -> None:
+        """Start reading at `first`; a gap means that records before it are gone."""
+
+    def apply(self, placed: Placed) -> Fate:
+        """Fold one record."""
+
+
+class Follower:
+    """Follows one stream; `reached_end` tells whether all that stood at the start was read."""
+
+    def __init__(self, client: LogClient, stream: Stream, fold: Fold) -> None:
+        self.client = client
+        self.stream = stream
+        self.fold = fold
+        self.begun = False
+        self.reached_end = False
+        self.reachable = False
+        self.read_at = 0.0
+        self.next_offset = 0
+        self._signal_by_id: dict[RecordId, Signal] = {}
+
+    def start(self) -> None:
+        """Start the task."""
+        eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            if not self.read_once(READ_WAIT_S if self.reached_end else 0.0):
+                eventlet.sleep(RETRY_S)
+
+    def read_once(self, wait_s: float) -> bool:
+        """Read and fold one page; return whether the log answered."""
+        start = max(self.next_offset, split_offset(self.fold.position) + 1)
+        page = self.client.read(self.stream, start, wait_s)
+        if isinstance(page, Failure):
+            self._lose(page)
+            return False
+        gap = page.first > start
+        if gap or not self.begun:
+            self.fold.begin(join_position(max(page.first, start), 0), gap)
+            self.begun = True
+        for placed in page.placed:
+            self._fold(placed)
+        self.next_offset = max(self.next_offset, page.next)
+        self.read_at = time.monotonic()
+        self.reachable = True
+        if not page.placed:
+            self.reached_end = True
+        return True
+
+    def read_to_end(self) -> bool:
+        """Read until the log has nothing newer; return whether it answered every time."""
+        before = -1
+        while before != self.next_offset:
+            before = self.next_offset
+            if not self.read_once(0.0):
+                return False
+        return True
+
+    def _lose(self, failure: Failure) -> None:
+        if self.reachable:
+            logger.warning("Stream %s is unreachable. %s", self.stream.value, failure.detail)
+        self.reachable = False
+
+    def _fold(self, placed: Placed) -> None:
+        fate = self.fold.apply(placed)
+        signal = self._signal_by_id.get(placed.record.id)
+        if signal is not None and not signal.ready():
+            signal.send(fate)
+
+    def expect(self, record: RecordId) -> None:
+        """Get ready to wait for a record; call before appending it."""
+        self._signal_by_id[record] = Signal()
+
+    def wait(self, record: RecordId, timeout_s: float) -> Fate | None:
+        """Wait for an expected record's fate; None if it was not read in time."""
+        signal = self._signal_by_id.get(record)
+        if signal is None:
+            return None
+        with eventlet.Timeout(timeout_s, False):
+            return signal.wait()
+        return None
+
+    def give_up(self, record: RecordId) -> None:
+        """Wake whoever waits for a record that can't have landed."""
+        signal = self._signal_by_id.get(record)
+        if signal is not None and not signal.ready():
+            signal.send(None)
+
+    def forget(self, record: RecordId) -> None:
+        """Stop waiting for a record."""
+        self._signal_by_id.pop(record, None)
--- /dev/null
+++ b/libs/state/ruddersaddle_state/leases.py
@@ -0,0 +1,62 @@
+"""The fold of the lease stream: who may give orders to a pool, and with which fence."""
+
+from ruddersaddle_base.ids import START, Incarnation, PoolId, Position
+
+from ruddersaddle_state.records import Fate, Grant, Outcome, Placed, Release
+
+
+class Lease:
+    """One pool's lease; `until` is in the log's Unix seconds, the fence grows with each holder."""
+
+    def __init__(self, holder: Incarnation, fence: Position, until: float) -> None:
+        self.holder = holder
+        self.fence = fence
+        self.until = until
+
+
+class Leases:
+    """The leases as of one position of their stream.
+
+    A grant to another holder is taken only after the lease and a margin have passed by the
+    log's own time, so every host agrees on it.
+    """
+
+    def __init__(self, margin_s: float) -> None:
+        self.margin_s = margin_s
+        self.by_pool: dict[PoolId, Lease] = {}
+        self.position = START
+        self.now = 0.0
+
+    def begin(self, first: Position, gap: bool) -> None:
+        """Start reading at `first`; leases from before a gap have lapsed, so none is missing."""
+
+    def apply(self, placed: Placed) -> Fate:
+        """Fold one record and return its fate."""
+        if placed.position <= self.position:
+            return Fate(Outcome.STALE, placed.position)
+        self.position = placed.position
+        self.now = max(self.now, placed.time)
+        match placed.record:
+            case Grant() as grant:
+                return self._apply_grant(grant, placed.position)
+            case Release() as release:
+                return self._apply_release(release, placed.position)
+        return Fate(Outcome.REJECTED, placed.position, "not a record of this stream")
+
+    def _apply_grant(self, grant: Grant, position: Position) -> Fate:
+        lease = self.by_pool.get(grant.pool)
+        until = self.now + grant.length_s
+        if lease is not None and lease.holder == grant.holder and self.now <= lease.until:
+            lease.until = until
+            return Fate(Outcome.ACCEPTED, lease.fence)
+        if lease is not None and self.now <= lease.until + self.margin_s:
+            return Fate(Outcome.HELD, position)
+        self.by_pool[grant.pool] = Lease(grant.holder, position, until)
+        return Fate(Outcome.ACCEPTED, position)
+
+    def _apply_release(self, release: Release, position: Position) -> Fate:
+        lease = self.by_pool.get(release.pool)
+        if lease is None or lease.holder != release.holder:
+            return Fate(Outcome.STALE, position)
+        del self.by_pool[release.pool]
+        return Fate(Outcome.ACCEPTED, position)
--- /dev/null
+++ b/libs/upstreams/ruddersaddle_upstreams/connections.py
@@ -0,0 +1,137 @@
+"""HTTP connections to one upstream, and replies that are read whole or closed.
+
+A connection whose reply was not read to its end is closed, never reused: a late answer can't
+reach another request.
+"""
+
+from collections.abc import Mapping
+
+import msgspec
+import urllib3
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+
+READ_BYTES = 65536
+OK = 200
+CHUNK_END = b"\r\n"
+"""Ends each chunk and stays in the buffer until the next one is read."""
+HTTP_ERRORS = (urllib3.exceptions.HTTPError, OSError)
+NEVER_SENT = (urllib3.exceptions.NewConnectionError, urllib3.exceptions.ConnectTimeoutError)
+"""Errors that prove that no byte of the request has left."""
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """A whole answer of an upstream."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class OpenReply:
+    """An answer that is still being read; close it unless it was read to the end."""
+
+    def __init__(self, raw: urllib3.BaseHTTPResponse, address: str) -> None:
+        self.raw = raw
+        self.address = address
+        self.status = raw.status
+
+    def read_some(self) -> bytes | Failure:
+        """Return what has arrived, waiting for something; empty at the end."""
+        try:
+            data = self.raw.read1(READ_BYTES)
+            parts = [data]
+            while data and self._has_more():
+                data = self.raw.read1(READ_BYTES)
+                parts.append(data)
+        except HTTP_ERRORS as error:
+            return fail(Step.READ, self.address, error, Ran.UNKNOWN)
+        return b"".join(parts)
+
+    def _has_more(self) -> bool:
+        """Return whether a read would find bytes at once.
+
+        Each read returns one chunk at most. Reading on while bytes are here is what lets many
+        tokens leave in one write; a buffered reader that is not blocking tells by its `peek`.
+        """
+        file = getattr(self.raw._fp, "fp", None)
+        if file is None:
+            return False
+        socket = file.raw._sock
+        timeout = socket.gettimeout()
+        socket.setblocking(False)
+        try:
+            return len(file.peek(1)) > len(CHUNK_END)
+        finally:
+            socket.settimeout(timeout)
+
+    def close(self) -> None:
+        """Close the connection, which tells the upstream to stop."""
+        self.raw.close()
+
+    def release(self) -> None:
+        """Give the connection back for reuse, after the end was read."""
+        self.raw.release_conn()
+
+
+class Connections:
+    """The connections to one address."""
+
+    def __init__(self, address: str, connect_s: float, read_s: float, keep: int = 16) -> None:
+        self.address = address
+        self.timeout = urllib3.Timeout(connect=connect_s, read=read_s)
+        host, _, port = address.partition(":")
+        self.pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=keep, retries=False)
+
+    def open(
+        self, method: str, path: str, body: bytes = b"", headers: Mapping[str, str] | None = None
+    ) -> OpenReply | Failure:
+        """Send a request and return its answer as soon as its headers are here."""
+        try:
+            raw = self.pool.urlopen(
+                method,
+                path,
+                body=body,
+                headers=dict(headers or {}),
+                timeout=self.timeout,
+                preload_content=False,
+                redirect=False,
+            )
+        except NEVER_SENT as error:
+            return fail(Step.CONNECT, self.address, error, Ran.NOT_RUN)
+        except HTTP_ERRORS as error:
+            return fail(Step.SEND, self.address, error, Ran.UNKNOWN)
+        return OpenReply(raw, self.address)
+
+    def call(
+        self, method: str, path: str, body: bytes = b"", headers: Mapping[str, str] | None = None
+    ) -> Reply | Failure:
+        """Send a request and return its whole answer."""
+        opened = self.open(method, path, body, headers)
+        if isinstance(opened, Failure):
+            return opened
+        try:
+            data = opened.raw.read()
+        except HTTP_ERRORS as error:
+            opened.close()
+            return fail(Step.READ, self.address, error, Ran.UNKNOWN)
+        opened.release()
+        return Reply(opened.status, tuple(opened.raw.headers.items()), data)
+
+    def call_ok(self, method: str, path: str, body: bytes, step: Step) -> bytes | Failure:
+        """Send a request and return the body of a good answer; any other status is a failure."""
+        reply = self.call(method, path, body)
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status != OK:
+            detail = f"status {reply.status}"
+            return Failure(Code.UPSTREAM_FAILED, step, self.address, detail, Ran.UNKNOWN)
+        return reply.body
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self.pool.close()
+
+
+def fail(step: Step, address: str, error: Exception, ran: Ran) -> Failure:
+    """Return the failure of one call."""
+    return Failure(Code.UPSTREAM_FAILED, step, address, type(error).__name__, ran)
--- /dev/null
+++ b/libs/upstreams/ruddersaddle_upstreams/engines.py
@@ -0,0 +1,204 @@
+"""Client of model engines: streams, contexts, load, cache events and orders."""
+
+import re
+
+import msgspec
+from ruddersaddle_base.codecs import decode_json, encode_json
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import BlockKey, ModelId, Position, RequestId
+
+from ruddersaddle_upstreams.connections import OK, Connections, OpenReply
+
+EVENT_END = b"\n\n"
+DONE = b"data: [DONE]\n\n"
+INDEX_PATTERN = re.compile(rb'^data: \{"id":"([^"]*)","token":(\d+),', re.MULTILINE)
+CONFLICT = 409
+BUSY = 503
+
+
+class EngineRequest(msgspec.Struct, frozen=True):
+    """A generation as engines take it; `first_token` resumes a stream behind those delivered."""
+
+    id: RequestId
+    model: ModelId
+    version: str
+    adapter: str
+    salt: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    chat: bool
+    first_token: int = 0
+
+
+class LoadReport(msgspec.Struct):
+    """Load as an engine reports it, with a lag; `waiting_tokens` are still to be prefilled."""
+
+    waiting_tokens: int
+    running: int
+    version: str
+    prefill_tokens_s: float
+    age_s: float
+
+
+class CacheEvent(msgspec.Struct):
+    """One change of an engine's prefix cache; a missing `sequence` is a gap."""
+
+    sequence: int
+    stored: bool
+    key: BlockKey
+
+
+class EventPage(msgspec.Struct):
+    """Cache events from a sequence number on; `epoch` changes when the engine restarts."""
+
+    epoch: str
+    next: int
+    events: list[CacheEvent]
+
+
+class CacheListing(msgspec.Struct):
+    """All blocks that an engine caches as of a sequence number."""
+
+    epoch: str
+    next: int
+    keys: list[BlockKey]
+
+
+class KeyList(msgspec.Struct):
+    """Keys of blocks, in the order of their chain."""
+
+    keys: list[BlockKey]
+
+
+class Order(msgspec.Struct, frozen=True):
+    """An order to load a weight version; engines that check fences refuse an older one."""
+
+    model: ModelId
+    version: str
+    fence: Position
+
+
+class TokenStream:
+    """Events of one generation, checked for being its own, whole and in order.
+
+    The check counts ids and token numbers by one pattern over the bytes; no event is parsed.
+    """
+
+    def __init__(self, reply: OpenReply, request: EngineRequest) -> None:
+        self.reply = reply
+        self.request_id = request.id.encode()
+        self.next_token = request.first_token
+        self.done = False
+        self._rest = b""
+
+    def read_some(self) -> bytes | Failure:
+        """Return whole events that have arrived; empty when the stream has ended whole."""
+        while not self.done:
+            data = self.reply.read_some()
+            if isinstance(data, Failure):
+                return data
+            if not data:
+                return self._fail("the stream ended without its end mark")
+            events = self._take_whole(data)
+            if events:
+                return self._check(events)
+        return b""
+
+    def _take_whole(self, data: bytes) -> bytes:
+        joined = self._rest + data
+        end = joined.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self._rest = joined
+            return b""
+        self._rest = joined[end:]
+        return joined[:end]
+
+    def _check(self, events: bytes) -> bytes | Failure:
+        if events.endswith(DONE):
+            self.done = True
+            events = events[: -len(DONE)]
+        found = INDEX_PATTERN.findall(events)
+        if len(found) != events.count(EVENT_END):
+            return self._fail("an event without id and token number")
+        for request_id, number in found:
+            if request_id != self.request_id:
+                return self._fail("an event of another request")
+            if int(number) != self.next_token:
+                return self._fail(f"token {int(number)} where {self.next_token} was next")
+            self.next_token += 1
+        return events
+
+    def finish(self) -> None:
+        """Give the connection back if the stream ended whole; else close it."""
+        if self.done:
+            self.reply.raw.drain_conn()
+            self.reply.release()
+        else:
+            self.reply.close()
+
+    def _fail(self, detail: str) -> Failure:
+        peer = self.reply.address
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, peer, detail, Ran.UNKNOWN)
+
+
+class EngineClient:
+    """Calls one engine."""
+
+    def __init__(self, address: str, connect_s: float, read_s: float) -> None:
+        self.address = address
+        self.connections = Connections(address, connect_s, read_s, keep=64)
+
+    def generate(self, request: EngineRequest) -> TokenStream | Failure:
+        """Start a generation and return its stream."""
+        opened = self.connections.open("POST", "/v1/completions", encode_json(request))
+        if isinstance(opened, Failure):
+            return opened
+        if opened.status == OK:
+            return TokenStream(opened, request)
+        opened.close()
+        code = Code.OVERLOADED if opened.status == BUSY else Code.UPSTREAM_FAILED
+        detail = f"status {opened.status}"
+        return Failure(code, Step.SEND, self.address, detail, Ran.NOT_RUN)
+
+    def load(self) -> LoadReport | Failure:
+        """Return the engine's lagged load."""
+        return self._get("/v1/load", LoadReport)
+
+    def events(self, start: int, wait_s: float) -> EventPage | Failure:
+        """Return cache events from a sequence number on, waiting for some."""
+        return self._get(f"/v1/events?from={start}&wait={wait_s}", EventPage)
+
+    def listing(self) -> CacheListing | Failure:
+        """Return all cached blocks."""
+        return self._get("/v1/blocks", CacheListing)
+
+    def blocks_of(self, request: RequestId) -> list[BlockKey] | Failure:
+        """Return the chain of a finished request, prompt and answer."""
+        found = self._get(f"/v1/requests/{request}/blocks", KeyList)
+        return found if isinstance(found, Failure) else found.keys
+
+    def export_blocks(self, keys: list[BlockKey]) -> bytes | Failure:
+        """Return sealed frames of those of the blocks that are still cached."""
+        body = encode_json(KeyList(keys))
+        return self.connections.call_ok("POST", "/v1/export", body, Step.KEEP)
+
+    def import_blocks(self, frames: bytes) -> int | Failure:
+        """Put verified frames into the engine's cache; return how many bytes were taken."""
+        reply = self.connections.call_ok("POST", "/v1/import", frames, Step.FETCH)
+        return reply if isinstance(reply, Failure) else len(frames)
+
+    def order(self, order: Order) -> bool | Failure:
+        """Give an order; False means that the engine refused its fence."""
+        reply = self.connections.call("POST", "/v1/orders", encode_json(order))
+        if isinstance(reply, Failure):
+            return reply
+        if reply.status in (OK, CONFLICT):
+            return reply.status == OK
+        return Failure(Code.UPSTREAM_FAILED, Step.ORDER, self.address, f"status {reply.status}")
+
+    def _get(self, path: str, kind: type) -> object:
+        data = self.connections.call_ok("GET", path, b"", Step.READ)
+        if isinstance(data, Failure):
+            return data
+        return decode_json(data, kind, Step.READ, self.address)
--- /dev/null
+++ b/libs/upstreams/ruddersaddle_upstreams/frames.py
@@ -0,0 +1,77 @@
+"""Sealed frames: one block of kept context with its key, generation and digest.
+
+Readers verify after the read and before use. A block that was freed, reused or only partly
+written fails here and is a miss. Nobody has to coordinate with whoever frees blocks.
+"""
+
+import struct
+from collections.abc import Iterator
+from hashlib import blake2b
+
+import msgspec
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.ids import BlockKey
+
+MAGIC = b"RSF1"
+HEADER = struct.Struct(">4s16sQI32s")
+"""Magic, key, generation, payload length in bytes, digest."""
+DIGEST_BYTES = 32
+PAYLOAD_MAX = 64 * 1024 * 1024
+
+
+class Frame(msgspec.Struct, frozen=True):
+    """A block that was verified."""
+
+    key: BlockKey
+    generation: int
+    sealed: bytes
+
+    @property
+    def payload(self) -> bytes:
+        """The block's own bytes."""
+        return self.sealed[HEADER.size :]
+
+
+def seal_frame(key: BlockKey, generation: int, payload: bytes) -> bytes:
+    """Return the bytes of a sealed frame."""
+    digest = _digest(bytes.fromhex(key), generation, payload)
+    return HEADER.pack(MAGIC, bytes.fromhex(key), generation, len(payload), digest) + payload
+
+
+def open_frame(data: bytes, key: BlockKey, peer: str) -> Frame | Failure:
+    """Return the frame of `key` that `data` holds, or a failure if anything is not as sealed."""
+    if len(data) < HEADER.size:
+        return _corrupt(peer, "short header")
+    magic, found_key, generation, length, digest = HEADER.unpack_from(data)
+    payload = data[HEADER.size :]
+    if magic != MAGIC or found_key.hex() != key:
+        return _corrupt(peer, "another block's frame")
+    if length != len(payload):
+        return _corrupt(peer, f"{len(payload)} of {length} bytes")
+    if digest != _digest(found_key, generation, payload):
+        return _corrupt(peer, "digest differs")
+    return Frame(key, generation, data)
+
+
+def split_frames(data: bytes) -> Iterator[bytes]:
+    """Yield each frame of concatenated frames; the last may be cut short."""
+    start = 0
+    while start < len(data):
+        if len(data) - start < HEADER.size:
+            yield data[start:]
+            return
+        length = HEADER.unpack_from(data, start)[3]
+        end = start + HEADER.size + min(length, PAYLOAD_MAX)
+        yield data[start:end]
+        start = end
+
+
+def _digest(key: bytes, generation: int, payload: bytes) -> bytes:
+    hashed = blake2b(key, digest_size=DIGEST_BYTES)
+    hashed.update(generation.to_bytes(8, "big"))
+    hashed.update(payload)
+    return hashed.digest()
+
+
+def _corrupt(peer: str, detail: str) -> Failure:
+    return Failure(Code.CORRUPT, Step.FETCH, peer, detail)
