--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -257,6 +257,7 @@
             claims_position=claims.position,
             claims_keys=len(claims.by_key),
             log_reachable=self.configuration_follower.reachable,
+            log_takes_appends=not any(each.failing_since for each in appenders),
             appends=sum(each.appends for each in appenders),
             records=sum(each.records for each in appenders),
             peer_sent_bytes=self.peers.sent_bytes,
--- a/libs/daemon/ruddersaddle/reports.py
+++ b/libs/daemon/ruddersaddle/reports.py
@@ -44,6 +44,7 @@
     claims_position: int
     claims_keys: int
     log_reachable: bool
+    log_takes_appends: bool
     appends: int
     records: int
     peer_sent_bytes: int
--- a/libs/standins/ruddersaddle_standins/fleets.py
+++ b/libs/standins/ruddersaddle_standins/fleets.py
@@ -11,6 +11,7 @@
 from ruddersaddle.reports import Status
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, HostId, StoreId, UpstreamId, WorkspaceId
+from ruddersaddle_routing.retries import CircuitState
 from ruddersaddle_state.entries import (
     Model,
     PathRule,
@@ -26,6 +27,7 @@
 
 from ruddersaddle_standins.processes import LOOPBACK, Process, free_ports, is_good, wait_until
 from ruddersaddle_standins.servers import Fault
+from ruddersaddle_standins.service_servers import Run, read_runs
 
 STANDINS = "ruddersaddle_standins.programs"
 PRODUCT = "ruddersaddle.programs"
@@ -94,9 +96,9 @@
             ("service", self.topology.services, HostRole.SERVICE),
             ("store", self.topology.stores, HostRole.STORE),
         ):
-            extra = weights if kind == "engine" else []
             for number in range(1, count + 1):
                 name = f"{kind}-{number}"
+                extra = {"engine": weights, "service": [str(self._record(name))]}.get(kind, [])
                 self._add_standin(name, kind, [*extra, *options])
                 self._list_row(name, role, number)
         for name in self.by_name:
@@ -109,6 +111,14 @@
         self.by_name[name] = process
         process.start()
 
+    def _record(self, name: str) -> Path:
+        return self.folder / f"{name}.runs"
+
+    def runs(self) -> list[Run]:
+        """Return all that the plain services have run, from their own records."""
+        names = [name for name in self.by_name if name.startswith("service-")]
+        return [run for name in names for run in read_runs(self._record(name))]
+
     def _list_row(self, name: str, role: HostRole, number: int, peer: str = "") -> None:
         hall = HallId(self.topology.halls[number % len(self.topology.halls)])
         address = self.address_by_name[name]
@@ -213,6 +223,19 @@
         wanted = self.topology.engines + self.topology.services
         return len(rows) >= wanted and all(row.version for row in engines)
 
+    def wait_whole(self) -> None:
+        """Wait until every host reads the log and no circuit is open from earlier failures."""
+        for name in self.host_names():
+            wait_until(lambda host=name: self._is_whole(host), f"{name} lets calls pass")
+
+    def _is_whole(self, name: str) -> bool:
+        status = self.status(name)
+        if isinstance(status, Failure):
+            return False
+        if not (status.log_reachable and status.log_takes_appends):
+            return False
+        return all(row.circuit != CircuitState.OPEN.value for row in status.upstreams)
+
     def wait_healthy(self, name: str) -> None:
         """Wait until a stand-in answers."""
         wait_until(lambda: is_good(self.url(name, "/healthz")), f"{name} healthy")
--- a/libs/standins/ruddersaddle_standins/processes.py
+++ b/libs/standins/ruddersaddle_standins/processes.py
@@ -10,7 +10,7 @@
 
 import urllib3
 
-START_S = 30.0
+START_S = 15.0
 STOP_S = 20.0
 STEP_S = 0.02
 LOOPBACK = "127.0.0.1"
@@ -56,11 +56,13 @@
 
     def freeze(self) -> None:
         """Stop the process where it is."""
-        os.kill(self.child.pid, signal.SIGSTOP)
+        if self.is_running:
+            os.kill(self.child.pid, signal.SIGSTOP)
 
     def thaw(self) -> None:
         """Let a frozen process go on."""
-        os.kill(self.child.pid, signal.SIGCONT)
+        if self.is_running:
+            os.kill(self.child.pid, signal.SIGCONT)
 
     def terminate(self) -> None:
         """Ask the process to stop as planned."""
--- a/libs/standins/ruddersaddle_standins/server_commands.py
+++ b/libs/standins/ruddersaddle_standins/server_commands.py
@@ -48,13 +48,14 @@
     EngineServer(read_speeds(set), version, weights).run(port)
 
 
-def service(port: int, *, set: list[str] = ()) -> None:  # noqa: A002
+def service(port: int, record: str, *, set: list[str] = ()) -> None:  # noqa: A002
     """Run a plain service.
 
     :param port: port on loopback
+    :param record: file that every run is written to
     :param set: speeds as name=value
     """
-    ServiceServer(read_speeds(set)).run(port)
+    ServiceServer(read_speeds(set), record).run(port)
 
 
 def store(port: int, *, set: list[str] = ()) -> None:  # noqa: A002
--- a/libs/standins/ruddersaddle_standins/service_servers.py
+++ b/libs/standins/ruddersaddle_standins/service_servers.py
@@ -5,6 +5,7 @@
 """
 
 import time
+from pathlib import Path
 
 import eventlet
 import msgspec
@@ -27,24 +28,34 @@
 
 
 class ServiceServer(Server):
-    """One plain service."""
+    """One plain service; its record of runs is a file, so that it outlives the process."""
 
-    def __init__(self, speeds: Speeds) -> None:
+    def __init__(self, speeds: Speeds, record: str) -> None:
         super().__init__()
         self.speeds = speeds
-        self.runs: list[Run] = []
+        self.record = Path(record).open("ab")  # noqa: SIM115
+        self.count = 0
 
     def answer(self, method: str, path: str, environ: Environ) -> Answer:
-        """Run a call, or list the runs."""
-        if path == "/runs":
-            return json_answer(self.runs)
+        """Run a call."""
         body = read_bytes(environ).decode(errors="replace")
         if self.has("refuse"):
             return Answer(503)
         key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
         workspace = environ.get("HTTP_WORKSPACE", "")
-        self.runs.append(Run(time.time(), method, path, key, workspace, body))
+        self._note(Run(time.time(), method, path, key, workspace, body))
         eventlet.sleep(self.value("slow") or self.speeds.service_s)
         if self.spend("drop"):
             eventlet.sleep(DROP_S)
-        return json_answer({"number": len(self.runs), "echo": body})
+        return json_answer({"number": self.count, "echo": body})
+
+    def _note(self, run: Run) -> None:
+        self.count += 1
+        self.record.write(msgspec.json.encode(run) + b"\n")
+        self.record.flush()
+
+
+def read_runs(path: Path) -> list[Run]:
+    """Return the runs that a service has recorded."""
+    lines = path.read_bytes().splitlines() if path.exists() else []
+    return [msgspec.json.decode(line, type=Run) for line in lines]
--- a/libs/standins/ruddersaddle_standins/tool_commands.py
+++ b/libs/standins/ruddersaddle_standins/tool_commands.py
@@ -1,10 +1,13 @@
 """Commands of the tools: the demo, and what later modules measure."""
 
 import sys
+import time
 
 import defopt
 
 from ruddersaddle_standins.demos import run_demo
+from ruddersaddle_standins.fault_rounds import FaultRounds, describe_round
+from ruddersaddle_standins.fleets import Fleet, Topology
 
 
 def demo(*, topology: str = "akureyri") -> None:
@@ -15,7 +18,28 @@
     sys.exit(0 if run_demo(topology) else 1)
 
 
-COMMANDS = {"demo": demo}
+def faults(*, seed: int = 1, rounds: int = 20, seconds: float = 600.0) -> None:
+    """Run rounds of drawn faults against calls that may not be repeated.
+
+    :param seed: seed of the first round; each round adds one
+    :param rounds: how many rounds
+    :param seconds: no round starts after so many seconds
+    """
+    latest = time.monotonic() + seconds
+    bad = 0
+    with Fleet(Topology(hosts=3, services=2, engines=1, stores=0)) as fleet:
+        tool = FaultRounds(fleet)
+        for number in range(seed, seed + rounds):
+            if time.monotonic() > latest:
+                print(f"out of time before seed {number}")
+                break
+            report = tool.run(number)
+            bad += not report.is_good
+            print(describe_round(report), flush=True)
+    sys.exit(1 if bad else 0)
+
+
+COMMANDS = {"demo": demo, "faults": faults}
 
 
 def run_tool() -> None:
--- a/libs/state/ruddersaddle_state/appenders.py
+++ b/libs/state/ruddersaddle_state/appenders.py
@@ -20,6 +20,9 @@
 """Once appends have failed for this long, callers are told so at once, in seconds."""
 
 
+PROBE_S = 0.5
+"""While appends fail, an empty one is tried this often, in seconds, so that the end is noticed."""
+
 GiveUp = Callable[[RecordId], None]
 
 
@@ -73,11 +76,21 @@
 
     def _run(self) -> None:
         while True:
-            self._wake.wait()
-            self._wake = Signal()
+            if not self._await_work():
+                self._append_batch()
             while self._waiting:
                 self._append_batch()
 
+    def _await_work(self) -> bool:
+        """Wait for records; return False when it is time to probe a log that fails."""
+        pause_s = None if self.failing_since is None else PROBE_S
+        with eventlet.Timeout(pause_s, False):
+            self._wake.wait()
+        if not self._wake.ready():
+            return False
+        self._wake = Signal()
+        return True
+
     def _append_batch(self) -> None:
         count = min(self.batch_max, len(self._waiting))
         taken = [self._waiting.popleft() for _ in range(count)]
--- a/libs/state/ruddersaddle_state/followers.py
+++ b/libs/state/ruddersaddle_state/followers.py
@@ -52,7 +52,8 @@
 
     def _run(self) -> None:
         while True:
-            if not self.read_once(READ_WAIT_S if self.reached_end else 0.0):
+            wait_s = READ_WAIT_S if self.reached_end and self.reachable else 0.0
+            if not self.read_once(wait_s):
                 eventlet.sleep(RETRY_S)
 
     def read_once(self, wait_s: float) -> bool:
