--- a/libs/base/ruddersaddle_base/failures.py
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -53,6 +53,7 @@
     PEER_GONE = "peer_gone"
     CORRUPT = "corrupt"
     NOT_READY = "not_ready"
+    OTHER_VERSION = "other_version"
     INTERNAL = "internal"
 
 
--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -64,6 +64,7 @@
         self.settings = settings
         self.incarnation = incarnation
         self.stopping = False
+        self.updated = False
         self.histograms = Histograms()
         self.configuration = Configuration()
         self._build_log()
@@ -188,6 +189,8 @@
                 self._ask_configuration()
             self.pools.update(self.configuration)
             self.contexts.update(self.configuration)
+            # Complete is not enough: callers would meet a host that has no pools yet.
+            self.updated = self.configuration.complete
             listed = {row.peer_address for row in self.hosts.entries() if row.peer_address}
             self.peers.keep_only(listed)
             eventlet.sleep(UPDATE_S)
@@ -211,7 +214,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send callers here."""
-        return self.configuration.complete and not self.stopping
+        return self.updated and not self.stopping
 
     def is_stopping(self) -> bool:
         """Return whether a planned stop has begun."""
@@ -254,8 +257,10 @@
             active=self.gateway.active,
             configuration_position=self.configuration.position,
             configuration_complete=self.configuration.complete,
+            configuration_digest=self.configuration.digest(),
             claims_position=claims.position,
             claims_keys=len(claims.by_key),
+            leases_held=self.orders.held(),
             log_reachable=self.configuration_follower.reachable,
             log_takes_appends=not any(each.failing_since for each in appenders),
             appends=sum(each.appends for each in appenders),
--- a/libs/daemon/ruddersaddle/generations.py
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -10,6 +10,7 @@
 from ruddersaddle_base.histograms import Histograms, Measure
 from ruddersaddle_base.ids import BlockKey
 from ruddersaddle_routing.choices import Choice, Kept, Prompt
+from ruddersaddle_routing.loads import Load
 from ruddersaddle_state.configurations import Configuration
 from ruddersaddle_state.entries import Model
 from ruddersaddle_upstreams.chains import block_keys, context_salt, count_tokens
@@ -22,7 +23,15 @@
 logger = logging.getLogger(__name__)
 
 TRIES_MAX = 4
-"""Engines tried for one request, first try included."""
+"""Tries to start a stream, first try included; a resume starts the count again."""
+RESUMES_MAX = 4
+"""Resumes of one request."""
+RESUME_S = 10.0
+"""A stream that had begun is given this long to go on elsewhere, in seconds."""
+NO_ENGINE_S = 5.0
+"""A new request waits this long for a circuit to close before it is refused, in seconds."""
+VERSION_CHANGES_MAX = 8
+"""Engines that may answer one request that they have just changed their weight version."""
 BUSY_PAUSE_S = 0.02
 """Pause before another engine is looked for when all are busy, in seconds."""
 SLOW_FACTOR = 4.0
@@ -93,6 +102,9 @@
         self.stream: TokenStream | None = None
         self._began = time.monotonic()
         self._last_event = self._began
+        self.resumes = 0
+        self._deadline = request.limits.deadline
+        self._version_changes = 0
         self._keys_by_version: dict[str, list[BlockKey]] = {}
         self._tried: set[str] = set()
         self._slow = False
@@ -113,16 +125,28 @@
     def begin(self) -> Failure | None:
         """Open a stream on the best engine; try others while that is sure not to repeat work."""
         failure = self._no_engine()
-        while self.tries < TRIES_MAX and self.request.limits.remaining_s() > 0:
-            if self.tries and not self.view.budget.take():
-                return failure
-            self.tries += 1
+        while self.tries < TRIES_MAX and time.monotonic() < self._deadline:
             opened = self._open_best()
             if not isinstance(opened, Failure):
                 return None
             failure = opened
+            if not self._may_try_again(opened):
+                return failure
         return failure
 
+    def _may_try_again(self, failure: Failure) -> bool:
+        """Return whether another engine may be tried; only tries that cost an engine are counted.
+
+        A connection that was never made, and an engine that has changed its weights, cost nothing.
+        """
+        if failure.code is Code.OTHER_VERSION:
+            self._version_changes += 1
+            return self._version_changes <= VERSION_CHANGES_MAX
+        self.tries += 1
+        if failure.code is Code.NO_UPSTREAM:
+            return False
+        return failure.step is Step.CONNECT or self.view.budget.take()
+
     def _no_engine(self) -> Failure:
         detail = "no engine is open"
         return Failure(Code.NO_UPSTREAM, Step.CONNECT, self.view.pool.id, detail, retry_after_s=1.0)
@@ -145,10 +169,20 @@
         opened = engine.generate(self._engine_request())
         if isinstance(opened, Failure):
             self._end_try(opened)
+            self._learn_version(load, opened)
             return opened
         self.stream = opened
         return None
 
+    def _learn_version(self, load: Load, failure: Failure) -> None:
+        """Take an engine's word for its weight version, which its lagged report does not have."""
+        if failure.code is not Code.OTHER_VERSION:
+            return
+        load.version = failure.detail
+        if self.tokens == 0:
+            self.version = ""
+            self._tried.discard(load.address)
+
     def _find_kept(self) -> Found:
         version = self.version or self._likely_version()
         return self.generator.contexts.find(self.keys_of(version))
@@ -160,13 +194,18 @@
 
     def _choose(self, prompt: Prompt, kept: Kept) -> Choice | None:
         """Choose among the engines of one weight version, waiting while all are at their limit."""
-        while self.request.limits.remaining_s() > 0:
+        began = time.monotonic()
+        while time.monotonic() < self._deadline:
             version = self.version or self._likely_version()
             able = [load for load in self.view.loads() if load.version in (version, "")]
             fresh = [load for load in able if load.address not in self._tried]
             choice = self.view.chooser.choose(fresh or able, prompt, kept)
-            if choice is not None or not any(load.may_come_free for load in able):
+            if choice is not None:
                 return choice
+            waited_s = time.monotonic() - began
+            comes_free = any(load.may_come_free for load in able)
+            if not comes_free and self.tokens == 0 and waited_s > NO_ENGINE_S:
+                return None
             eventlet.sleep(BUSY_PAUSE_S)
         return None
 
@@ -233,8 +272,11 @@
         """Go on from the last token delivered, on another engine of the same weight version."""
         self._close_stream()
         self._end_try(failure)
-        if not self.view.budget.take():
+        self.resumes += 1
+        if self.resumes > RESUMES_MAX:
             return failure
+        self.tries = 0
+        self._deadline = max(self._deadline, time.monotonic() + RESUME_S)
         logger.info(
             "Stream of %s is resumed at token %d.",
             self.request.id,
@@ -251,9 +293,11 @@
         if self.choice is None:
             return
         load = self.choice.load
+        harmless = (Code.OVERLOADED, Code.OTHER_VERSION)
         overloaded = failure is not None and failure.code is Code.OVERLOADED
+        failed = failure is not None and failure.code not in harmless
         load.limit.end(overloaded or self._slow)
-        load.circuit.end(failure is not None and not overloaded)
+        load.circuit.end(failed)
         self.choice = None
 
     def _close_stream(self) -> None:
--- a/libs/daemon/ruddersaddle/orders.py
+++ b/libs/daemon/ruddersaddle/orders.py
@@ -69,6 +69,11 @@
         """The folded leases."""
         return self.follower.fold
 
+    def held(self) -> list[PoolId]:
+        """Return the pools whose lease this process holds, as far as it knows."""
+        by_pool = self.leases.by_pool.items()
+        return [pool for pool, lease in by_pool if lease.holder == self.incarnation]
+
     def start(self) -> None:
         """Start the task."""
         eventlet.spawn(self._run)
--- a/libs/daemon/ruddersaddle/reports.py
+++ b/libs/daemon/ruddersaddle/reports.py
@@ -41,8 +41,10 @@
     active: int
     configuration_position: int
     configuration_complete: bool
+    configuration_digest: str
     claims_position: int
     claims_keys: int
+    leases_held: list[str]
     log_reachable: bool
     log_takes_appends: bool
     appends: int
--- a/libs/standins/ruddersaddle_standins/claim_models.py
+++ b/libs/standins/ruddersaddle_standins/claim_models.py
@@ -134,9 +134,7 @@
         token = len(world.log) - 1 if self.rule is Rule.READ else each.token
         return _send(_put(world, index, Try("claiming", token)), Note(True, index, token))
 
-    def _claiming(
-        self, world: World, index: int, each: Try, holder: int | None
-    ) -> Iterator[World]:
+    def _claiming(self, world: World, index: int, each: Try, holder: int | None) -> Iterator[World]:
         if holder == index:
             moved = _put(world, index, Try("dispatched", each.token))
             yield msgspec.structs.replace(moved, calls=moved.calls | {index})
--- a/libs/standins/ruddersaddle_standins/engine_servers.py
+++ b/libs/standins/ruddersaddle_standins/engine_servers.py
@@ -27,6 +27,7 @@
     KeyList,
     LoadReport,
     Order,
+    OtherVersion,
 )
 from ruddersaddle_upstreams.frames import HEADER, open_frame, seal_frame, split_frames
 
@@ -150,7 +151,7 @@
         if self.has("refuse") or self.running >= self.speeds.running_max:
             return Answer(503)
         if request.version != self.version:
-            return Answer(409)
+            return json_answer(OtherVersion(self.version), 409)
         self.record.requests += 1
         self.record.last_started = time.time()
         prefill = Prefill(request)
--- a/libs/standins/ruddersaddle_standins/tests/test_claim_models.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_claim_models.py
@@ -2,9 +2,10 @@
 
 import unittest
 
-from ruddersaddle_standins.claim_models import ClaimSearch, TicketRule, Told, search_tickets
 from ruddersaddle_state.claims import Rule
 
+from ruddersaddle_standins.claim_models import ClaimSearch, TicketRule, Told, search_tickets
+
 TRIES = 2
 LOG_MAX = 5
 
--- /dev/null
+++ b/libs/standins/ruddersaddle_standins/tests/test_configuration_force.py
@@ -0,0 +1,195 @@
+"""Promise 9: an accepted configuration is in force everywhere within seconds, never reverts."""
+
+import json
+import subprocess
+import sys
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+from ruddersaddle.publishers import Publisher, Word
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import WorkspaceId
+from ruddersaddle_state.entries import EntryKey, Workspace
+from ruddersaddle_state.records import Edit
+
+from ruddersaddle_standins.fleets import Fleet, Topology
+from ruddersaddle_standins.processes import wait_until
+
+KEY = EntryKey("workspace/clinic-1")
+RETENTION = 20
+IN_FORCE_S = 11.0
+
+
+class ConfigurationForceTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        speeds = {"retention_records": str(RETENTION)}
+        settings = {"platform.snapshot_after": "4", "platform.retention_s": "7200"}
+        topology = Topology(
+            hosts=3, engines=1, services=1, stores=0, speeds=speeds, settings=settings
+        )
+        cls.fleet = Fleet(topology)
+        cls.fleet.start()
+        cls.addClassCleanup(cls.fleet.stop)
+
+    def setUp(self):
+        self.fleet.wait_whole()
+        self.fleet.publisher.read()
+
+    def publisher(self) -> Publisher:
+        addresses = self.fleet.address_by_name
+        publisher = Publisher(addresses["log"], addresses["list"], 2.0)
+        publisher.read()
+        return publisher
+
+    def edit(self, publisher: Publisher, weight: int) -> Edit:
+        present = publisher.configuration.by_key[KEY].value
+        changed = msgspec.structs.replace(present, weight=weight)
+        return Edit(KEY, publisher.configuration.version(KEY), changed)
+
+    def weight(self) -> int:
+        self.fleet.publisher.read()
+        return self.fleet.publisher.configuration.get(Workspace, "clinic-1").weight
+
+    def await_alike(self) -> None:
+        """Wait until every host has the state that the log's end gives."""
+        self.fleet.publisher.read()
+        wanted = self.fleet.publisher.configuration.digest()
+        for name in self.fleet.host_names():
+            wait_until(lambda host=name: self.digest(host) == wanted, f"{name} alike", IN_FORCE_S)
+
+    def digest(self, name: str) -> str:
+        status = self.fleet.status(name)
+        return "" if isinstance(status, Failure) else status.configuration_digest
+
+    def test_of_racing_operators_one_is_accepted_and_all_words_are_true(self):
+        publishers = [self.publisher() for _ in range(6)]
+        edits = [self.edit(each, 10 + number) for number, each in enumerate(publishers)]
+
+        def publish(number):
+            return publishers[number].publish(f"op-{number}", [edits[number]], 5.0)
+
+        with ThreadPoolExecutor(6) as pool:
+            results = list(pool.map(publish, range(6)))
+        words = [result.word for result in results]
+        self.assertEqual(words.count(Word.ACCEPTED), 1)
+        self.assertEqual(words.count(Word.REJECTED), 5)
+        winner = words.index(Word.ACCEPTED)
+        self.assertEqual(self.weight(), 10 + winner)
+        losers = [result for result in results if result.word is Word.REJECTED]
+        self.assertTrue(all(results[winner].change in result.reason for result in losers))
+        self.await_alike()
+
+    def test_a_lost_answer_ends_accepted_since_the_change_is_read_back(self):
+        publisher = self.publisher()
+        self.fleet.fault("log", "lose", 1)
+        result = publisher.publish("op", [self.edit(publisher, 21)], 5.0)
+        self.assertEqual((result.word, self.weight()), (Word.ACCEPTED, 21))
+        self.await_alike()
+
+    def test_a_late_append_ends_unknown_and_its_fate_can_be_found_out(self):
+        publisher = self.publisher()
+        self.fleet.fault("log", "late", 4.0, 1.0)
+        result = publisher.publish("op", [self.edit(publisher, 22)], 0.5)
+        self.assertEqual(result.word, Word.UNKNOWN)
+        wait_until(lambda: self.weight() == 22, "the late change lands")
+        self.await_alike()
+
+    def test_in_an_outage_the_word_is_unknown_and_its_fate_is_found_later(self):
+        publisher = self.publisher()
+        self.fleet.by_name["log"].freeze()
+        result = publisher.publish("op", [self.edit(publisher, 23)], 0.5)
+        self.fleet.by_name["log"].thaw()
+        self.assertEqual(result.word, Word.UNKNOWN)
+        publisher.read()
+        fate = publisher.configuration.fate_by_id.get(result.change)
+        self.assertEqual(self.weight() == 23, fate is not None)
+        self.await_alike()
+
+    def test_a_publisher_killed_after_its_append_leaves_the_change_whole(self):
+        file = self.fleet.folder / "change.ini"
+        file.write_text("[workspace:clinic-3]\nkey_digests =\nweight = 4\n")
+        addresses = self.fleet.address_by_name
+        command = [sys.executable, "-m", "ruddersaddle.programs", "config", "publish", str(file)]
+        command += ["--log", addresses["log"], "--hosts", addresses["list"]]
+        self.fleet.fault("log", "late", 1.0, 5.0)
+        child = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+        wait_until(lambda: self.has_landed(child), "the change lands")
+        child.kill()
+        child.wait()
+        self.fleet.clear("log", "late")
+        self.await_alike()
+
+    def has_landed(self, child: subprocess.Popen) -> bool:
+        self.fleet.publisher.read()
+        return self.fleet.publisher.configuration.get(Workspace, "clinic-3") is not None
+
+    def test_a_host_that_starts_in_an_outage_takes_the_newest_state_of_its_peers(self):
+        self.fleet.publish(msgspec.structs.replace(self.present(), weight=31))
+        self.await_alike()
+        process = self.fleet.by_name["host-3"]
+        process.kill()
+        self.fleet.fault("log", "refuse")
+        self.addCleanup(self.fleet.clear, "log", "refuse")
+        self.fleet.replace_host("host-3")
+        self.assertEqual(self.digest("host-3"), self.digest("host-1"))
+
+    def test_alone_in_an_outage_a_host_is_not_ready(self):
+        self.fleet.fault("log", "refuse")
+        self.addCleanup(self.fleet.clear, "log", "refuse")
+        lonely = self.fleet.add_host("host-9", platform__host_list="127.0.0.1:1")
+        self.addCleanup(lambda: (lonely.kill(), self.fleet.by_name.pop("host-9")))
+        self.addCleanup(self.fleet.row_by_name.pop, "host-9")
+        status = f"{self.fleet.url('host-9', '/readyz')}"
+        wait_until(lambda: b"listens" in lonely.output.read_bytes(), "host-9 listens")
+        self.assertEqual(self.fleet.http.request("GET", status).status, 503)
+
+    def present(self) -> Workspace:
+        self.fleet.publisher.read()
+        return self.fleet.publisher.configuration.get(Workspace, "clinic-1")
+
+    def test_past_retention_a_new_host_and_a_frozen_one_end_like_the_rest(self):
+        frozen = self.fleet.by_name["host-2"]
+        frozen.freeze()
+        self.addCleanup(frozen.thaw)
+        for number in range(RETENTION * 2):
+            self.fleet.publish(Workspace(WorkspaceId(f"new-{number}"), weight=2))
+            time.sleep(0.05)
+        page = self.fleet.http.request("GET", self.fleet.url("log", "/streams/configuration"))
+        self.assertGreater(json.loads(page.data)["first"], RETENTION)
+        frozen.thaw()
+        self.fleet.by_name["host-3"].kill()
+        self.fleet.replace_host("host-3")
+        self.await_alike()
+
+    def test_no_host_ever_goes_back_while_changes_race_freezes_and_restarts(self):
+        positions: dict[str, list[int]] = {}
+        stop = threading.Event()
+
+        def watch():
+            while not stop.is_set():
+                for name in ("host-1", "host-2"):
+                    status = self.fleet.status(name)
+                    if not isinstance(status, Failure):
+                        positions.setdefault(name, []).append(status.configuration_position)
+
+        watcher = threading.Thread(target=watch)
+        watcher.start()
+        for number in range(12):
+            self.fleet.publish(msgspec.structs.replace(self.present(), weight=40 + number))
+            if number == 4:
+                self.fleet.by_name["host-2"].freeze()
+            if number == 8:
+                self.fleet.by_name["host-2"].thaw()
+        stop.set()
+        watcher.join()
+        for seen in positions.values():
+            self.assertEqual(seen, sorted(seen))
+        self.await_alike()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/standins/ruddersaddle_standins/tests/test_planned_stops.py
@@ -0,0 +1,70 @@
+"""Promise 8: a planned stop cuts no request; every host is replaced in turn under load."""
+
+import threading
+import time
+import unittest
+
+from ruddersaddle_standins.balancers import Balancer
+from ruddersaddle_standins.clients import Client, PromptResult, new_key
+from ruddersaddle_standins.engine_servers import answer_text
+from ruddersaddle_standins.fleets import VERSION, Fleet, Topology
+
+PROMPT = "a long shared prefix " * 30
+TOKENS = 60
+CALLERS = 6
+STOP_LAG_S = "1.0"
+
+
+class PlannedStopTest(unittest.TestCase):
+    def test_every_host_is_replaced_under_load_and_no_request_is_cut(self):
+        topology = Topology(hosts=3, engines=2, settings={"requests.stop_lag_s": STOP_LAG_S})
+        with Fleet(topology) as fleet:
+            balancer = Balancer(fleet)
+            stop = threading.Event()
+            streams: list[PromptResult] = []
+            calls: list[int] = []
+            callers = [
+                threading.Thread(target=self.stream, args=(balancer, stop, streams, number))
+                for number in range(CALLERS)
+            ]
+            callers.append(threading.Thread(target=self.book, args=(balancer, stop, calls)))
+            for caller in callers:
+                caller.start()
+            for name in ("host-1", "host-2", "host-3"):
+                process = fleet.by_name[name]
+                process.terminate()
+                self.assertEqual(process.wait(), 0)
+                fleet.replace_host(name)
+                balancer.await_listed(name)
+            stop.set()
+            for caller in callers:
+                caller.join()
+            balancer.stop()
+            self.check(streams, calls, fleet)
+
+    def stream(self, balancer, stop, results, number):
+        client = Client("clinic-1")
+        while not stop.is_set():
+            prompt = f"{PROMPT} caller {number}"
+            results.append(client.prompt(balancer.next_address(), prompt, TOKENS))
+
+    def book(self, balancer, stop, statuses):
+        client = Client("clinic-2")
+        while not stop.is_set():
+            result = client.call(balancer.next_address(), "/booking/slot", "b", new_key())
+            statuses.append(result.status)
+            time.sleep(0.02)
+
+    def check(self, streams, calls, fleet):
+        refused = [each for each in streams if each.status != 200]
+        cut = [each for each in streams if each.status == 200 and not each.whole]
+        self.assertGreater(len(streams), CALLERS * 3)
+        self.assertEqual((len(refused), len(cut)), (0, 0), refused[:1] + cut[:1])
+        right = {answer_text(f"{PROMPT} caller {n}", VERSION, TOKENS) for n in range(CALLERS)}
+        self.assertEqual({each.text for each in streams}, right)
+        self.assertEqual(set(calls), {200})
+        self.assertEqual(len(fleet.runs()), len(calls))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
@@ -0,0 +1,239 @@
+"""Promises 2, 3 and 4: whole answers, each to its own caller, of one workspace and one version."""
+
+import threading
+import time
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_state.entries import Model
+
+from ruddersaddle_standins.clients import Client, PromptResult
+from ruddersaddle_standins.engine_servers import EngineRecord, answer_text
+from ruddersaddle_standins.fleets import MODEL, VERSION, Fleet, Topology
+from ruddersaddle_standins.processes import wait_until
+
+TOKENS = 40
+LONG = "the same long prefix for everybody " * 40
+
+
+class WholeAnswerTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.fleet = Fleet(Topology(hosts=2, engines=3, services=1))
+        cls.fleet.start()
+        cls.addClassCleanup(cls.fleet.stop)
+
+    def setUp(self):
+        for name in self.engines():
+            if not self.fleet.by_name[name].is_running:
+                self.fleet.by_name[name].start()
+            self.fleet.wait_healthy(name)
+        self.fleet.wait_whole()
+
+    def engines(self) -> list[str]:
+        return [name for name in self.fleet.by_name if name.startswith("engine-")]
+
+    def prompt(self, text: str, host: str = "host-1", workspace: str = "clinic-1", **more):
+        address = self.fleet.address_by_name[host]
+        return Client(workspace).prompt(address, text, TOKENS, **more)
+
+    def assert_whole(self, result: PromptResult, text: str, version: str = VERSION) -> None:
+        self.assertIsNone(result.error)
+        self.assertTrue(result.whole)
+        self.assertEqual(result.text, answer_text(text, version, TOKENS))
+
+    def resumed(self) -> int:
+        statuses = [self.fleet.status(name) for name in self.fleet.host_names()]
+        return sum(s.counts["generations_resumed"] for s in statuses if not isinstance(s, Failure))
+
+    def test_events_of_another_request_reach_no_caller(self):
+        before = self.resumed()
+        for name in self.engines():
+            self.fleet.fault(name, "cross", 2)
+        texts = [f"{LONG} {number}" for number in range(6)]
+        with ThreadPoolExecutor(6) as pool:
+            results = list(pool.map(self.prompt, texts))
+        for name in self.engines():
+            self.fleet.clear(name, "cross")
+        for text, result in zip(texts, results, strict=True):
+            self.assert_whole(result, text)
+        self.assertGreater(self.resumed(), before)
+
+    def test_a_stream_cut_by_its_engine_goes_on_without_gap_or_repeat(self):
+        before = self.resumed()
+        for name in self.engines():
+            self.fleet.fault(name, "die_at", 13)
+        texts = [f"{LONG} cut {number}" for number in range(4)]
+        timer = threading.Timer(1.0, self.heal)
+        timer.start()
+        with ThreadPoolExecutor(4) as pool:
+            results = list(pool.map(self.prompt, texts))
+        timer.join()
+        for text, result in zip(texts, results, strict=True):
+            if result.error is None:
+                self.assert_whole(result, text)
+            else:
+                self.assertFalse(result.whole)
+                self.assertTrue(answer_text(text, VERSION, TOKENS).startswith(result.text))
+        self.assertGreater(self.resumed(), before)
+
+    def heal(self) -> None:
+        for name in self.engines():
+            self.fleet.clear(name, "die_at")
+
+    def test_an_engine_killed_under_streams_loses_none(self):
+        texts = [f"{LONG} killed {number}" for number in range(8)]
+        with ThreadPoolExecutor(8) as pool:
+            results = pool.map(self.prompt, texts)
+            wait_until(self.is_running_on_first, "streams run on engine-1", 5.0)
+            self.fleet.by_name["engine-1"].kill()
+            results = list(results)
+        for text, result in zip(texts, results, strict=True):
+            self.assert_whole(result, text)
+
+    def is_running_on_first(self) -> bool:
+        status = self.fleet.status("host-1")
+        return any(row.upstream == "engine-1" and row.in_flight for row in status.upstreams)
+
+    def test_a_whole_reply_without_streaming_is_the_same_text(self):
+        text = f"{LONG} at once"
+        body = {"model": MODEL, "prompt": text, "max_tokens": TOKENS}
+        client = Client("clinic-1")
+        reply = client.http.request(
+            "POST",
+            self.fleet.url("host-1", "/v1/completions"),
+            body=msgspec.json.encode(body),
+            headers=client.headers,
+        )
+        choice = msgspec.json.decode(reply.data)["choices"][0]
+        self.assertEqual(choice["text"], answer_text(text, VERSION, TOKENS))
+
+    def test_the_same_text_of_another_workspace_hits_nothing(self):
+        text = f"isolated {LONG}"
+        first = self.prompt(text, workspace="clinic-1")
+        own = self.prompt(text, workspace="clinic-1", host="host-2")
+        other = self.prompt(text, workspace="clinic-2")
+        self.assertEqual(first.usage.cached_tokens, 0)
+        self.assertGreater(own.usage.cached_tokens, 0)
+        self.assertEqual(other.usage.cached_tokens, 0)
+
+    def test_a_missing_or_forged_key_gets_nothing(self):
+        for header in ({}, {"Authorization": "Bearer key-of-clinic-9"}, {"Authorization": "x"}):
+            for path in ("/v1/models", "/booking/read"):
+                url = self.fleet.url("host-1", path)
+                reply = self.fleet.http.request("GET", url, headers=header)
+                self.assertEqual(reply.status, 401)
+                self.assertNotIn(b"clinic", reply.data)
+
+    def test_a_workspace_header_of_a_caller_is_not_believed(self):
+        address = self.fleet.address_by_name["host-1"]
+        Client("clinic-1").call(address, "/booking/read", "forged", workspace="clinic-2")
+        runs = [run for run in self.fleet.runs() if run.body == "forged"]
+        self.assertEqual([run.workspace for run in runs], ["clinic-1"])
+
+    def test_a_swap_of_weights_under_load_mixes_no_versions(self):
+        stop = threading.Event()
+        results: list[tuple[str, PromptResult]] = []
+        threads = [
+            threading.Thread(target=self.load, args=(stop, results, number)) for number in range(4)
+        ]
+        for thread in threads:
+            thread.start()
+        self.fleet.publish(Model(MODEL, "v2"))
+        wait_until(self.all_on_second, "every engine runs v2")
+        self.fleet.by_name["engine-2"].kill()
+        time.sleep(1.0)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self.addCleanup(self.swap_back)
+        versions = set()
+        for text, result in results:
+            self.assertTrue(result.whole, result)
+            by_text = {answer_text(text, v, TOKENS): v for v in (VERSION, "v2")}
+            self.assertIn(result.text, by_text)
+            versions.add(by_text[result.text])
+        self.assertEqual(versions, {VERSION, "v2"})
+        most = self.fleet.ask("weights", "/most", int)
+        self.assertLessEqual(most, 2)
+
+    def load(self, stop, results, number):
+        while not stop.is_set():
+            text = f"{LONG} swap {number}"
+            results.append((text, self.prompt(text, host=f"host-{number % 2 + 1}")))
+
+    def all_on_second(self) -> bool:
+        for name in self.fleet.host_names():
+            rows = self.fleet.status(name).upstreams
+            if any(row.version != "v2" for row in rows if row.pool == "engines"):
+                return False
+        return True
+
+    def swap_back(self) -> None:
+        self.fleet.by_name["engine-2"].start()
+        self.fleet.wait_healthy("engine-2")
+        self.fleet.publish(Model(MODEL, VERSION))
+        for name in self.fleet.host_names():
+            wait_until(lambda host=name: self.is_first(host), "every engine runs v1 again")
+
+    def is_first(self, host: str) -> bool:
+        rows = [r for r in self.fleet.status(host).upstreams if r.pool == "engines"]
+        return all(row.version == VERSION for row in rows)
+
+    def test_a_new_version_hits_nothing_of_the_old_one(self):
+        text = f"{LONG} versions"
+        self.prompt(text)
+        self.assertGreater(self.prompt(text).usage.cached_tokens, 0)
+        self.fleet.publish(Model(MODEL, "v2"))
+        self.addCleanup(self.swap_back_all)
+        wait_until(self.all_on_second, "every engine runs v2")
+        first = self.prompt(text)
+        self.assert_whole(first, text, "v2")
+        self.assertEqual(first.usage.cached_tokens, 0)
+
+    def swap_back_all(self) -> None:
+        self.fleet.publish(Model(MODEL, VERSION))
+        for name in self.fleet.host_names():
+            wait_until(lambda host=name: self.is_first(host), "every engine runs v1 again")
+
+
+class LeavingTest(unittest.TestCase):
+    """Promise 7: a leaving upstream gets no new work after a few seconds."""
+
+    LIMIT_S = 3.0
+
+    def test_a_leaving_engine_gets_no_new_work_after_the_list_shows_it(self):
+        with Fleet(Topology(hosts=2, engines=2)) as fleet:
+            stop = threading.Event()
+            results: list[PromptResult] = []
+            threads = [
+                threading.Thread(target=self.load, args=(fleet, stop, results, number))
+                for number in range(4)
+            ]
+            for thread in threads:
+                thread.start()
+            wait_until(lambda: self.requests(fleet) > 3, "engine-1 works")
+            marked = time.time()
+            fleet.mark_leaving("engine-1")
+            time.sleep(self.LIMIT_S + 1.0)
+            stop.set()
+            for thread in threads:
+                thread.join()
+            record = fleet.ask("engine-1", "/record", EngineRecord)
+            self.assertLess(record.last_started - marked, self.LIMIT_S)
+            self.assertTrue(all(result.whole for result in results))
+
+    def load(self, fleet, stop, results, number):
+        client = Client("clinic-1")
+        while not stop.is_set():
+            address = fleet.address_by_name[f"host-{number % 2 + 1}"]
+            results.append(client.prompt(address, f"{number} {len(results)} {LONG}", 8))
+
+    def requests(self, fleet) -> int:
+        return fleet.ask("engine-1", "/record", EngineRecord).requests
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/state/ruddersaddle_state/configurations.py
+++ b/libs/state/ruddersaddle_state/configurations.py
@@ -6,7 +6,9 @@
 """
 
 import logging
+from hashlib import blake2b
 
+from ruddersaddle_base.codecs import encode_json
 from ruddersaddle_base.ids import START, Position, RecordId, new_record_id, split_offset
 
 from ruddersaddle_state.entries import EntryKey, Event, Model, Template, check_value, entry_key
@@ -22,6 +24,7 @@
 
 logger = logging.getLogger(__name__)
 
+DIGEST_BYTES = 8
 FATES_MAX = 2000
 """Fates of changes that are remembered for operators who ask."""
 
@@ -127,6 +130,11 @@
         ordered = tuple(self.by_key[key] for key in sorted(self.by_key))
         return Snapshot(new_record_id(), self.position, ordered)
 
+    def digest(self) -> str:
+        """Return a digest of all entries, for comparing hosts."""
+        entries = encode_json(self.snapshot().entries)
+        return blake2b(entries, digest_size=DIGEST_BYTES).hexdigest()
+
     def version(self, key: EntryKey) -> Position:
         """Return the version that an edit of `key` has to name as its base."""
         entry = self.by_key.get(key)
--- a/libs/upstreams/ruddersaddle_upstreams/engines.py
+++ b/libs/upstreams/ruddersaddle_upstreams/engines.py
@@ -71,6 +71,12 @@
     keys: list[BlockKey]
 
 
+class OtherVersion(msgspec.Struct):
+    """Refusal of a request for a weight version that the engine does not have loaded."""
+
+    version: str
+
+
 class Order(msgspec.Struct, frozen=True):
     """An order to load a weight version; engines that check fences refuse an older one."""
 
@@ -156,11 +162,24 @@
             return opened
         if opened.status == OK:
             return TokenStream(opened, request)
+        if opened.status == CONFLICT:
+            return self._read_version(opened)
         opened.close()
         code = Code.OVERLOADED if opened.status == BUSY else Code.UPSTREAM_FAILED
         detail = f"status {opened.status}"
         return Failure(code, Step.SEND, self.address, detail, Ran.NOT_RUN)
 
+    def _read_version(self, opened: OpenReply) -> Failure:
+        """Return the failure of an engine that has other weights; its detail is their version."""
+        data = opened.read_some()
+        opened.close()
+        if isinstance(data, Failure):
+            return data
+        found = decode_json(data, OtherVersion, Step.SEND, self.address)
+        if isinstance(found, Failure):
+            return found
+        return Failure(Code.OTHER_VERSION, Step.SEND, self.address, found.version)
+
     def load(self) -> LoadReport | Failure:
         """Return the engine's lagged load."""
         return self._get("/v1/load", LoadReport)
