Show that the proofs can fail, and mend what that found

Cause: a proof that can't fail shows nothing. Change: `make mutations` takes one mechanism at a time out of a copy of the tree and runs the named test there. An answer has to say where it ends now; else it is `unknown`. Also: a request that got its first token is taken off the predicted load, and one that finished since a lagged report was measured is taken off the report; before, a second prompt right after the first went to another engine and found nothing cached.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 ROUNDS ?= 20
 
-.PHONY: setup demo test lint binary bench faults capacity
+.PHONY: setup demo test lint binary bench faults capacity mutations
 
 setup: $(VENV)/.done
 
@@ -32,6 +32,9 @@
 faults: setup
 	$(BIN)/ruddersaddle-standin faults --seed $(SEED) --rounds $(ROUNDS)
 
+mutations: setup
+	$(BIN)/ruddersaddle-standin mutations
+
 bench: setup
 	$(BIN)/ruddersaddle-standin bench --seed $(SEED)
 
--- a/libs/daemon/ruddersaddle/generations.py
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -10,7 +10,7 @@
 from ruddersaddle_base.histograms import Histograms, Measure
 from ruddersaddle_base.ids import BlockKey
 from ruddersaddle_routing.choices import Choice, Kept, Prompt
-from ruddersaddle_routing.loads import Load
+from ruddersaddle_routing.loads import Load, Sent
 from ruddersaddle_state.configurations import Configuration
 from ruddersaddle_state.entries import Model
 from ruddersaddle_upstreams.chains import block_keys, context_salt, count_tokens
@@ -108,6 +108,7 @@
         self._keys_by_version: dict[str, list[BlockKey]] = {}
         self._tried: set[str] = set()
         self._slow = False
+        self._sent: Sent | None = None
 
     def keys_of(self, version: str) -> list[BlockKey]:
         """Return the prompt's chain for a weight version."""
@@ -163,7 +164,7 @@
         self._tried.add(load.address)
         load.limit.begin()
         load.circuit.begin()
-        load.note_sent(choice.missing_tokens, self.keys_of(self.version))
+        self._sent = load.note_sent(choice.missing_tokens, self.keys_of(self.version))
         engine = self.view.engine_by_address[load.address]
         self._fetch(choice, found, engine)
         opened = engine.generate(self._engine_request())
@@ -198,6 +199,8 @@
         while time.monotonic() < self._deadline:
             version = self.version or self._likely_version()
             able = [load for load in self.view.loads() if load.version in (version, "")]
+            if not able:
+                return None
             fresh = [load for load in able if load.address not in self._tried]
             choice = self.view.chooser.choose(fresh or able, prompt, kept)
             if choice is not None:
@@ -256,6 +259,7 @@
         elapsed_s = (now - self._last_event) / max(1, added)
         self._last_event = now
         self._record(measure, elapsed_s)
+        self._sent.finish()
         if first:
             self._judge_first(elapsed_s)
 
@@ -293,6 +297,7 @@
         if self.choice is None:
             return
         load = self.choice.load
+        self._sent.finish()
         harmless = (Code.OVERLOADED, Code.OTHER_VERSION)
         overloaded = failure is not None and failure.code is Code.OVERLOADED
         failed = failure is not None and failure.code not in harmless
--- a/libs/routing/ruddersaddle_routing/loads.py
+++ b/libs/routing/ruddersaddle_routing/loads.py
@@ -9,12 +9,28 @@
 from ruddersaddle_routing.limits import AdaptiveLimit
 from ruddersaddle_routing.retries import Circuit
 
+SENT_KEPT_S = 10.0
+"""Requests sent longer ago than this are in every report, in seconds."""
 PENDING_S = 10.0
 """Blocks sent for computation count as cached for this long, until events tell, in seconds."""
 REPORT_MAX_S = 5.0
 """A report older than this is not used."""
 
 
+class Sent:
+    """One request that was sent: its tokens to prefill, when, and when its first token came."""
+
+    def __init__(self, tokens: int) -> None:
+        self.tokens = tokens
+        self.at = time.monotonic()
+        self.done_at: float | None = None
+
+    def finish(self) -> None:
+        """Note that the prefill is done, or that the request was given up."""
+        if self.done_at is None:
+            self.done_at = time.monotonic()
+
+
 class Load:
     """One upstream's load as this host predicts it."""
 
@@ -32,7 +48,8 @@
         self.report: LoadReport | None = None
         self.running = 0
         self._reported_at = 0.0
-        self._sent: deque[tuple[float, int]] = deque()
+        self._measured_at = 0.0
+        self._sent: deque[Sent] = deque()
         self._pending: dict[BlockKey, float] = {}
 
     @property
@@ -46,31 +63,43 @@
         return self.may_come_free and self.limit.has_room
 
     def take_report(self, report: LoadReport) -> None:
-        """Take a new report; what was sent before it was measured is in it."""
+        """Take a new report, which was measured `age_s` seconds ago."""
         self.report = report
         self.version = report.version
         self._reported_at = time.monotonic()
-        measured = self._reported_at - report.age_s
-        while self._sent and self._sent[0][0] < measured:
+        self._measured_at = self._reported_at - report.age_s
+        oldest = self._reported_at - SENT_KEPT_S
+        while self._sent and self._sent[0].at < oldest:
             self._sent.popleft()
 
-    def note_sent(self, tokens: int, keys: list[BlockKey]) -> None:
+    def note_sent(self, tokens: int, keys: list[BlockKey]) -> Sent:
         """Count a request that was sent, with the blocks that it will leave in the cache."""
-        now = time.monotonic()
-        self._sent.append((now, tokens))
+        sent = Sent(tokens)
+        self._sent.append(sent)
         for key in keys:
-            self._pending[key] = now
+            self._pending[key] = sent.at
+        return sent
 
     def waiting_tokens(self, hosts: int) -> float:
         """Return the tokens predicted to wait for prefill.
 
-        The other hosts are taken to have sent as much as this one since the last report: the
+        That is what was reported, with what this host knows to have come and gone since the
+        report was measured. The other hosts are taken to have done as much as this one: the
         platform's balancer spreads callers evenly.
         """
-        since = sum(tokens for _, tokens in self._sent) * hosts
+        own = float(sum(sent.tokens for sent in self._sent if sent.done_at is None))
         if self.report is None or time.monotonic() - self._reported_at > REPORT_MAX_S:
-            return since
-        return self.report.waiting_tokens + since
+            return own * hosts
+        change = sum(self._change_since(sent) for sent in self._sent)
+        return max(own, self.report.waiting_tokens + change * hosts)
+
+    def _change_since(self, sent: Sent) -> int:
+        """Return the tokens that a request has added since the report, or taken away."""
+        measured = self._measured_at
+        if sent.at >= measured:
+            return sent.tokens if sent.done_at is None else 0
+        gone_since = sent.done_at is not None and sent.done_at >= measured
+        return -sent.tokens if gone_since else 0
 
     def prefill_tokens_s(self, default: float) -> float:
         """Return the reported speed of prefill, or a default."""
--- /dev/null
+++ b/libs/routing/ruddersaddle_routing/tests/test_loads.py
@@ -0,0 +1,77 @@
+"""Tests of the predicted load: a lagged report corrected by what this host knows."""
+
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_base.ids import BlockKey, HallId, UpstreamId
+from ruddersaddle_upstreams.engines import LoadReport
+
+from ruddersaddle_routing.limits import AdaptiveLimit
+from ruddersaddle_routing.loads import PENDING_S, Load
+from ruddersaddle_routing.retries import Circuit
+
+
+def new_load(name: str = "engine-1") -> Load:
+    limit, circuit = AdaptiveLimit(8, 64), Circuit(3, 2.0)
+    return Load(UpstreamId(name), f"{name}:1", HallId("glerar"), limit, circuit)
+
+
+class LoadTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 1000.0
+        clock = mock.patch.object(time, "monotonic", side_effect=lambda: self.now)
+        clock.start()
+        self.addCleanup(clock.stop)
+        self.load = new_load()
+
+    def report(self, waiting: int, age_s: float) -> None:
+        self.load.take_report(LoadReport(waiting, 0, "v1", 8000.0, age_s))
+
+    def test_what_was_sent_since_the_report_is_added_for_each_host(self):
+        self.report(100, 0.5)
+        self.now += 0.1
+        self.load.note_sent(40, [])
+        self.assertEqual(self.load.waiting_tokens(hosts=3), 100 + 3 * 40)
+
+    def test_what_was_sent_before_the_measure_is_in_the_report(self):
+        self.load.note_sent(40, [])
+        self.now += 1.0
+        self.report(100, 0.5)
+        self.assertEqual(self.load.waiting_tokens(hosts=3), 100)
+
+    def test_what_finished_after_the_measure_is_taken_off(self):
+        sent = self.load.note_sent(40, [])
+        self.now += 1.0
+        sent.finish()
+        self.report(100, 0.5)
+        self.assertEqual(self.load.waiting_tokens(hosts=1), 60)
+
+    def test_a_request_that_came_and_went_since_adds_nothing(self):
+        self.report(0, 0.5)
+        self.load.note_sent(40, []).finish()
+        self.assertEqual(self.load.waiting_tokens(hosts=6), 0)
+
+    def test_an_old_report_is_not_used(self):
+        self.report(5000, 0.0)
+        self.now += 60.0
+        self.assertEqual(self.load.waiting_tokens(hosts=1), 0)
+
+    def test_blocks_on_their_way_count_as_cached_for_a_while(self):
+        keys = [BlockKey("a"), BlockKey("b")]
+        self.load.note_sent(10, keys)
+        self.assertEqual(self.load.count_cached(keys), 2)
+        self.assertEqual(self.load.count_certain(keys), 0)
+        self.now += PENDING_S + 1
+        self.assertEqual(self.load.count_cached(keys), 0)
+
+    def test_events_tell_what_is_cached(self):
+        key = BlockKey("a")
+        self.load.take_event(True, key)
+        self.assertEqual(self.load.count_certain([key]), 1)
+        self.load.take_event(False, key)
+        self.assertEqual(self.load.count_cached([key]), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/standins/ruddersaddle_standins/clients.py
+++ b/libs/standins/ruddersaddle_standins/clients.py
@@ -26,6 +26,7 @@
     text: str = ""
     whole: bool = False
     tokens: int = 0
+    crossed: int = 0
     first_ms: float = 0.0
     total_ms: float = 0.0
     longest_gap_ms: float = 0.0
@@ -120,6 +121,7 @@
             result.whole = False
             return
         result.tokens = len(events)
+        result.crossed = sum(event.id != result.request for event in events)
         choices = [choice for event in events for choice in event.choices]
         result.text = "".join(choice.text + choice.delta.content for choice in choices)
         result.usage = next((e.usage for e in reversed(events) if e.usage), Usage())
--- a/libs/standins/ruddersaddle_standins/tests/test_configuration_force.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_configuration_force.py
@@ -165,6 +165,22 @@
         self.fleet.replace_host("host-3")
         self.await_alike()
 
+    def test_past_retention_all_hosts_lost_at_once_come_back_from_a_snapshot(self):
+        for number in range(RETENTION * 2):
+            self.fleet.publish(Workspace(WorkspaceId(f"lost-{number}"), weight=2))
+            time.sleep(0.05)
+        self.await_alike()
+        wait_until(lambda: self.publisher().configuration.complete, "a snapshot covers the rest")
+        names = self.fleet.host_names()
+        for name in names:
+            self.fleet.by_name[name].kill()
+        for name in names:
+            self.fleet.by_name[name].start()
+        for name in names:
+            self.fleet.wait_host(name)
+        self.await_alike()
+        self.assertIsNotNone(self.present())
+
     def test_no_host_ever_goes_back_while_changes_race_freezes_and_restarts(self):
         positions: dict[str, list[int]] = {}
         stop = threading.Event()
--- a/libs/standins/ruddersaddle_standins/tests/test_kept_contexts.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_kept_contexts.py
@@ -68,12 +68,12 @@
             self.fleet.fault("store-1", kind, 2)
             self.ask_all("host-2")
             self.drop_caches()
+        self.assertEqual(self.used_wrongly(), 0)
         spoiled = self.fleet.ask("store-1", "/record", StoreRecord).spoiled_blocks
         self.assertGreaterEqual(spoiled, 4)
         # A read is given up at its first wrong block, so that it may hold more than one.
         self.assertGreater(self.mismatched(), 0)
         self.assertLessEqual(self.mismatched(), spoiled)
-        self.assertEqual(self.used_wrongly(), 0)
         self.assertGreater(self.imported(), 0)
 
     def test_readers_beside_writers_and_a_store_host_that_frees_all(self):
--- a/libs/standins/ruddersaddle_standins/tests/test_planned_stops.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_planned_stops.py
@@ -42,14 +42,37 @@
             balancer.stop()
             self.check(streams, calls, fleet)
 
+    def test_a_stop_under_short_calls_refuses_none(self):
+        topology = Topology(hosts=2, engines=1, settings={"requests.stop_lag_s": STOP_LAG_S})
+        with Fleet(topology) as fleet:
+            balancer = Balancer(fleet)
+            stop = threading.Event()
+            statuses: list[int] = []
+            callers = [
+                threading.Thread(target=self.book, args=(balancer, stop, statuses, False))
+                for _ in range(CALLERS)
+            ]
+            for caller in callers:
+                caller.start()
+            for name in ("host-1", "host-2"):
+                fleet.by_name[name].terminate()
+                self.assertEqual(fleet.by_name[name].wait(), 0)
+                fleet.replace_host(name)
+                balancer.await_listed(name)
+            stop.set()
+            for caller in callers:
+                caller.join()
+            balancer.stop()
+            self.assertEqual(set(statuses), {200})
+
     def stream(self, balancer, stop, results, number):
         client = Client("clinic-1")
         while not stop.is_set():
             prompt = f"{PROMPT} caller {number}"
             results.append(client.prompt(balancer.next_address(), prompt, TOKENS))
 
-    def book(self, balancer, stop, statuses):
-        client = Client("clinic-2")
+    def book(self, balancer, stop, statuses, keep_alive=True):
+        client = Client("clinic-2", keep_alive)
         while not stop.is_set():
             result = client.call(balancer.next_address(), "/booking/slot", "b", new_key())
             statuses.append(result.status)
--- a/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
@@ -15,6 +15,9 @@
 from ruddersaddle_standins.processes import wait_until
 
 TOKENS = 40
+LONG_TOKENS = 150
+DIES_AT = 110
+"""By this token of a long stream most engines have swapped their weights."""
 LONG = "the same long prefix for everybody " * 40
 
 
@@ -42,6 +45,7 @@
     def assert_whole(self, result: PromptResult, text: str, version: str = VERSION) -> None:
         self.assertIsNone(result.error)
         self.assertTrue(result.whole)
+        self.assertEqual(result.crossed, 0)
         self.assertEqual(result.text, answer_text(text, version, TOKENS))
 
     def resumed(self) -> int:
@@ -159,6 +163,24 @@
         most = self.fleet.ask("weights", "/most", int)
         self.assertLessEqual(most, 2)
 
+    def test_a_stream_that_dies_in_a_swap_goes_on_with_its_own_version_or_ends_clearly(self):
+        for name in self.engines():
+            self.fleet.fault(name, "die_at", DIES_AT)
+        texts = [f"{LONG} dies {number}" for number in range(4)]
+        client = Client("clinic-1")
+        address = self.fleet.address_by_name["host-1"]
+        with ThreadPoolExecutor(4) as pool:
+            told = [pool.submit(client.prompt, address, text, LONG_TOKENS) for text in texts]
+            self.fleet.publish(Model(MODEL, "v2"))
+            self.addCleanup(self.swap_back_all)
+            results = [each.result() for each in told]
+        self.heal()
+        for text, result in zip(texts, results, strict=True):
+            own = answer_text(text, VERSION, LONG_TOKENS)
+            self.assertTrue(own.startswith(result.text), "tokens of another version")
+            self.assertEqual(result.whole, result.text == own)
+            self.assertEqual(result.whole, result.error is None)
+
     def load(self, stop, results, number):
         while not stop.is_set():
             text = f"{LONG} swap {number}"
--- a/libs/standins/ruddersaddle_standins/tool_commands.py
+++ b/libs/standins/ruddersaddle_standins/tool_commands.py
@@ -8,6 +8,7 @@
 from ruddersaddle_standins.demos import run_demo
 from ruddersaddle_standins.fault_rounds import FaultRounds, describe_round
 from ruddersaddle_standins.fleets import Fleet, Topology
+from ruddersaddle_standins.mutations import run_all
 
 
 def demo(*, topology: str = "akureyri") -> None:
@@ -39,7 +40,15 @@
     sys.exit(1 if bad else 0)
 
 
-COMMANDS = {"demo": demo, "faults": faults}
+def mutations(*names: str) -> None:
+    """Show that each proof fails on a copy of the tree without its mechanism.
+
+    :param names: mutations to run; all if none is named
+    """
+    sys.exit(0 if run_all(list(names)) else 1)
+
+
+COMMANDS = {"demo": demo, "faults": faults, "mutations": mutations}
 
 
 def run_tool() -> None:
--- a/libs/upstreams/ruddersaddle_upstreams/connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/connections.py
@@ -12,6 +12,8 @@
 
 READ_BYTES = 65536
 OK = 200
+BODILESS = (204, 304)
+"""Statuses of answers that have no body."""
 CHUNK_END = b"\r\n"
 """Ends each chunk and stays in the buffer until the next one is read."""
 HTTP_ERRORS = (urllib3.exceptions.HTTPError, OSError)
@@ -35,6 +37,12 @@
         self.address = address
         self.status = raw.status
 
+    @property
+    def has_stated_end(self) -> bool:
+        """Whether the answer says where it ends, so that one cut short can't pass for whole."""
+        sized = self.raw.headers.get("Content-Length", "").strip().isdigit()
+        return sized or self.raw.chunked or self.status in BODILESS
+
     def read_some(self) -> bytes | Failure:
         """Return what has arrived, waiting for something; empty at the end."""
         try:
@@ -114,6 +122,10 @@
         except HTTP_ERRORS as error:
             opened.close()
             return fail(Step.READ, self.address, error, Ran.UNKNOWN)
+        if not opened.has_stated_end:
+            opened.close()
+            detail = "the answer does not say where it ends"
+            return Failure(Code.UPSTREAM_FAILED, Step.READ, self.address, detail, Ran.UNKNOWN)
         opened.release()
         return Reply(opened.status, tuple(opened.raw.headers.items()), data)
 
