A refusal before the claim says unknown of a key that may run elsewhere

Cause: `not_run` is a statement about the key. A second try refused for a wrong header, key or path was told `not_run` while the first was running (seen by the test: five such refusals, all not_run). Ruled out: a void for each, which would let anybody without the right key stop a call. Change: a request that bears an idempotency key is refused with `unknown` until its key was judged; a missing or malformed key still is `not_run`, since every host refuses it alike. After: the five are `unknown`, the first try is answered.

--- a/libs/daemon/ruddersaddle/gateways.py
+++ b/libs/daemon/ruddersaddle/gateways.py
@@ -15,6 +15,7 @@
 
 from ruddersaddle.callers import (
     CALLER,
+    KEY_HEADER,
     Limits,
     PromptRequest,
     digest_key,
@@ -85,7 +86,7 @@
 
     def __call__(self, environ: Environ, start: Callable) -> Iterable[bytes]:
         """Serve one request."""
-        responder = Responder(start, new_request_id(), self.host.is_stopping())
+        responder = _responder(environ, start, self.host.is_stopping())
         self.active += 1
         try:
             chunks = self._route(environ, responder)
@@ -112,20 +113,20 @@
             case _, _ if path.startswith("/operator/"):
                 return self._for_operators(environ, responder, path)
         if not self.host.is_ready() and not self.host.is_stopping():
-            return responder.send_failure(_not_ready())
+            return responder.send_refusal(_not_ready())
         workspace = find_workspace(self.configuration, environ.get("HTTP_AUTHORIZATION", ""))
         if isinstance(workspace, Failure):
-            return responder.send_failure(workspace)
+            return responder.send_refusal(workspace)
         limits = read_limits(environ, self.settings.number("requests.deadline_s"))
         if isinstance(limits, Failure):
-            return responder.send_failure(limits)
+            return responder.send_refusal(limits)
         return self._route_caller(environ, responder, workspace, limits)
 
     def _route_caller(
         self, environ: Environ, responder: Responder, workspace: Workspace, limits: Limits
     ) -> Iterable[bytes]:
         if self.active > self.settings.whole("requests.concurrent_max"):
-            return responder.send_failure(_overloaded())
+            return responder.send_refusal(_overloaded())
         match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
             case "GET", "/v1/models":
                 return self._send_models(responder)
@@ -291,6 +292,10 @@
             self.on_end()
 
 
+def _responder(environ: Environ, start: Callable, stopping: bool) -> Responder:
+    return Responder(start, new_request_id(), stopping, KEY_HEADER in environ)
+
+
 def _not_ready() -> Failure:
     detail = "the host has no complete configuration yet, or is stopping"
     return Failure(Code.NOT_READY, Step.ADMIT, "host", detail, retry_after_s=1.0)
--- a/libs/daemon/ruddersaddle/responses.py
+++ b/libs/daemon/ruddersaddle/responses.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from ruddersaddle_base.codecs import encode_json
-from ruddersaddle_base.failures import Code, Failure
+from ruddersaddle_base.failures import Code, Failure, Ran
 from ruddersaddle_base.ids import RequestId
 
 JSON_TYPE = "application/json"
@@ -68,10 +68,13 @@
 class Responder:
     """Starts one request's response; while the host stops, it ends the connection too."""
 
-    def __init__(self, start: StartResponse, request: RequestId, stopping: bool) -> None:
+    def __init__(
+        self, start: StartResponse, request: RequestId, stopping: bool, has_key: bool
+    ) -> None:
         self.start = start
         self.request = request
         self.stopping = stopping
+        self.has_key = has_key
 
     def headers(self, kind: str) -> list[tuple[str, str]]:
         """Return the headers that every response has."""
@@ -89,6 +92,14 @@
         self.start(status, [*self.headers(kind), ("Content-Length", str(len(data)))])
         return [data]
 
+    def send_refusal(self, failure: Failure) -> Iterable[bytes]:
+        """Respond to a request that is refused before anything is known of its key.
+
+        `not_run` is a statement about the key: an earlier try with it may be under way elsewhere,
+        so a request that bears one is told `unknown`.
+        """
+        return self.send_failure(failure.with_ran(Ran.UNKNOWN) if self.has_key else failure)
+
     def send_failure(self, failure: Failure) -> Iterable[bytes]:
         """Respond with a failure, at once, with when to come back."""
         headers = self.headers(JSON_TYPE)
--- a/libs/daemon/ruddersaddle/service_routes.py
+++ b/libs/daemon/ruddersaddle/service_routes.py
@@ -15,7 +15,7 @@
 
 from ruddersaddle.answers import Answer, AnswerCounts
 from ruddersaddle.bodies import read_body
-from ruddersaddle.callers import CALLER, Limits, read_key, read_retry_token
+from ruddersaddle.callers import CALLER, KEY_HEADER, Limits, read_key, read_retry_token
 from ruddersaddle.keyed_calls import ASK_S, STILL_RUNNING_S, KeyedCall, KeyedCalls, to_message
 from ruddersaddle.messages import (
     AnswerMessage,
@@ -81,10 +81,10 @@
         view = self.pools.for_path(environ["PATH_INFO"])
         if view is None:
             detail = f"no service has path {environ['PATH_INFO']}"
-            return responder.send_failure(Failure(Code.NOT_FOUND, Step.PARSE, CALLER, detail))
+            return responder.send_refusal(Failure(Code.NOT_FOUND, Step.PARSE, CALLER, detail))
         body = self.read_body(environ)
         if isinstance(body, Failure):
-            return responder.send_failure(body)
+            return responder.send_refusal(body)
         call = _read_call(environ, responder, workspace, view, body, limits)
         answer = self._run(environ, view, workspace, call, limits)
         if isinstance(answer, Failure):
@@ -130,14 +130,14 @@
         limits: Limits,
     ) -> Answer:
         key = read_key(environ)
-        text = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        text = environ.get(KEY_HEADER, "")
         if is_ticket(text):
             return self._run_ticketed(text, workspace, call, limits)
         token = read_retry_token(environ)
         if isinstance(key, Failure):
             return key
         if isinstance(token, Failure):
-            return token
+            return token.with_ran(Ran.UNKNOWN)
         name = CallKey(f"{workspace.id}/{key.key}")
         keyed = KeyedCall(name, key.dated, token, call, limits.deadline)
         slot = view.enter(workspace, CALL_COST, limits.remaining_s())
--- a/libs/standins/ruddersaddle_standins/tests/test_at_most_once.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_at_most_once.py
@@ -66,6 +66,22 @@
             self.assertEqual(result.error.code, code)
         self.assertEqual(self.count_runs(), 0)
 
+    def test_a_refusal_before_the_claim_does_not_say_not_run_of_a_key_that_runs(self):
+        """An earlier try may be under way elsewhere; `not_run` is a statement about the key."""
+        self.fleet.fault("service-1", "slow", 1.0, 2.0)
+        with ThreadPoolExecutor(1) as pool:
+            first = pool.submit(self.call, "host-1")
+            self.await_run()
+            words = {
+                self.call("host-2", retry_token="x").word,
+                self.call("host-2", deadline_ms="soon").word,
+                self.call("host-2", priority_class="none").word,
+                self.call("host-2", authorization="Bearer wrong").word,
+                self.client.call(self.fleet.address_by_name["host-2"], "/no", "b", self.key).word,
+            }
+            self.assertEqual(first.result().status, 200)
+        self.assertEqual(words, {"unknown"})
+
     def test_the_owner_killed_after_dispatch_leaves_unknown_and_no_second_run(self):
         self.fleet.fault("service-1", "slow", 1.5, 3.0)
         with ThreadPoolExecutor(1) as pool:
--- a/libs/standins/ruddersaddle_standins/tool_commands.py
+++ b/libs/standins/ruddersaddle_standins/tool_commands.py
@@ -5,10 +5,12 @@
 
 import defopt
 
+from ruddersaddle_standins.benches import run_bench
 from ruddersaddle_standins.demos import run_demo
 from ruddersaddle_standins.fault_rounds import FaultRounds, describe_round
 from ruddersaddle_standins.fleets import Fleet, Topology
 from ruddersaddle_standins.mutations import run_all
+from ruddersaddle_standins.topologies import NAMES
 
 
 def demo(*, topology: str = "akureyri") -> None:
@@ -48,7 +50,18 @@
     sys.exit(0 if run_all(list(names)) else 1)
 
 
-COMMANDS = {"demo": demo, "faults": faults, "mutations": mutations}
+def bench(*, seed: int = 1, topology: str = "", quick: bool = False) -> None:
+    """Run the traces of the deployments through the product and plain baselines.
+
+    :param seed: seed of the traces
+    :param topology: akureyri or casablanca; both if none is named
+    :param quick: only the strongest baselines
+    """
+    names = (topology,) if topology else NAMES
+    sys.exit(0 if run_bench(seed, names, quick) else 1)
+
+
+COMMANDS = {"demo": demo, "faults": faults, "mutations": mutations, "bench": bench}
 
 
 def run_tool() -> None:
