Decide by predicted wait, work and cache together, and hold the backlog at the hosts

Ruled out: link time (under 20 ms a template) and the balance of hosts. The stand-in engine dropped the start of a chain first and counted cached tokens as waiting; both were wrong of an engine and are mended; it holds the start of a chain that is imported onto.

--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -70,6 +70,7 @@
     Default("contexts", "prefetch_s", "20", float, "seconds before an event to prefetch", 0, 3600),
     Default("routing", "policy", "predicted", str, "predicted, round_robin, least_load, hash"),
     Default("routing", "load_poll_s", "0.5", float, "seconds between load reports", 0.05, 60),
+    Default("routing", "backlog_s", "0.3", float, "prefill let to wait at engines; 0: any", 0, 60),
     Default("routing", "retry_share", "0.1", float, "retries as a share of first tries", 0, 1),
     Default("routing", "limit_start", "8", int, "first concurrency limit of an upstream", 1, 10000),
     Default("routing", "limit_max", "64", int, "highest limit of an upstream", 1, 10000),
--- a/libs/daemon/ruddersaddle/callers.py
+++ b/libs/daemon/ruddersaddle/callers.py
@@ -27,6 +27,8 @@
 DATE_HEADER = "HTTP_IDEMPOTENCY_DATE"
 TOKEN_HEADER = "HTTP_RETRY_TOKEN"
 PRIORITY_BY_CLASS = {"urgent": 0, "normal": 1, "batch": 2}
+URGENCY_BY_CLASS = {"urgent": 4.0, "normal": 1.0, "batch": 0.25}
+"""What a class multiplies its workspace's weight by."""
 KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,200}")
 UUID_TIME_SHIFT = 80
 MS_PER_S = 1000
@@ -63,6 +65,11 @@
         """The engine's priority; lower goes first."""
         return PRIORITY_BY_CLASS[self.group]
 
+    @property
+    def urgency(self) -> float:
+        """What the class multiplies its workspace's weight by."""
+        return URGENCY_BY_CLASS[self.group]
+
     def remaining_s(self) -> float:
         """Return the seconds left."""
         return self.deadline - time.monotonic()
--- a/libs/daemon/ruddersaddle/contexts.py
+++ b/libs/daemon/ruddersaddle/contexts.py
@@ -100,12 +100,14 @@
         kept = Kept(count.count, per_block_s, store.link.estimate_s(0))
         return Found(kept, store, per_block)
 
-    def fetch(self, found: Found, engine: EngineClient, keys: list[BlockKey]) -> int:
-        """Move verified blocks from a store host into an engine; return how many.
+    def fetch(self, found: Found, engine: EngineClient, chain: list[BlockKey], cached: int) -> int:
+        """Move verified blocks of a chain from a store host into an engine; return how many.
+
+        The first `cached` blocks are there already; the engine is told to hold on to them.
 
         One fetch of the same blocks to the same engine runs at a time; others wait for it.
         """
-        target = (engine.address, keys[-1])
+        target = (engine.address, chain[-1])
         running = self._fetch_by_target.get(target)
         if running is not None:
             return running.wait()
@@ -113,14 +115,15 @@
         self._fetch_by_target[target] = signal
         count = 0
         try:
-            count = self._fetch(found, engine, keys)
+            count = self._fetch(found, engine, chain, cached)
         finally:
             del self._fetch_by_target[target]
             signal.send(count)
         return count
 
-    def _fetch(self, found: Found, engine: EngineClient, keys: list[BlockKey]) -> int:
+    def _fetch(self, found: Found, engine: EngineClient, chain: list[BlockKey], cached: int) -> int:
         store = found.store
+        keys = chain[cached:]
         size = len(keys) * found.bytes_per_block
         store.link.waiting_bytes += size
         frames = store.read(keys)
@@ -129,7 +132,7 @@
             self.counts.fetch_failures += 1
             return 0
         data = b"".join(frame.sealed for frame in frames)
-        taken = engine.import_blocks(data)
+        taken = engine.import_blocks(data, chain[:cached])
         if isinstance(taken, Failure):
             self.counts.fetch_failures += 1
             return 0
--- a/libs/daemon/ruddersaddle/generations.py
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -63,14 +63,15 @@
 
     def start(self, request: PromptRequest, view: PoolView) -> "Generation | Failure":
         """Wait for a slot and start a generation; its first events have not been read yet."""
-        slot = view.enter(
-            request.workspace, count_tokens(request.text), request.limits.remaining_s()
-        )
+        cost = count_tokens(request.text)
+        limits = request.limits
+        slot = view.enter(request.workspace, cost, limits.remaining_s(), limits.urgency)
         if isinstance(slot, Failure):
             self.counts.refused += 1
             return slot
         view.budget.note_first()
         generation = Generation(self, request, view, slot)
+        generation.expected = view.note_granted(cost)
         failure = generation.begin()
         if failure is not None:
             generation.finish()
@@ -96,6 +97,7 @@
         self.view = view
         self.slot = slot
         self.version = ""
+        self.expected = 0.0
         self.tokens = 0
         self.tries = 0
         self.choice: Choice | None = None
@@ -153,7 +155,8 @@
         return Failure(Code.NO_UPSTREAM, Step.CONNECT, self.view.pool.id, detail, retry_after_s=1.0)
 
     def _open_best(self) -> Failure | None:
-        prompt = Prompt(count_tokens(self.request.text), self.keys_of)
+        homes = self.view.homes_by_template.get(self.request.body.template, ())
+        prompt = Prompt(count_tokens(self.request.text), homes, self.keys_of)
         found = self._find_kept()
         choice = self._choose(prompt, found.kept)
         if choice is None:
@@ -164,6 +167,7 @@
         self._tried.add(load.address)
         load.limit.begin()
         load.circuit.begin()
+        self._note_sent(choice.missing_tokens, prompt.tokens)
         self._sent = load.note_sent(choice.missing_tokens, self.keys_of(self.version))
         engine = self.view.engine_by_address[load.address]
         self._fetch(choice, found, engine)
@@ -175,6 +179,10 @@
         self.stream = opened
         return None
 
+    def _note_sent(self, missing: int, tokens: int) -> None:
+        self.view.note_sent(self.expected, missing, tokens)
+        self.expected = 0.0
+
     def _learn_version(self, load: Load, failure: Failure) -> None:
         """Take an engine's word for its weight version, which its lagged report does not have."""
         if failure.code is not Code.OTHER_VERSION:
@@ -216,7 +224,7 @@
         keys = self.keys_of(self.version)[: choice.fetch_until]
         if found.store is None or choice.fetch_until <= choice.cached_blocks:
             return
-        self.generator.contexts.fetch(found, engine, keys[choice.cached_blocks :])
+        self.generator.contexts.fetch(found, engine, keys, choice.cached_blocks)
 
     def _engine_request(self) -> EngineRequest:
         body = self.request.body
@@ -264,6 +272,14 @@
             self._judge_first(elapsed_s)
 
     def _judge_first(self, elapsed_s: float) -> None:
+        logger.debug(
+            "First token of %s after %.0f ms, predicted %.0f ms. Cached %d, fetched to %d.",
+            self.request.id,
+            elapsed_s * MS_PER_S,
+            self.choice.predicted_s * MS_PER_S,
+            self.choice.cached_blocks,
+            self.choice.fetch_until,
+        )
         expected_s = max(SLOW_FLOOR_S, self.choice.predicted_s * SLOW_FACTOR)
         self._slow = elapsed_s > expected_s
 
@@ -314,6 +330,7 @@
         """End the request: give back what it holds, and keep its context for later."""
         whole = self.stream is not None and self.stream.done
         choice = self.choice
+        self.view.unsent_tokens -= self.expected
         self._close_stream()
         self._end_try(None)
         self.slot.release()
--- a/libs/daemon/ruddersaddle/pools.py
+++ b/libs/daemon/ruddersaddle/pools.py
@@ -9,12 +9,13 @@
 from ruddersaddle_base.ids import PoolId, WorkspaceId
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.choices import Chooser
+from ruddersaddle_routing.homes import assign_homes
 from ruddersaddle_routing.limits import AdaptiveLimit
 from ruddersaddle_routing.loads import Load
 from ruddersaddle_routing.queues import FairQueue
 from ruddersaddle_routing.retries import Circuit, RetryBudget
 from ruddersaddle_state.configurations import Configuration
-from ruddersaddle_state.entries import Pool, PoolKind, Upstream, Workspace
+from ruddersaddle_state.entries import Event, Pool, PoolKind, Upstream, Workspace
 from ruddersaddle_upstreams.engines import EngineClient
 from ruddersaddle_upstreams.host_lists import HostList
 
@@ -23,6 +24,10 @@
 EVENT_WAIT_S = 5.0
 """Longest wait of one read of an engine's cache events, in seconds."""
 EVENT_RETRY_S = 0.5
+IDLE_WAKE_S = 0.1
+WAKE_S = 0.02
+"""Pause between looks whether the backlog lets waiting requests go, in seconds."""
+MISSING_SMOOTHING = 0.1
 CONTROL_READ_S = 8.0
 """Longest pause in an engine's answer on the control path, in seconds."""
 
@@ -33,18 +38,45 @@
     def __init__(self, pool: Pool, settings: Settings) -> None:
         self.pool = pool
         self.settings = settings
+        self.backlog_max_s = settings.number("routing.backlog_s")
         self.load_by_address: dict[str, Load] = {}
         self.engine_by_address: dict[str, EngineClient] = {}
         self.budget = RetryBudget(settings.number("routing.retry_share"))
         speed = settings.number("contexts.prefill_tokens_s")
         self.chooser = Chooser.from_name(settings.text("routing.policy"), speed)
-        self.queue = FairQueue(self.capacity)
+        self.homes_by_template: dict[str, tuple[str, ...]] = {}
+        self.unsent_tokens = 0.0
+        self.missing_share = 1.0
+        self.queue = FairQueue(self.capacity, self.is_open)
 
     def capacity(self) -> int:
         """Return how many calls the pool may have in flight from this host."""
         usable = [load for load in self.loads() if load.may_come_free]
         return sum(int(load.limit.limit) for load in usable)
 
+    def is_open(self) -> bool:
+        """Return whether the engines' predicted backlog lets more work go to them."""
+        if self.pool.kind is PoolKind.SERVICE or self.backlog_max_s <= 0:
+            return True
+        usable = [load for load in self.loads() if load.may_come_free]
+        default = self.settings.number("contexts.prefill_tokens_s")
+        speed = sum(load.prefill_tokens_s(default) for load in usable)
+        hosts = self.chooser.hosts
+        waiting = sum(load.waiting_tokens(hosts) for load in usable)
+        return waiting + self.unsent_tokens * hosts < self.backlog_max_s * speed
+
+    def note_granted(self, tokens: int) -> float:
+        """Count a request that has its slot and is not sent yet; return what was counted."""
+        expected = tokens * self.missing_share
+        self.unsent_tokens += expected
+        return expected
+
+    def note_sent(self, expected: float, missing: int, tokens: int) -> None:
+        """Take a request that is sent now off again, and learn how much was missing."""
+        self.unsent_tokens = max(0.0, self.unsent_tokens - expected)
+        share = missing / max(1, tokens)
+        self.missing_share += MISSING_SMOOTHING * (share - self.missing_share)
+
     def loads(self) -> Iterable[Load]:
         """Return the loads of all upstreams."""
         return self.load_by_address.values()
@@ -61,7 +93,13 @@
         for load in self.loads():
             load.leaving = hosts.is_leaving(load.address)
         self.chooser.hosts = max(1, len(hosts.entries()))
-        self.queue.wake()
+
+    def place_events(self, events: list[Event]) -> None:
+        """Work out on which engines the templates of marked events are at home."""
+        own = [event for event in events if event.model == self.pool.model]
+        copies = {event.template: event.copies for event in own}
+        addresses = [load.address for load in self.loads() if not load.leaving]
+        self.homes_by_template = assign_homes(copies, addresses)
 
     def _add(self, upstream: Upstream) -> None:
         settings = self.settings
@@ -117,7 +155,9 @@
         load.cached.update(listing.keys)
         return listing.epoch, listing.next
 
-    def enter(self, workspace: Workspace, cost: float, remaining_s: float) -> "Slot | Failure":
+    def enter(
+        self, workspace: Workspace, cost: float, remaining_s: float, urgency: float = 1.0
+    ) -> "Slot | Failure":
         """Wait for a slot in fair turn; refuse at once what can't be in time."""
         waiting = self.queue.waiting_by_workspace.get(workspace.id, 0)
         predicted_s = self.queue.predict_wait_s(workspace.id)
@@ -127,7 +167,7 @@
         if predicted_s >= remaining_s:
             detail = f"a slot is {predicted_s:.1f} s away, the deadline {remaining_s:.1f} s"
             return self._refuse(Code.OVERLOADED, detail, predicted_s)
-        if not self.queue.acquire(workspace.id, workspace.weight, cost, remaining_s):
+        if not self.queue.acquire(workspace.id, workspace.weight * urgency, cost, remaining_s):
             return self._refuse(Code.DEADLINE, "no slot came free in time", predicted_s)
         return Slot(self.queue, workspace.id)
 
@@ -168,7 +208,15 @@
         for pool in wanted.values():
             if pool.id not in self.by_id:
                 self.by_id[pool.id] = PoolView(pool, self.settings)
+                eventlet.spawn(self._wake, self.by_id[pool.id])
             self.by_id[pool.id].update(pool, self.hosts)
+            self.by_id[pool.id].place_events(configuration.values(Event))
+
+    def _wake(self, view: PoolView) -> None:
+        """Let waiting requests go as loads, circuits and limits change."""
+        while self.by_id.get(view.pool.id) is view:
+            view.queue.wake()
+            eventlet.sleep(WAKE_S if view.queue.waiting else IDLE_WAKE_S)
 
     def for_model(self, model: str) -> PoolView | None:
         """Return the pool of engines that serves a model, or None."""
--- a/libs/daemon/ruddersaddle/prefetches.py
+++ b/libs/daemon/ruddersaddle/prefetches.py
@@ -74,23 +74,17 @@
         if not isinstance(template, Template) or view is None:
             return
         text = shared_prefix(template, event)
-        for load in self._targets(event, template.workspace, text, view):
+        for load in self._targets(event, view):
             label = (event.id, event.at, load.address)
             if label not in self._done:
                 self._done.add(label)
                 eventlet.spawn(self._warm, event, template.workspace, text, view, load)
 
-    def _targets(
-        self, event: Event, workspace: WorkspaceId, text: str, view: PoolView
-    ) -> list[Load]:
-        """Return the engines that get a copy: the first by the order that routing uses too."""
-        by_address = {load.address: load for load in view.loads() if load.may_come_free}
-        versions = [load.version for load in by_address.values() if load.version]
-        if not versions:
-            return []
-        keys = block_keys(context_salt(workspace, event.model, versions[0]), text)
-        ranked = rank_names(keys[0] if keys else "", by_address)
-        return [by_address[address] for address in ranked[: event.copies]]
+    def _targets(self, event: Event, view: PoolView) -> list[Load]:
+        """Return the engines that the event's template is at home on and that take work."""
+        homes = view.homes_by_template.get(event.template, ())
+        loads = [view.load_by_address[address] for address in homes]
+        return [load for load in loads if load.may_come_free and load.version]
 
     def _warm(
         self, event: Event, workspace: WorkspaceId, text: str, view: PoolView, load: Load
@@ -101,7 +95,7 @@
         engine = view.engine_by_address[load.address]
         found = self.contexts.find(keys)
         if found.store is not None and found.kept.blocks:
-            self.contexts.fetch(found, engine, keys[: found.kept.blocks])
+            self.contexts.fetch(found, engine, keys[: found.kept.blocks], 0)
         request = EngineRequest(
             id=new_request_id(),
             model=event.model,
--- a/libs/routing/ruddersaddle_routing/choices.py
+++ b/libs/routing/ruddersaddle_routing/choices.py
@@ -11,8 +11,15 @@
 from ruddersaddle_routing.loads import Load
 from ruddersaddle_routing.rendezvous import rank_names
 
-TIE_S = 0.02
-"""Predictions this close count as equal; the rendezvous order then decides, in seconds."""
+HOME_S = 0.1
+"""By what the prefix's first choice by rendezvous hash may be slower, in seconds.
+
+Hosts that see a new prefix at the same time so agree on one engine to compute it.
+"""
+CACHE_WEIGHT = 1.0
+"""Weight of computing again what new blocks drive out of the engine's cache."""
+WORK_WEIGHT = 1.0
+"""Weight of the work that a choice costs the engine, beside the wait of its own caller."""
 
 
 @dataclass(frozen=True)
@@ -47,9 +54,12 @@
 
 
 class Prompt(msgspec.Struct):
-    """What a choice has to know of a prompt: its tokens and its chain for each weight version."""
+    """What a choice has to know of a prompt: its tokens, its chain for each weight version, and the
+    engines that a marked template is at home on, if it has one.
+    """
 
     tokens: int
+    homes: tuple[str, ...]
     keys_of: Callable[[str], list[BlockKey]]
 
 
@@ -69,6 +79,7 @@
     fetch_until: int
     predicted_s: float
     missing_tokens: int
+    new_blocks: int
 
 
 class Chooser:
@@ -101,11 +112,22 @@
         return self._plan(load, prompt, kept)
 
     def _choose_predicted(self, loads: list[Load], prompt: Prompt, kept: Kept) -> Choice:
-        plans = [self._plan(load, prompt, kept) for load in loads]
-        best = min(plan.predicted_s for plan in plans)
-        close = [plan for plan in plans if plan.predicted_s <= best + TIE_S]
-        by_address = {plan.load.address: plan for plan in close}
-        return by_address[rank_names(_root(close[0].load, prompt), by_address)[0]]
+        """Return the plan with the lowest predicted first token and work together.
+
+        Work counts, since tokens that are computed again delay all who come after.
+        """
+        by_address = {load.address: self._plan(load, prompt, kept) for load in loads}
+        homes = [address for address in prompt.homes if address in by_address]
+        if not homes:
+            homes = rank_names(_root(loads[0], prompt), by_address)[:1]
+        return min(by_address.values(), key=lambda plan: self._score(plan, homes))
+
+    def _score(self, plan: Choice, homes: Sequence[str]) -> float:
+        speed = plan.load.prefill_tokens_s(self.prefill_tokens_s)
+        work_s = plan.missing_tokens / speed
+        cache_s = plan.new_blocks * BLOCK_TOKENS / speed
+        bonus_s = HOME_S if plan.load.address in homes else 0.0
+        return plan.predicted_s + WORK_WEIGHT * work_s + CACHE_WEIGHT * cache_s - bonus_s
 
     def _first_by_hash(self, loads: list[Load], prompt: Prompt) -> Load:
         by_address = {load.address: load for load in loads}
@@ -115,19 +137,20 @@
         """Return the cheaper of computing and of fetching what the upstream's cache lacks."""
         keys = prompt.keys_of(load.version)
         cached = load.count_cached(keys)
+        new = len(keys) - cached
         speed = load.prefill_tokens_s(self.prefill_tokens_s)
         wait_s = load.waiting_tokens(self.hosts) / speed
         compute = self._missing(prompt, cached)
         compute_s = wait_s + compute / speed
         if kept.blocks <= cached:
-            return Choice(load, cached, 0, compute_s, compute)
+            return Choice(load, cached, 0, compute_s, compute, new)
         fetched = kept.blocks - cached
         fetch_s = kept.wait_s + fetched * kept.seconds_per_block
         after_fetch = self._missing(prompt, kept.blocks)
         fetch_total_s = max(wait_s, fetch_s) + after_fetch / speed
         if fetch_total_s < compute_s:
-            return Choice(load, cached, kept.blocks, fetch_total_s, after_fetch)
-        return Choice(load, cached, 0, compute_s, compute)
+            return Choice(load, cached, kept.blocks, fetch_total_s, after_fetch, new)
+        return Choice(load, cached, 0, compute_s, compute, new)
 
     def _missing(self, prompt: Prompt, blocks: int) -> int:
         return max(1, prompt.tokens - blocks * BLOCK_TOKENS)
--- a/libs/routing/ruddersaddle_routing/queues.py
+++ b/libs/routing/ruddersaddle_routing/queues.py
@@ -28,10 +28,17 @@
 
 
 class FairQueue:
-    """Slots of one pool on this host; `capacity` tells how many there are right now."""
+    """Slots of one pool on this host.
 
-    def __init__(self, capacity: Callable[[], int]) -> None:
+    `capacity` tells how many slots there are right now; `is_open` whether the upstreams can do
+    with more work. What waits here waits in fair turn; what waits at an upstream does not.
+    """
+
+    def __init__(
+        self, capacity: Callable[[], int], is_open: Callable[[], bool] = lambda: True
+    ) -> None:
         self.capacity = capacity
+        self.is_open = is_open
         self.in_use = 0
         self.mean_hold_s = HOLD_START_S
         self.virtual = 0.0
@@ -43,7 +50,7 @@
     @property
     def has_room(self) -> bool:
         """Whether a slot is free."""
-        return self.in_use < self.capacity()
+        return self.in_use < self.capacity() and (self.in_use == 0 or self.is_open())
 
     @property
     def waiting(self) -> int:
@@ -61,7 +68,7 @@
         ahead = sum(min(count, own) for count in self.waiting_by_workspace.values())
         return ahead * self.mean_hold_s / max(1, self.capacity())
 
-    def acquire(self, workspace: WorkspaceId, weight: int, cost: float, timeout_s: float) -> bool:
+    def acquire(self, workspace: WorkspaceId, weight: float, cost: float, timeout_s: float) -> bool:
         """Wait for a slot; return False if none came in time. A granted slot is to be released."""
         tag = max(self.virtual, self.finish_by_workspace.get(workspace, 0.0))
         self.finish_by_workspace[workspace] = tag + cost / weight
--- a/libs/standins/ruddersaddle_standins/engine_servers.py
+++ b/libs/standins/ruddersaddle_standins/engine_servers.py
@@ -72,6 +72,7 @@
         self.keys = block_keys(request.salt, request.prompt)
         self.tokens = max(1, count_tokens(request.prompt))
         self.cached_tokens = 0
+        self.missing = self.tokens
         self.done: Signal = Signal()
 
 
@@ -136,7 +137,8 @@
             case "POST", "/v1/export":
                 return Answer(body=self._export(read_json(environ, KeyList).keys))
             case "POST", "/v1/import":
-                return self._import(read_bytes(environ))
+                held = environ.get("HTTP_HELD_BLOCKS", "")
+                return self._import(read_bytes(environ), held.split(",") if held else [])
             case "POST", "/v1/orders":
                 return self._take_order(read_json(environ, Order))
             case "GET", "/record":
@@ -155,7 +157,8 @@
         self.record.requests += 1
         self.record.last_started = time.time()
         prefill = Prefill(request)
-        self._waiting_tokens += prefill.tokens
+        prefill.missing = self._count_missing(prefill)
+        self._waiting_tokens += prefill.missing
         entry = (request.priority, next(self._order), prefill)
         heapq.heappush(self._queue, entry)
         if not self._queued.ready():
@@ -171,20 +174,23 @@
                 self._prefill(prefill)
 
     def _prefill(self, prefill: Prefill) -> None:
-        cached = 0
-        for key in prefill.keys:
-            if key not in self.cache:
-                break
-            cached += 1
-        prefill.cached_tokens = cached * BLOCK_TOKENS
-        missing = max(1, prefill.tokens - prefill.cached_tokens)
+        missing = self._count_missing(prefill)
+        prefill.cached_tokens = max(0, prefill.tokens - missing)
         eventlet.sleep(missing / self.speeds.prefill_tokens_s)
-        self._waiting_tokens -= prefill.tokens
+        self._waiting_tokens -= prefill.missing
         self._store(prefill.keys)
         self.record.prompt_tokens += prefill.tokens
         self.record.cached_tokens += prefill.cached_tokens
         prefill.done.send(None)
 
+    def _count_missing(self, prefill: Prefill) -> int:
+        cached = 0
+        for key in prefill.keys:
+            if key not in self.cache:
+                break
+            cached += 1
+        return max(1, prefill.tokens - cached * BLOCK_TOKENS)
+
     def _stream(self, prefill: Prefill, version: str) -> Iterator[bytes]:
         request = prefill.request
         self.running += 1
@@ -228,7 +234,8 @@
         return f'{head}"choices":[{{"index":0,{piece}}}]{end}}}\n\n'.encode()
 
     def _store(self, keys: list[BlockKey]) -> None:
-        for key in keys:
+        """Cache a chain; its end is dropped first, as a chain without its start is of no use."""
+        for key in reversed(keys):
             if key not in self.cache:
                 self._note(True, key)
             self.cache[key] = None
@@ -285,8 +292,9 @@
             frames.append(seal_frame(key, GENERATION, payload))
         return b"".join(frames)
 
-    def _import(self, data: bytes) -> Answer:
-        keys = []
+    def _import(self, data: bytes, held: list[BlockKey]) -> Answer:
+        keys = [key for key in held if key in self.cache]
+        before = len(keys)
         for piece in split_frames(data):
             key = BlockKey(HEADER.unpack_from(piece)[1].hex())
             frame = open_frame(piece, key, "host")
@@ -295,7 +303,7 @@
                 self.record.imported_wrong += 1
                 continue
             keys.append(key)
-        self.record.imported_blocks += len(keys)
+        self.record.imported_blocks += len(keys) - before
         self._store(keys)
         return json_answer(len(keys))
 
--- a/libs/standins/ruddersaddle_standins/replays.py
+++ b/libs/standins/ruddersaddle_standins/replays.py
@@ -56,6 +56,7 @@
     uses: list[HostUse]
     link_bytes: int
     computed_tokens: int
+    new_tokens: int
     prompt_tokens: int
     doubled_calls: int
     appends: int
@@ -74,8 +75,9 @@
 
     @property
     def recomputed_share(self) -> float:
-        """The share of all prompt tokens that engines computed."""
-        return self.computed_tokens / max(1, self.prompt_tokens)
+        """The share of tokens that had been computed before and were computed again."""
+        seen_before = self.prompt_tokens - self.new_tokens
+        return max(0, self.computed_tokens - self.new_tokens) / max(1, seen_before)
 
     @property
     def refused(self) -> int:
@@ -202,6 +204,12 @@
         with self._lock:
             self.calls.append(CallRow(line, result))
 
+    def _count_new(self) -> int:
+        """Return the tokens that no prompt of the trace had before: contexts once, and tails."""
+        arrivals = [row.arrival for row in self.prompts]
+        tokens = {a.context: a.prompt_tokens or self.template_tokens for a in arrivals}
+        return sum(tokens.values()) + TAIL_TOKENS * len(arrivals)
+
     def _use(self, name: str) -> HostUse:
         return read_use(self.fleet.by_name[name].child.pid)
 
@@ -228,6 +236,7 @@
             uses=uses,
             link_bytes=sum(each.moved_bytes for each in stores),
             computed_tokens=computed,
+            new_tokens=self._count_new(),
             prompt_tokens=sum(each.prompt_tokens for each in engines),
             doubled_calls=len(bodies) - len(set(bodies)),
             appends=self.fleet.ask("log", "/appends", int),
--- a/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
@@ -15,8 +15,8 @@
 from ruddersaddle_standins.processes import wait_until
 
 TOKENS = 40
-LONG_TOKENS = 150
-DIES_AT = 110
+LONG_TOKENS = 200
+DIES_AT = 150
 """By this token of a long stream most engines have swapped their weights."""
 LONG = "the same long prefix for everybody " * 40
 
--- a/libs/upstreams/ruddersaddle_upstreams/connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/connections.py
@@ -129,9 +129,16 @@
         opened.release()
         return Reply(opened.status, tuple(opened.raw.headers.items()), data)
 
-    def call_ok(self, method: str, path: str, body: bytes, step: Step) -> bytes | Failure:
+    def call_ok(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        step: Step,
+        headers: Mapping[str, str] | None = None,
+    ) -> bytes | Failure:
         """Send a request and return the body of a good answer; any other status is a failure."""
-        reply = self.call(method, path, body)
+        reply = self.call(method, path, body, headers)
         if isinstance(reply, Failure):
             return reply
         if reply.status != OK:
--- a/libs/upstreams/ruddersaddle_upstreams/engines.py
+++ b/libs/upstreams/ruddersaddle_upstreams/engines.py
@@ -12,6 +12,7 @@
 EVENT_END = b"\n\n"
 DONE = b"data: [DONE]\n\n"
 INDEX_PATTERN = re.compile(rb'^data: \{"id":"([^"]*)","token":(\d+),', re.MULTILINE)
+HELD_HEADER = "Held-Blocks"
 CONFLICT = 409
 BUSY = 503
 
@@ -202,9 +203,13 @@
         body = encode_json(KeyList(keys))
         return self.connections.call_ok("POST", "/v1/export", body, Step.KEEP)
 
-    def import_blocks(self, frames: bytes) -> int | Failure:
-        """Put verified frames into the engine's cache; return how many bytes were taken."""
-        reply = self.connections.call_ok("POST", "/v1/import", frames, Step.FETCH)
+    def import_blocks(self, frames: bytes, held: list[BlockKey]) -> int | Failure:
+        """Put verified frames into the engine's cache; return how many bytes were taken.
+
+        `held` are the blocks before them in their chain, which are not to be dropped for them.
+        """
+        headers = {HELD_HEADER: ",".join(held)} if held else None
+        reply = self.connections.call_ok("POST", "/v1/import", frames, Step.FETCH, headers)
         return reply if isinstance(reply, Failure) else len(frames)
 
     def order(self, order: Order) -> bool | Failure:
