--- a/libs/daemon/ruddersaddle/callers.py
+++ b/libs/daemon/ruddersaddle/callers.py
@@ -97,9 +97,9 @@
     """Return the workspace whose caller key the `Authorization` header bears."""
     if header.lower().startswith(BEARER):
         digest = digest_key(header[len(BEARER) :].strip())
-        for workspace in configuration.values(Workspace):
-            if digest in workspace.key_digests:
-                return workspace
+        workspace = configuration.workspace_by_digest.get(digest)
+        if workspace is not None:
+            return workspace
     detail = "expected Authorization: Bearer and a known key"
     return Failure(Code.UNAUTHORIZED, Step.AUTHENTICATE, CALLER, detail)
 
--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -10,7 +10,7 @@
 import eventlet.wsgi
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.histograms import Histograms
-from ruddersaddle_base.ids import HostId, Incarnation, new_incarnation
+from ruddersaddle_base.ids import START, HostId, Incarnation, new_incarnation
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_state.appenders import Appender
 from ruddersaddle_state.claims import Claims
@@ -65,6 +65,7 @@
         self.incarnation = incarnation
         self.stopping = False
         self.updated = False
+        self._seen = (START, -1)
         self.histograms = Histograms()
         self.configuration = Configuration()
         self._build_log()
@@ -187,14 +188,21 @@
         while True:
             if not self.configuration.complete:
                 self._ask_configuration()
-            self.pools.update(self.configuration)
-            self.contexts.update(self.configuration)
+            seen = (self.configuration.position, self.hosts.version)
+            if seen != self._seen:
+                self._seen = seen
+                self._update()
             # Complete is not enough: callers would meet a host that has no pools yet.
             self.updated = self.configuration.complete
-            listed = {row.peer_address for row in self.hosts.entries() if row.peer_address}
-            self.peers.keep_only(listed)
             eventlet.sleep(UPDATE_S)
 
+    def _update(self) -> None:
+        """Take a new configuration or host list."""
+        self.pools.update(self.configuration)
+        self.contexts.update(self.configuration)
+        listed = {row.peer_address for row in self.hosts.entries() if row.peer_address}
+        self.peers.keep_only(listed)
+
     def _ask_configuration(self) -> None:
         """Take the state of the peer that is furthest on, while the log can't give it."""
         own = self.settings.text("host.id")
--- a/libs/state/ruddersaddle_state/configurations.py
+++ b/libs/state/ruddersaddle_state/configurations.py
@@ -11,7 +11,16 @@
 from ruddersaddle_base.codecs import encode_json
 from ruddersaddle_base.ids import START, Position, RecordId, new_record_id, split_offset
 
-from ruddersaddle_state.entries import EntryKey, Event, Model, Template, check_value, entry_key
+from ruddersaddle_state.entries import (
+    EntryKey,
+    Event,
+    Model,
+    Template,
+    Value,
+    Workspace,
+    check_value,
+    entry_key,
+)
 from ruddersaddle_state.records import (
     Change,
     Edit,
@@ -34,6 +43,8 @@
 
     def __init__(self) -> None:
         self.by_key: dict[EntryKey, Entry] = {}
+        self.workspace_by_digest: dict[str, Workspace] = {}
+        self._value_by_name_by_kind: dict[type, dict[str, Value]] = {}
         self.position = START
         self.complete = False
         self.snapshot_seen = START
@@ -80,7 +91,11 @@
         """Take over a whole state unless ours is newer; return whether it was taken."""
         if snapshot.upto < self.position:
             return False
-        self.by_key = {entry.key: entry for entry in snapshot.entries}
+        self.by_key = {}
+        self.workspace_by_digest = {}
+        self._value_by_name_by_kind = {}
+        for entry in snapshot.entries:
+            self._put(entry)
         self.position = snapshot.upto
         self.complete = True
         return True
@@ -103,9 +118,31 @@
             if reason:
                 return Fate(Outcome.REJECTED, position, reason)
         for edit in change.edits:
-            self.by_key[edit.key] = Entry(edit.key, position, edit.value, change.id)
+            self._put(Entry(edit.key, position, edit.value, change.id))
         return Fate(Outcome.ACCEPTED, position)
 
+    def _put(self, entry: Entry) -> None:
+        """Set an entry, and keep the values by kind and the callers' keys in step."""
+        old = self.by_key.get(entry.key)
+        if old is not None and old.value is not None:
+            self._remove(old.value)
+        self.by_key[entry.key] = entry
+        value = entry.value
+        if value is None:
+            return
+        self._value_by_name_by_kind.setdefault(type(value), {})[value.id] = value
+        if isinstance(value, Workspace):
+            self.workspace_by_digest.update(dict.fromkeys(value.key_digests, value))
+
+    def _remove(self, value: Value) -> None:
+        self._value_by_name_by_kind[type(value)].pop(value.id)
+        if not isinstance(value, Workspace):
+            return
+        for digest in value.key_digests:
+            owner = self.workspace_by_digest.get(digest)
+            if owner is not None and owner.id == value.id:
+                del self.workspace_by_digest[digest]
+
     def check_edit(self, edit: Edit) -> str | None:
         """Return why an edit can't be taken on this state, or None."""
         current = self.by_key.get(edit.key)
@@ -117,9 +154,19 @@
             return None
         if entry_key(edit.value) != edit.key:
             return f"{edit.key}: holds a value of another name"
-        wrong = check_value(edit.value)
+        wrong = check_value(edit.value) or self._check_digests(edit.value)
         return f"{edit.key}: {wrong}" if wrong else None
 
+    def _check_digests(self, value: Value) -> str | None:
+        """Return why a workspace can't have its callers' keys, or None."""
+        if not isinstance(value, Workspace):
+            return None
+        for digest in value.key_digests:
+            owner = self.workspace_by_digest.get(digest)
+            if owner is not None and owner.id != value.id:
+                return "expected callers' keys that no other workspace has"
+        return None
+
     def _remember(self, record: RecordId, fate: Fate) -> None:
         self.fate_by_id[record] = fate
         if len(self.fate_by_id) > FATES_MAX:
@@ -141,15 +188,13 @@
         return START if entry is None else entry.version
 
     def values(self, kind: type) -> list:
-        """Return the present values of one kind, by key."""
-        ordered = sorted(self.by_key)
-        found = [self.by_key[key].value for key in ordered]
-        return [value for value in found if isinstance(value, kind)]
+        """Return the present values of one kind, by name."""
+        by_name = self._value_by_name_by_kind.get(kind, {})
+        return [by_name[name] for name in sorted(by_name)]
 
     def get(self, kind: type, name: str) -> object | None:
         """Return the value of one entry, or None."""
-        entry = self.by_key.get(EntryKey(f"{kind.__struct_config__.tag}/{name}"))
-        return None if entry is None else entry.value
+        return self._value_by_name_by_kind.get(kind, {}).get(name)
 
 
 def check_references(configuration: Configuration) -> list[str]:
--- a/libs/state/ruddersaddle_state/tests/test_configurations.py
+++ b/libs/state/ruddersaddle_state/tests/test_configurations.py
@@ -52,6 +52,30 @@
         self.assertEqual(fate.outcome, Outcome.REJECTED)
         self.assertIsNone(configuration.get(Workspace, "other"))
 
+    def test_a_changed_or_deleted_workspace_gives_up_its_callers_keys(self):
+        configuration = started()
+        old, new = "a" * 64, "b" * 64
+        key = entry_key(Workspace(WorkspaceId("w")))
+        for offset, digests in enumerate(((old,), (new,))):
+            value = Workspace(WorkspaceId("w"), digests)
+            edit = Edit(key, configuration.version(key), value)
+            configuration.apply(place(offset, Change(RecordId(f"c{offset}"), "op", (edit,))))
+        self.assertEqual(set(configuration.workspace_by_digest), {new})
+        gone = Edit(key, configuration.version(key), None)
+        configuration.apply(place(2, Change(RecordId("c2"), "op", (gone,))))
+        self.assertEqual(
+            (configuration.workspace_by_digest, configuration.values(Workspace)), ({}, [])
+        )
+
+    def test_a_callers_key_belongs_to_one_workspace(self):
+        configuration = started()
+        for offset, name in enumerate("ab"):
+            value = Workspace(WorkspaceId(name), ("c" * 64,))
+            edit = Edit(entry_key(value), START, value)
+            fate = configuration.apply(place(offset, Change(RecordId(name), "op", (edit,))))
+        self.assertEqual(fate.outcome, Outcome.REJECTED)
+        self.assertIn("no other workspace", fate.reason)
+
     def test_a_wrong_value_is_rejected_in_the_fold_too(self):
         fate = started().apply(place(0, change("a", START, 0)))
         self.assertEqual(fate.outcome, Outcome.REJECTED)
