--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -61,6 +61,7 @@
     Default("claims", "memory_s", "3600", float, "seconds that a key is remembered", 1, 86400),
     Default("claims", "skew_s", "30", float, "most seconds that clocks differ", 0, 600),
     Default("claims", "wait_s", "2.0", float, "longest wait for a claim", 0.05, 60),
+    Default("claims", "gather", "yes", bool, "whether claims that wait share one append"),
     Default("claims", "ticket_s", "120", float, "seconds for which a ticket may be used", 1, 3600),
     Default("claims", "answers_max", "67108864", int, "bytes of answers kept for repeats", 0),
     Default("contexts", "keep", "yes", bool, "whether contexts are kept on store hosts"),
--- a/libs/daemon/ruddersaddle/commands.py
+++ b/libs/daemon/ruddersaddle/commands.py
@@ -17,8 +17,9 @@
 from ruddersaddle.callers import digest_key
 from ruddersaddle.published_files import Problem, format_published, read_published
 from ruddersaddle.publishers import Published, Publisher, Word, call_operator
+from ruddersaddle.replays import TraceReplay, read_caller_keys
 from ruddersaddle.reports import Accepted, Stats, Status
-from ruddersaddle.traces import Arrival, Fault, Stated, read_trace
+from ruddersaddle.traces import Arrival, Fault, Stated, TraceLine, read_trace
 
 logger = logging.getLogger(__name__)
 
@@ -211,23 +212,48 @@
     print(_ask(address, "POST", "/operator/drain", Accepted).state)
 
 
-def replay(file: str, *, json: bool = False) -> None:
-    """Check a trace and tell what it holds; the stand-ins' `bench` sends it.
+def replay(
+    file: str,
+    *,
+    address: list[str] = (),
+    keys: str = "",
+    model: str = "assistant",
+    json: bool = False,
+) -> None:
+    """Check a trace and tell what it holds; with addresses, send it there and check its outcomes.
 
     Example: ruddersaddle trace replay opening.jsonl --json
 
     :param file: trace in JSON lines
+    :param address: IP:port of hosts to send it to, each in turn
+    :param keys: INI file with callers' keys by workspace in a section [keys]
+    :param model: model that prompts are sent to
     :param json: print JSON
     """
     lines = read_trace(file)
     if isinstance(lines, Failure):
         _exit(EXIT_PROBLEM, f"{lines.peer}: {lines.detail}")
+    if address:
+        _replay_to(lines, list(address), keys, model, json)
     summary = summarize_trace(lines)
     text = f"{summary.arrivals} arrivals, {summary.faults} faults in {summary.seconds:.1f} s"
     _print(json, summary, text)
 
 
-def summarize_trace(lines: list) -> TraceSummary:
+def _replay_to(
+    lines: list[TraceLine], addresses: list[str], keys: str, model: str, as_json: bool
+) -> NoReturn:
+    found = read_caller_keys(keys)
+    if isinstance(found, Problem):
+        _exit(EXIT_USAGE, str(found))
+    report = TraceReplay(addresses, found, model).run(lines)
+    text = f"{report.arrivals} sent, {report.answered_prompts} prompts whole, "
+    text += f"first token p95 {report.first_p95_ms:.0f} ms, broken: {report.broken or 'nothing'}"
+    _print(as_json, report, text)
+    sys.exit(EXIT_PROBLEM if report.broken else EXIT_GOOD)
+
+
+def summarize_trace(lines: list[TraceLine]) -> TraceSummary:
     """Return what a trace holds."""
     arrivals = [line for line in lines if isinstance(line, Arrival)]
     counts: dict[str, int] = {}
--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -89,7 +89,11 @@
         self.configuration_follower = Follower(client, Stream.CONFIGURATION, self.configuration)
         self.claims_follower = Follower(client, Stream.CLAIMS, claims)
         self.leases_follower = Follower(client, Stream.LEASES, leases)
-        self.appender_by_stream = {stream: Appender(client, stream) for stream in Stream}
+        gathers = settings.flag("claims.gather")
+        self.appender_by_stream = {
+            stream: Appender(client, stream, gathers or stream is not Stream.CLAIMS)
+            for stream in Stream
+        }
 
     def _build_upstreams(self) -> None:
         settings = self.settings
--- a/libs/daemon/ruddersaddle/gateways.py
+++ b/libs/daemon/ruddersaddle/gateways.py
@@ -30,6 +30,7 @@
 from ruddersaddle.reports import Accepted, Stats, Status, format_metrics
 from ruddersaddle.responses import TEXT_TYPE, Responder, encode_error_event
 from ruddersaddle.service_routes import ServiceRoutes
+from ruddersaddle.traces import WORKSPACE_NOTE
 
 logger = logging.getLogger(__name__)
 
@@ -117,6 +118,7 @@
         workspace = find_workspace(self.configuration, environ.get("HTTP_AUTHORIZATION", ""))
         if isinstance(workspace, Failure):
             return responder.send_refusal(workspace)
+        environ[WORKSPACE_NOTE] = workspace.id
         limits = read_limits(environ, self.settings.number("requests.deadline_s"))
         if isinstance(limits, Failure):
             return responder.send_refusal(limits)
--- a/libs/daemon/ruddersaddle/traces.py
+++ b/libs/daemon/ruddersaddle/traces.py
@@ -12,6 +12,10 @@
 import msgspec
 from ruddersaddle_base.codecs import decode_json, encode_json
 from ruddersaddle_base.failures import Failure, Step
+from ruddersaddle_upstreams.chains import TOKEN_BYTES
+
+WORKSPACE_NOTE = "ruddersaddle.workspace"
+"""Where the gateway notes a request's workspace; requests without one are not recorded."""
 
 
 class Arrival(msgspec.Struct, frozen=True, tag="arrival", omit_defaults=True):
@@ -68,6 +72,12 @@
     Path(path).write_bytes(b"".join(encode_json(line) + b"\n" for line in lines))
 
 
+def fill_text(name: str, tokens: int) -> str:
+    """Return text of so many tokens that only this name has."""
+    piece = f"{name} word "
+    return (piece * (tokens * TOKEN_BYTES // len(piece) + 1))[: tokens * TOKEN_BYTES]
+
+
 class Recorder:
     """Writes each arrival at a host to a file, if one is named."""
 
@@ -81,19 +91,22 @@
             return application
 
         def record(environ: dict[str, Any], start: Callable) -> Iterable[bytes]:
-            self._write(environ)
-            return application(environ, start)
+            at = round(time.monotonic() - self.began, 3)
+            chunks = application(environ, start)
+            if WORKSPACE_NOTE in environ:
+                self._write(environ, at)
+            return chunks
 
         return record
 
-    def _write(self, environ: dict[str, Any]) -> None:
+    def _write(self, environ: dict[str, Any], at: float) -> None:
         size = environ.get("CONTENT_LENGTH") or "0"
         arrival = Arrival(
-            at=round(time.monotonic() - self.began, 3),
-            workspace="",
+            at=at,
+            workspace=environ[WORKSPACE_NOTE],
             path=environ["PATH_INFO"],
             group=environ.get("HTTP_PRIORITY_CLASS", "normal"),
-            prompt_tokens=int(size) // 4 if size.isdigit() else 0,
+            prompt_tokens=int(size) // TOKEN_BYTES if size.isdigit() else 0,
         )
         self.file.write(encode_json(arrival) + b"\n")
         self.file.flush()
--- a/libs/standins/ruddersaddle_standins/benches.py
+++ b/libs/standins/ruddersaddle_standins/benches.py
@@ -37,13 +37,15 @@
     settings: dict[str, str] = {}
 
 
+PLAIN = {"routing.backlog_s": "0"}
+"""A plain baseline sends on what comes; nothing waits at hosts in fair turn."""
 BASELINES = (
-    Variant("round robin", "round_robin", False),
-    Variant("least load", "least_load", False),
-    Variant("prefix hash", "hash", False),
-    Variant("round robin, kept", "round_robin", True),
-    Variant("least load, kept", "least_load", True),
-    Variant("prefix hash, kept", "hash", True),
+    Variant("round robin", "round_robin", False, settings=PLAIN),
+    Variant("least load", "least_load", False, settings=PLAIN),
+    Variant("prefix hash", "hash", False, settings=PLAIN),
+    Variant("round robin, kept", "round_robin", True, settings=PLAIN),
+    Variant("least load, kept", "least_load", True, settings=PLAIN),
+    Variant("prefix hash, kept", "hash", True, settings=PLAIN),
 )
 PRODUCT = Variant("ruddersaddle", "predicted", True, True)
 
--- a/libs/standins/ruddersaddle_standins/clients.py
+++ b/libs/standins/ruddersaddle_standins/clients.py
@@ -1,7 +1,6 @@
 """A caller of a fleet: prompts, calls with keys and tickets, and what came back."""
 
 import time
-import uuid
 from collections.abc import Iterator
 
 import msgspec
@@ -14,9 +13,6 @@
 from ruddersaddle_standins.fleets import MODEL, caller_key
 
 TIMEOUT_S = 60.0
-UUID_VERSION_BITS = 0x7000
-UUID_VARIANT_BITS = 0x8000000000000000
-RANDOM_BITS = 62
 
 
 class PromptResult(msgspec.Struct):
@@ -175,13 +171,3 @@
         return msgspec.json.decode(data, type=ErrorEnvelope).error
     except msgspec.MsgspecError:
         return None
-
-
-def new_key(seconds_ago: float = 0.0) -> str:
-    """Return a UUID of version 7, dated so many seconds ago."""
-    milliseconds = int((time.time() - seconds_ago) * 1000)
-    random = uuid.uuid4().int
-    value = milliseconds << 80
-    value |= (UUID_VERSION_BITS | (random & 0xFFF)) << 64
-    value |= UUID_VARIANT_BITS | (random >> 64) & ((1 << RANDOM_BITS) - 1)
-    return str(uuid.UUID(int=value))
--- a/libs/standins/ruddersaddle_standins/fault_rounds.py
+++ b/libs/standins/ruddersaddle_standins/fault_rounds.py
@@ -11,8 +11,9 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
+from ruddersaddle.keys import new_key
 
-from ruddersaddle_standins.clients import CallResult, Client, new_key
+from ruddersaddle_standins.clients import CallResult, Client
 from ruddersaddle_standins.fleets import Fleet
 
 PATH = "/booking/slot"
--- a/libs/standins/ruddersaddle_standins/replays.py
+++ b/libs/standins/ruddersaddle_standins/replays.py
@@ -7,23 +7,23 @@
 
 import msgspec
 import numpy as np
-from ruddersaddle.traces import Arrival, Fault, Stated, TraceLine
+from ruddersaddle.keys import new_key
+from ruddersaddle.replays import COMPLETIONS, TEMPLATE_PREFIX
+from ruddersaddle.traces import Arrival, Fault, Stated, TraceLine, fill_text
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import WorkspaceId
 from ruddersaddle_state.entries import Event, Template, Value
-from ruddersaddle_upstreams.chains import TOKEN_BYTES
 
-from ruddersaddle_standins.clients import CallResult, Client, PromptResult, new_key
+from ruddersaddle_standins.clients import CallResult, Client, PromptResult
 from ruddersaddle_standins.engine_servers import EngineRecord, answer_text
 from ruddersaddle_standins.fleets import MODEL, VERSION, Fleet
 from ruddersaddle_standins.store_servers import StoreRecord
-from ruddersaddle_standins.trace_generators import COMPLETIONS, EVENT_AT_S, TEMPLATE_PREFIX
+from ruddersaddle_standins.trace_generators import EVENT_AT_S
 
 THREADS = 256
 LEAD_S = 1.0
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 TAIL_TOKENS = 20
-WORD = "word"
 
 
 class PromptRow(msgspec.Struct):
@@ -128,12 +128,6 @@
     return values
 
 
-def fill_text(name: str, tokens: int) -> str:
-    """Return text of about so many tokens that only this name has."""
-    piece = f"{name} {WORD} "
-    return (piece * (tokens * TOKEN_BYTES // len(piece) + 1))[: tokens * TOKEN_BYTES]
-
-
 class Replay:
     """One replay of a trace on one fleet."""
 
--- a/libs/standins/ruddersaddle_standins/tests/test_at_most_once.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_at_most_once.py
@@ -4,7 +4,9 @@
 import unittest
 from concurrent.futures import ThreadPoolExecutor
 
-from ruddersaddle_standins.clients import CallResult, Client, new_key
+from ruddersaddle.keys import new_key
+
+from ruddersaddle_standins.clients import CallResult, Client
 from ruddersaddle_standins.fleets import Fleet, Topology
 from ruddersaddle_standins.processes import wait_until
 
--- a/libs/standins/ruddersaddle_standins/tests/test_planned_stops.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_planned_stops.py
@@ -4,8 +4,10 @@
 import time
 import unittest
 
+from ruddersaddle.keys import new_key
+
 from ruddersaddle_standins.balancers import Balancer
-from ruddersaddle_standins.clients import Client, PromptResult, new_key
+from ruddersaddle_standins.clients import Client, PromptResult
 from ruddersaddle_standins.engine_servers import answer_text
 from ruddersaddle_standins.fleets import VERSION, Fleet, Topology
 
--- a/libs/standins/ruddersaddle_standins/tests/test_sessions.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_sessions.py
@@ -4,10 +4,11 @@
 import unittest
 from pathlib import Path
 
+from ruddersaddle.keys import new_key
 from ruddersaddle_base.ids import WorkspaceId
 from ruddersaddle_state.entries import Template
 
-from ruddersaddle_standins.clients import Client, new_key
+from ruddersaddle_standins.clients import Client
 from ruddersaddle_standins.fleets import Fleet, Topology
 from ruddersaddle_standins.sessions import Exchange, exchange_raw, record_session
 
--- a/libs/standins/ruddersaddle_standins/tool_commands.py
+++ b/libs/standins/ruddersaddle_standins/tool_commands.py
@@ -6,10 +6,12 @@
 import defopt
 
 from ruddersaddle_standins.benches import run_bench
+from ruddersaddle_standins.capacities import run_capacity
 from ruddersaddle_standins.demos import run_demo
 from ruddersaddle_standins.fault_rounds import FaultRounds, describe_round
 from ruddersaddle_standins.fleets import Fleet, Topology
 from ruddersaddle_standins.mutations import run_all
+from ruddersaddle_standins.relays import run_relays
 from ruddersaddle_standins.topologies import NAMES
 
 
@@ -61,7 +63,24 @@
     sys.exit(0 if run_bench(seed, names, quick) else 1)
 
 
-COMMANDS = {"demo": demo, "faults": faults, "mutations": mutations, "bench": bench}
+def relay() -> None:
+    """Measure the cost of one relayed token with and without gathering."""
+    run_relays()
+
+
+def capacity() -> None:
+    """Measure the slopes of docs/CAPACITY.md and rewrite its table."""
+    run_capacity()
+
+
+COMMANDS = {
+    "demo": demo,
+    "faults": faults,
+    "mutations": mutations,
+    "bench": bench,
+    "relay": relay,
+    "capacity": capacity,
+}
 
 
 def run_tool() -> None:
--- a/libs/standins/ruddersaddle_standins/trace_generators.py
+++ b/libs/standins/ruddersaddle_standins/trace_generators.py
@@ -6,10 +6,9 @@
 
 import random
 
+from ruddersaddle.replays import COMPLETIONS, TEMPLATE_PREFIX
 from ruddersaddle.traces import Arrival, Fault, Stated, TraceLine
 
-COMPLETIONS = "/v1/completions"
-TEMPLATE_PREFIX = "template:"
 QUIET_S = 6.0
 EVENT_AT_S = 9.0
 PEAK_S = 2.0
