--- a/libs/daemon/ruddersaddle/pools.py
+++ b/libs/daemon/ruddersaddle/pools.py
@@ -63,7 +63,7 @@
         speed = sum(load.prefill_tokens_s(default) for load in usable)
         hosts = self.chooser.hosts
         waiting = sum(load.waiting_tokens(hosts) for load in usable)
-        return waiting + self.unsent_tokens * hosts < self.backlog_max_s * speed
+        return waiting + self.unsent_tokens < self.backlog_max_s * speed
 
     def note_granted(self, tokens: int) -> float:
         """Count a request that has its slot and is not sent yet; return what was counted."""
--- a/libs/routing/ruddersaddle_routing/loads.py
+++ b/libs/routing/ruddersaddle_routing/loads.py
@@ -11,6 +11,8 @@
 
 SENT_KEPT_S = 10.0
 """Requests sent longer ago than this are in every report, in seconds."""
+RATE_WINDOW_S = 3.0
+"""Time over which the rate of sending is taken, in seconds."""
 PENDING_S = 10.0
 """Blocks sent for computation count as cached for this long, until events tell, in seconds."""
 REPORT_MAX_S = 5.0
@@ -83,23 +85,21 @@
     def waiting_tokens(self, hosts: int) -> float:
         """Return the tokens predicted to wait for prefill.
 
-        That is what was reported, with what this host knows to have come and gone since the
-        report was measured. The other hosts are taken to have done as much as this one: the
-        platform's balancer spreads callers evenly.
+        That is what was reported, and what has come since the report was measured, less what the
+        engine has computed since. The other hosts are taken to send at the rate at which this one
+        has sent over the last seconds, since the platform's balancer spreads callers evenly; what
+        this one has just sent says too little of them.
         """
+        now = time.monotonic()
         own = float(sum(sent.tokens for sent in self._sent if sent.done_at is None))
-        if self.report is None or time.monotonic() - self._reported_at > REPORT_MAX_S:
-            return own * hosts
-        change = sum(self._change_since(sent) for sent in self._sent)
-        return max(own, self.report.waiting_tokens + change * hosts)
-
-    def _change_since(self, sent: Sent) -> int:
-        """Return the tokens that a request has added since the report, or taken away."""
-        measured = self._measured_at
-        if sent.at >= measured:
-            return sent.tokens if sent.done_at is None else 0
-        gone_since = sent.done_at is not None and sent.done_at >= measured
-        return -sent.tokens if gone_since else 0
+        if self.report is None or now - self._reported_at > REPORT_MAX_S:
+            return own
+        elapsed_s = now - self._measured_at
+        since = sum(sent.tokens for sent in self._sent if sent.at >= self._measured_at)
+        recent = sum(sent.tokens for sent in self._sent if sent.at >= now - RATE_WINDOW_S)
+        others = (hosts - 1) * recent / RATE_WINDOW_S * elapsed_s
+        computed = self.report.prefill_tokens_s * elapsed_s
+        return max(own, self.report.waiting_tokens + since + others - computed)
 
     def prefill_tokens_s(self, default: float) -> float:
         """Return the reported speed of prefill, or a default."""
