Hash on upstreams' ids, and let engines queue in fair turn too

What waited at an engine stood in the order of arrival, flood and all. Change: rendezvous hashing and homes go by the published ids; a request's priority at its engine is its class, then how much its workspace has under way at the host.

--- a/libs/daemon/ruddersaddle/contexts.py
+++ b/libs/daemon/ruddersaddle/contexts.py
@@ -11,7 +11,7 @@
 import msgspec
 from eventlet.event import Event as Signal
 from ruddersaddle_base.failures import Failure
-from ruddersaddle_base.ids import BlockKey, RequestId
+from ruddersaddle_base.ids import BlockKey, RequestId, StoreId
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.choices import Kept
 from ruddersaddle_routing.rendezvous import rank_names
@@ -53,20 +53,20 @@
         self.settings = settings
         self.enabled = settings.flag("contexts.keep")
         self.min_blocks = settings.whole("contexts.min_blocks")
-        self.store_by_address: dict[str, StoreClient] = {}
+        self.store_by_id: dict[StoreId, StoreClient] = {}
         self.counts = ContextCounts()
         self._fetch_by_target: dict[tuple[str, BlockKey], Signal] = {}
         self._keeping = 0
 
     def update(self, configuration: Configuration) -> None:
         """Take the newest published store hosts."""
-        wanted = {store.address: store for store in configuration.values(Store)}
-        for gone in set(self.store_by_address) - set(wanted):
-            del self.store_by_address[gone]
-        for address, store in wanted.items():
-            known = self.store_by_address.get(address)
-            if known is None or known.link.capacity_bytes_s != store.link_bytes_s:
-                self.store_by_address[address] = self._client(store)
+        wanted = {store.id: store for store in configuration.values(Store)}
+        for gone in set(self.store_by_id) - set(wanted):
+            del self.store_by_id[gone]
+        for store in wanted.values():
+            known = self.store_by_id.get(store.id)
+            if known is None or not _is_same(known, store):
+                self.store_by_id[store.id] = self._client(store)
 
     def _client(self, store: Store) -> StoreClient:
         connect_s = self.settings.number("routing.connect_s")
@@ -75,8 +75,8 @@
 
     def _home(self, keys: Sequence[BlockKey]) -> StoreClient | None:
         """Return the first choice of store host for a chain, or the next if its link is down."""
-        for address in rank_names(keys[0], self.store_by_address):
-            store = self.store_by_address[address]
+        for name in rank_names(keys[0], self.store_by_id):
+            store = self.store_by_id[name]
             if store.link.up:
                 return store
         return None
@@ -142,7 +142,7 @@
 
     def keep_later(self, engine: EngineClient, request: RequestId) -> None:
         """Keep a finished request's context in the background."""
-        if not self.enabled or not self.store_by_address or self._keeping >= KEEPING_MAX:
+        if not self.enabled or not self.store_by_id or self._keeping >= KEEPING_MAX:
             self.counts.keep_dropped += 1
             return
         self._keeping += 1
@@ -182,3 +182,8 @@
             return 0
         self.counts.kept_blocks += len(keys)
         return len(keys)
+
+
+def _is_same(client: StoreClient, store: Store) -> bool:
+    same_rate = client.link.capacity_bytes_s == store.link_bytes_s
+    return same_rate and client.address == store.address
--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -321,7 +321,7 @@
 
     def _links(self) -> list[LinkStatus]:
         rows = []
-        for store in self.contexts.store_by_address.values():
+        for store in self.contexts.store_by_id.values():
             link = store.link
             row = LinkStatus(
                 address=store.address,
--- a/libs/daemon/ruddersaddle/generations.py
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -37,6 +37,8 @@
 SLOW_FACTOR = 4.0
 SLOW_FLOOR_S = 1.0
 """A first token later than its prediction by the factor, and than the floor, counts as overload."""
+PRIORITY_STEP = 100
+"""Priorities of one class; the next class begins after them."""
 MS_PER_S = 1000.0
 
 
@@ -236,11 +238,19 @@
             salt=self._salt(self.version),
             prompt=self.request.text,
             max_tokens=body.max_tokens,
-            priority=self.request.limits.priority,
+            priority=self._priority(),
             chat=self.request.chat,
             first_token=self.tokens,
         )
 
+    def _priority(self) -> int:
+        """Return the engine's priority: by class, then by how little the workspace has under way.
+
+        What waits at an engine so waits in fair turn too.
+        """
+        under_way = self.view.queue.count_of(self.request.workspace.id)
+        return self.request.limits.priority * PRIORITY_STEP + min(under_way, PRIORITY_STEP - 1)
+
     def events(self) -> Iterator[bytes | Failure]:
         """Yield whole events as they arrive; a failure, if any, comes last."""
         while True:
--- a/libs/daemon/ruddersaddle/pools.py
+++ b/libs/daemon/ruddersaddle/pools.py
@@ -6,7 +6,7 @@
 
 import eventlet
 from ruddersaddle_base.failures import Code, Failure, Step
-from ruddersaddle_base.ids import PoolId, WorkspaceId
+from ruddersaddle_base.ids import PoolId, UpstreamId, WorkspaceId
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.choices import Chooser
 from ruddersaddle_routing.homes import assign_homes
@@ -44,7 +44,7 @@
         self.budget = RetryBudget(settings.number("routing.retry_share"))
         speed = settings.number("contexts.prefill_tokens_s")
         self.chooser = Chooser.from_name(settings.text("routing.policy"), speed)
-        self.homes_by_template: dict[str, tuple[str, ...]] = {}
+        self.homes_by_template: dict[str, tuple[UpstreamId, ...]] = {}
         self.unsent_tokens = 0.0
         self.missing_share = 1.0
         self.queue = FairQueue(self.capacity, self.is_open)
@@ -98,8 +98,8 @@
         """Work out on which engines the templates of marked events are at home."""
         own = [event for event in events if event.model == self.pool.model]
         copies = {event.template: event.copies for event in own}
-        addresses = [load.address for load in self.loads() if not load.leaving]
-        self.homes_by_template = assign_homes(copies, addresses)
+        upstreams = [load.upstream for load in self.loads() if not load.leaving]
+        self.homes_by_template = assign_homes(copies, upstreams)
 
     def _add(self, upstream: Upstream) -> None:
         settings = self.settings
@@ -189,7 +189,7 @@
         """Give the slot back, once."""
         if not self.released:
             self.released = True
-            self.queue.release(time.monotonic() - self.since)
+            self.queue.release(self.workspace, time.monotonic() - self.since)
 
 
 class Pools:
--- a/libs/daemon/ruddersaddle/prefetches.py
+++ b/libs/daemon/ruddersaddle/prefetches.py
@@ -23,7 +23,7 @@
 
 STEP_S = 0.5
 """Pause between looks at the marked events, in seconds."""
-BACKGROUND_PRIORITY = 9
+BACKGROUND_PRIORITY = 999
 
 
 class Prefetcher:
@@ -83,7 +83,7 @@
     def _targets(self, event: Event, view: PoolView) -> list[Load]:
         """Return the engines that the event's template is at home on and that take work."""
         homes = view.homes_by_template.get(event.template, ())
-        loads = [view.load_by_address[address] for address in homes]
+        loads = [load for load in view.loads() if load.upstream in homes]
         return [load for load in loads if load.may_come_free and load.version]
 
     def _warm(
--- a/libs/routing/ruddersaddle_routing/choices.py
+++ b/libs/routing/ruddersaddle_routing/choices.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from ruddersaddle_base.ids import BlockKey
+from ruddersaddle_base.ids import BlockKey, UpstreamId
 from ruddersaddle_upstreams.chains import BLOCK_TOKENS
 
 from ruddersaddle_routing.loads import Load
@@ -59,7 +59,7 @@
     """
 
     tokens: int
-    homes: tuple[str, ...]
+    homes: tuple[UpstreamId, ...]
     keys_of: Callable[[str], list[BlockKey]]
 
 
@@ -116,22 +116,22 @@
 
         Work counts, since tokens that are computed again delay all who come after.
         """
-        by_address = {load.address: self._plan(load, prompt, kept) for load in loads}
-        homes = [address for address in prompt.homes if address in by_address]
+        by_id = {load.upstream: self._plan(load, prompt, kept) for load in loads}
+        homes = [upstream for upstream in prompt.homes if upstream in by_id]
         if not homes:
-            homes = rank_names(_root(loads[0], prompt), by_address)[:1]
-        return min(by_address.values(), key=lambda plan: self._score(plan, homes))
+            homes = rank_names(_root(loads[0], prompt), by_id)[:1]
+        return min(by_id.values(), key=lambda plan: self._score(plan, homes))
 
-    def _score(self, plan: Choice, homes: Sequence[str]) -> float:
+    def _score(self, plan: Choice, homes: Sequence[UpstreamId]) -> float:
         speed = plan.load.prefill_tokens_s(self.prefill_tokens_s)
         work_s = plan.missing_tokens / speed
         cache_s = plan.new_blocks * BLOCK_TOKENS / speed
-        bonus_s = HOME_S if plan.load.address in homes else 0.0
+        bonus_s = HOME_S if plan.load.upstream in homes else 0.0
         return plan.predicted_s + WORK_WEIGHT * work_s + CACHE_WEIGHT * cache_s - bonus_s
 
     def _first_by_hash(self, loads: list[Load], prompt: Prompt) -> Load:
-        by_address = {load.address: load for load in loads}
-        return by_address[rank_names(_root(loads[0], prompt), by_address)[0]]
+        by_id = {load.upstream: load for load in loads}
+        return by_id[rank_names(_root(loads[0], prompt), by_id)[0]]
 
     def _plan(self, load: Load, prompt: Prompt, kept: Kept) -> Choice:
         """Return the cheaper of computing and of fetching what the upstream's cache lacks."""
--- a/libs/routing/ruddersaddle_routing/homes.py
+++ b/libs/routing/ruddersaddle_routing/homes.py
@@ -7,33 +7,37 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
+from ruddersaddle_base.ids import UpstreamId
+
 from ruddersaddle_routing.rendezvous import rank_names
 
 
 def assign_homes(
-    copies_by_template: Mapping[str, int], addresses: Sequence[str]
-) -> dict[str, tuple[str, ...]]:
+    copies_by_template: Mapping[str, int], upstreams: Sequence[UpstreamId]
+) -> dict[str, tuple[UpstreamId, ...]]:
     """Return the engines of each template, as many as it has copies, first home first.
 
     No engine gets more than its even share, rounded up.
     """
-    if not addresses:
+    if not upstreams:
         return {}
-    wanted = {name: min(count, len(addresses)) for name, count in copies_by_template.items()}
-    share = -(-sum(wanted.values()) // len(addresses))
-    held = dict.fromkeys(addresses, 0)
+    wanted = {name: min(count, len(upstreams)) for name, count in copies_by_template.items()}
+    share = -(-sum(wanted.values()) // len(upstreams))
+    held = dict.fromkeys(upstreams, 0)
     homes = {}
     for name in sorted(wanted):
-        homes[name] = tuple(_take(rank_names(name, addresses), wanted[name], held, share))
+        homes[name] = tuple(_take(rank_names(name, upstreams), wanted[name], held, share))
     return homes
 
 
-def _take(ranked: Iterable[str], count: int, held: dict[str, int], share: int) -> list[str]:
+def _take(
+    ranked: Iterable[UpstreamId], count: int, held: dict[UpstreamId, int], share: int
+) -> list[UpstreamId]:
     """Take the first engines of a ranking that have room, then the least held."""
     ranked = list(ranked)
-    chosen = [address for address in ranked if held[address] < share][:count]
-    rest = [address for address in ranked if address not in chosen]
+    chosen = [upstream for upstream in ranked if held[upstream] < share][:count]
+    rest = [upstream for upstream in ranked if upstream not in chosen]
     chosen += sorted(rest, key=held.__getitem__)[: count - len(chosen)]
-    for address in chosen:
-        held[address] += 1
+    for upstream in chosen:
+        held[upstream] += 1
     return chosen
--- a/libs/routing/ruddersaddle_routing/queues.py
+++ b/libs/routing/ruddersaddle_routing/queues.py
@@ -44,6 +44,7 @@
         self.virtual = 0.0
         self.finish_by_workspace: dict[WorkspaceId, float] = {}
         self.waiting_by_workspace: dict[WorkspaceId, int] = {}
+        self.held_by_workspace: dict[WorkspaceId, int] = {}
         self._heap: list[tuple[float, int, Waiter]] = []
         self._order = itertools.count()
 
@@ -74,30 +75,37 @@
         self.finish_by_workspace[workspace] = tag + cost / weight
         if not self._heap and self.has_room:
             self._grant(tag)
+            self._hold(workspace, 1)
             return True
         item = Waiter()
         heapq.heappush(self._heap, (tag, next(self._order), item))
-        self._count(workspace, 1)
+        self._wait(workspace, 1)
         try:
             with eventlet.Timeout(timeout_s, False):
                 item.signal.wait()
+            self._hold(workspace, int(item.signal.ready()))
             return item.signal.ready()
         finally:
             item.left = True
-            self._count(workspace, -1)
+            self._wait(workspace, -1)
 
-    def release(self, held_s: float) -> None:
-        """Give a slot back that was held for so many seconds."""
+    def count_of(self, workspace: WorkspaceId) -> int:
+        """Return how many requests of a workspace wait or hold a slot."""
+        waiting = self.waiting_by_workspace.get(workspace, 0)
+        return waiting + self.held_by_workspace.get(workspace, 0)
+
+    def release(self, workspace: WorkspaceId, held_s: float) -> None:
+        """Give a slot back that a workspace held for so many seconds."""
+        self._hold(workspace, -1)
         self.in_use -= 1
         self.mean_hold_s += SMOOTHING * (held_s - self.mean_hold_s)
         self.wake()
 
-    def _count(self, workspace: WorkspaceId, change: int) -> None:
-        count = self.waiting_by_workspace.get(workspace, 0) + change
-        if count:
-            self.waiting_by_workspace[workspace] = count
-        else:
-            self.waiting_by_workspace.pop(workspace, None)
+    def _wait(self, workspace: WorkspaceId, change: int) -> None:
+        _add(self.waiting_by_workspace, workspace, change)
+
+    def _hold(self, workspace: WorkspaceId, change: int) -> None:
+        _add(self.held_by_workspace, workspace, change)
 
     def _grant(self, tag: float) -> None:
         self.in_use += 1
@@ -117,3 +125,11 @@
     def _forget_idle(self) -> None:
         ahead = {k: tag for k, tag in self.finish_by_workspace.items() if tag > self.virtual}
         self.finish_by_workspace = ahead
+
+
+def _add(counts: dict[WorkspaceId, int], workspace: WorkspaceId, change: int) -> None:
+    count = counts.get(workspace, 0) + change
+    if count:
+        counts[workspace] = count
+    else:
+        counts.pop(workspace, None)
--- a/libs/routing/ruddersaddle_routing/tests/test_queues.py
+++ b/libs/routing/ruddersaddle_routing/tests/test_queues.py
@@ -36,7 +36,7 @@
 
     def drain(self):
         while self.queue.waiting:
-            self.queue.release(0.1)
+            self.queue.release(next(iter(self.queue.held_by_workspace)), 0.1)
             eventlet.sleep(0)
 
     def test_a_quiet_workspace_does_not_wait_behind_a_flood(self):
@@ -55,7 +55,8 @@
         self.start("first")
         self.enter(QUIET, timeout_s=0.01)
         self.assertEqual(self.order, ["first", "quiet refused"])
-        self.queue.release(0.1)
+        self.assertEqual(self.queue.count_of(QUIET), 0)
+        self.queue.release(WorkspaceId("first"), 0.1)
         self.assertEqual((self.queue.in_use, self.queue.waiting), (0, 0))
 
     def test_a_closed_gate_holds_all_but_one(self):
