--- a/libs/standins/ruddersaddle_standins/counting_proxies.py
+++ b/libs/standins/ruddersaddle_standins/counting_proxies.py
@@ -26,7 +26,11 @@
             except OSError:
                 return
             host, _, port = self.target.partition(":")
-            far = socket.create_connection((host, int(port)))
+            try:
+                far = socket.create_connection((host, int(port)))
+            except OSError:
+                near.close()
+                continue
             for source, sink in ((near, far), (far, near)):
                 threading.Thread(target=self._pass, args=(source, sink), daemon=True).start()
 
--- a/libs/standins/ruddersaddle_standins/relays.py
+++ b/libs/standins/ruddersaddle_standins/relays.py
@@ -11,7 +11,7 @@
 
 STREAMS = 60
 TOKENS = 150
-GATHERS_MS = ("0", "25", "50")
+GATHERS_MS = ("0", "25", "40", "50")
 
 
 class RelayCost(msgspec.Struct):
--- a/libs/state/ruddersaddle_state/claims.py
+++ b/libs/state/ruddersaddle_state/claims.py
@@ -14,9 +14,6 @@
 
 from ruddersaddle_state.records import Claim, Fate, Outcome, Placed, Void
 
-PRUNE_EVERY = 256
-"""Records between removals of forgotten keys."""
-
 
 class Rule(Enum):
     """Rules for claims that were weighed; the product uses `TOLD`, the model checks them all."""
@@ -48,7 +45,6 @@
         self.position = START
         self.now = 0.0
         self.known_since = 0.0
-        self._folded = 0
 
     def begin(self, first: Position, gap: bool) -> None:
         """Start reading at `first`; after a gap, keys from before it can't be judged here."""
@@ -122,11 +118,13 @@
         return None if state is None else state.owner
 
     def _prune(self) -> None:
-        self._folded += 1
-        if self._folded % PRUNE_EVERY:
-            return
-        kept = {key: found for key, found in self.by_key.items() if not self._is_old(found)}
-        self.by_key = kept
-
-    def _is_old(self, state: KeyState) -> bool:
-        return self.is_forgotten(state.dated)
+        """Drop forgotten keys, from the one that was seen first on.
+
+        One that is younger than those behind it only keeps them a little longer: whether a key is
+        forgotten is decided by its date, not by its being here.
+        """
+        while self.by_key:
+            key, state = next(iter(self.by_key.items()))
+            if not self.is_forgotten(state.dated):
+                return
+            del self.by_key[key]
--- a/libs/state/ruddersaddle_state/tests/test_claims.py
+++ b/libs/state/ruddersaddle_state/tests/test_claims.py
@@ -55,6 +55,15 @@
         self.assertEqual(self.apply(claim("b", dated=1000.0), time=1061.0), Outcome.EXPIRED)
         self.assertEqual(self.apply(void("b", dated=1000.0), time=1061.0), Outcome.EXPIRED)
 
+    def test_forgotten_keys_take_no_memory(self):
+        for number in range(50):
+            key = CallKey(f"clinic/{number}")
+            record = Claim(RecordId(str(number)), key, Incarnation("h.1"), START, 1000.0 + number)
+            self.apply(record, time=1000.0 + number)
+        self.assertEqual(len(self.claims.by_key), 50)
+        self.apply(claim("last", dated=1070.0), time=1070.0)
+        self.assertEqual(len(self.claims.by_key), 41)
+
     def test_after_a_gap_keys_from_before_it_are_not_judged(self):
         self.claims.begin(Position(5), True)
         self.next = 5
