--- a/libs/daemon/ruddersaddle/generations.py
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -74,7 +74,11 @@
         view.budget.note_first()
         generation = Generation(self, request, view, slot)
         generation.expected = view.note_granted(cost)
-        failure = generation.begin()
+        try:
+            failure = generation.begin()
+        except BaseException:
+            generation.finish()
+            raise
         if failure is not None:
             generation.finish()
             self.counts.failed += 1
--- a/libs/standins/ruddersaddle_standins/tests/test_planned_stops.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_planned_stops.py
@@ -30,18 +30,7 @@
                 for number in range(CALLERS)
             ]
             callers.append(threading.Thread(target=self.book, args=(balancer, stop, calls)))
-            for caller in callers:
-                caller.start()
-            for name in ("host-1", "host-2", "host-3"):
-                process = fleet.by_name[name]
-                process.terminate()
-                self.assertEqual(process.wait(), 0)
-                fleet.replace_host(name)
-                balancer.await_listed(name)
-            stop.set()
-            for caller in callers:
-                caller.join()
-            balancer.stop()
+            self.replace_all(fleet, balancer, stop, callers)
             self.check(streams, calls, fleet)
 
     def test_a_stop_under_short_calls_refuses_none(self):
@@ -54,19 +43,24 @@
                 threading.Thread(target=self.book, args=(balancer, stop, statuses, False))
                 for _ in range(CALLERS)
             ]
-            for caller in callers:
-                caller.start()
-            for name in ("host-1", "host-2"):
-                fleet.by_name[name].terminate()
-                self.assertEqual(fleet.by_name[name].wait(), 0)
-                fleet.replace_host(name)
-                balancer.await_listed(name)
-            stop.set()
-            for caller in callers:
-                caller.join()
-            balancer.stop()
+            self.replace_all(fleet, balancer, stop, callers)
             self.assertEqual(set(statuses), {200})
 
+    def replace_all(self, fleet, balancer, stop, callers):
+        """Replace every host in turn by a planned stop while the callers go on."""
+        for caller in callers:
+            caller.start()
+        for name in fleet.host_names():
+            process = fleet.by_name[name]
+            process.terminate()
+            self.assertEqual(process.wait(), 0)
+            fleet.replace_host(name)
+            balancer.await_listed(name)
+        stop.set()
+        for caller in callers:
+            caller.join()
+        balancer.stop()
+
     def stream(self, balancer, stop, results, number):
         client = Client("clinic-1")
         while not stop.is_set():
