Two faults found by reading: records lost after a peer's state, slow tickets told unknown

Cause 1: a host with a gap in its configuration holds back what it reads; when it then took a peer's state, what it had held back after that state was never folded, so it stayed behind for good. Change: taking a state folds what was read after it, and a state that leaves the gap open is not taken. Cause 2: a host asked to run another's ticketed call answered only when the call was done, and the asker gave up after 1.5 s with `unknown`. Change: it starts the call and says that it still runs. Ruled out for 2: a longer wait, which would hold up the answer when the process is gone.

--- a/libs/daemon/ruddersaddle/service_routes.py
+++ b/libs/daemon/ruddersaddle/service_routes.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import eventlet
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import CallKey, Incarnation, incarnation_host
@@ -192,14 +193,22 @@
         return AnswerMessage(failure=failure)
 
     def _serve_ticketed(self, question: AskTicketed) -> AnswerMessage:
+        """Start a ticket's call if it was not, and wait a little for its answer."""
         key = CallKey(question.ticket)
-        if key in self.tickets.answers.by_key:
-            answer = self.tickets.answers.join(key, question.call, STILL_RUNNING_S)
-            return to_message(answer)
-        dispatch = self.caller.dispatch_once
-        return to_message(
-            self.tickets.run(question.workspace, question.ticket, question.call, dispatch)
-        )
+        answers = self.tickets.answers
+        if key not in answers.by_key:
+            task = eventlet.spawn(
+                self.tickets.run,
+                question.workspace,
+                question.ticket,
+                question.call,
+                self.caller.dispatch_once,
+            )
+            eventlet.sleep(0)
+            if key not in answers.by_key:
+                # It was refused and holds no slot, so its answer is here at once.
+                return to_message(task.wait())
+        return to_message(answers.join(key, question.call, STILL_RUNNING_S))
 
 
 def _read_call(
--- a/libs/standins/ruddersaddle_standins/tests/test_at_most_once.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_at_most_once.py
@@ -164,6 +164,21 @@
         self.assertNotEqual(self.call("host-3", ticket).word, "answered")
         self.assertEqual(self.count_runs(), 0)
 
+    def test_a_slow_call_through_another_host_than_its_owner_is_answered(self):
+        self.fleet.fault("service-1", "slow", 2.5, 20.0)
+        self.addCleanup(self.fleet.clear, "service-1", "slow")
+        ticket = self.client.ticket(self.fleet.address_by_name["host-1"])
+        with ThreadPoolExecutor(2) as pool:
+            ticketed = pool.submit(self.call, "host-2", ticket)
+            other = Client("clinic-1", keep_alive=False)
+            address = self.fleet.address_by_name["host-1"]
+            first = pool.submit(other.call, address, PATH, "keyed", self.key)
+            wait_until(lambda: any(r.body == "keyed" for r in self.fleet.runs()), "it runs")
+            repeat = other.call(self.fleet.address_by_name["host-3"], PATH, "keyed", self.key)
+            self.assertEqual((repeat.status, repeat.body), (200, first.result().body))
+            self.assertEqual(ticketed.result().status, 200)
+        self.assertEqual(self.count_runs(), 1)
+
     def test_a_ticket_told_not_run_stays_closed(self):
         ticket = self.client.ticket(self.fleet.address_by_name["host-1"])
         self.fleet.by_name["service-1"].kill()
--- a/libs/state/ruddersaddle_state/configurations.py
+++ b/libs/state/ruddersaddle_state/configurations.py
@@ -78,18 +78,18 @@
         if self.complete:
             self.position = placed.position
             return Fate(Outcome.ACCEPTED, placed.position)
-        covers = split_offset(snapshot.upto) >= split_offset(self._waiting_from) - 1
-        if not covers or not self.adopt(snapshot):
+        if not self.adopt(snapshot):
             return Fate(Outcome.STALE, placed.position, "does not cover what is missing")
-        waiting, self._waiting = self._waiting, []
-        for earlier in waiting:
-            self.apply(earlier)
         self.position = placed.position
         return Fate(Outcome.ACCEPTED, placed.position)
 
     def adopt(self, snapshot: Snapshot) -> bool:
-        """Take over a whole state unless ours is newer; return whether it was taken."""
-        if snapshot.upto < self.position:
+        """Take over a whole state, and fold what was read after it; return whether it was taken.
+
+        It isn't if ours is newer, or if it leaves a gap before what was read.
+        """
+        covers = split_offset(snapshot.upto) >= split_offset(self._waiting_from) - 1
+        if snapshot.upto < self.position or not covers:
             return False
         self.by_key = {}
         self.workspace_by_digest = {}
@@ -98,6 +98,9 @@
             self._put(entry)
         self.position = snapshot.upto
         self.complete = True
+        waiting, self._waiting = self._waiting, []
+        for placed in waiting:
+            self.apply(placed)
         return True
 
     def _apply_change(self, placed: Placed) -> Fate:
--- a/libs/state/ruddersaddle_state/tests/test_configurations.py
+++ b/libs/state/ruddersaddle_state/tests/test_configurations.py
@@ -107,6 +107,21 @@
         late.apply(place(5, old.snapshot()))
         self.assertFalse(late.complete)
 
+    def test_a_peers_state_taken_in_a_gap_is_followed_by_what_was_read_since(self):
+        whole, records, states = started(), [], []
+        for number in range(8):
+            base = whole.version(entry_key(Workspace(WorkspaceId("w"))))
+            records.append(place(number, change(f"c{number}", base, number + 1)))
+            whole.apply(records[-1])
+            states.append(whole.snapshot())
+        late = started(4, gap=True)
+        for record in records[4:]:
+            late.apply(record)
+        self.assertFalse(late.adopt(states[2]), "a state from before the gap leaves it open")
+        self.assertTrue(late.adopt(states[5]))
+        self.assertEqual(late.snapshot().entries, whole.snapshot().entries)
+        self.assertEqual(late.position, whole.position)
+
     def test_state_never_goes_back_to_an_older_snapshot(self):
         old = started()
         old.apply(place(0, change("a", START, 2)))
