Order only on reports that are newer than the lease, and believe an engine's own word

A report lags, so an engine that had just loaded still looked behind: its holder ordered it again, and a holder that let go early left its successor to do the same beside its own last orders. Ruled out: the weight store's count (it counts loads, not orders). Change: an order that was carried out, and a refusal that names the version, stand until a report that was measured later; a holder acts on reports measured since it took the lease, and lets go only when its orders are done. The unit test of lagged reports is new; the tests of swaps and orders pass.

--- a/libs/daemon/ruddersaddle/generations.py
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -193,7 +193,7 @@
         """Take an engine's word for its weight version, which its lagged report does not have."""
         if failure.code is not Code.OTHER_VERSION:
             return
-        load.version = failure.detail
+        load.note_version(failure.detail)
         if self.tokens == 0:
             self.version = ""
             self._tried.discard(load.address)
--- a/libs/daemon/ruddersaddle/orders.py
+++ b/libs/daemon/ruddersaddle/orders.py
@@ -62,6 +62,7 @@
         self.appender = appender
         self.counts = OrderCounts()
         self._own_until: dict[PoolId, float] = {}
+        self._held_since: dict[PoolId, float] = {}
         self._ordered_at: dict[str, float] = {}
 
     @property
@@ -99,6 +100,15 @@
         loads = [load for load in view.loads() if not load.leaving]
         return [load.address for load in loads if load.version not in ("", model.version)]
 
+    def _surely_behind(self, view: PoolView, model: Model) -> list[str]:
+        """Return those behind by a report that was measured since we took the lease.
+
+        An older report may be from before an order of the last holder, and would load twice.
+        """
+        since = self._held_since[view.pool.id]
+        behind = self._behind(view, model)
+        return [at for at in behind if view.load_by_address[at].measured_at >= since]
+
     def _hold(self, pool: PoolId) -> Position | None:
         """Return the fence of our lease, taking or renewing it; None while another holds it."""
         length_s = self.settings.number("leases.length_s")
@@ -117,18 +127,22 @@
         self.follower.forget(grant.id)
         if fate is None or fate.outcome is not Outcome.ACCEPTED:
             return None
+        if not own or pool not in self._held_since:
+            self._held_since[pool] = time.monotonic()
         # Our own end of the lease counts from before the append, so it is never late.
         self._own_until[pool] = began + length_s
         return fate.position
 
     def _let_go(self, pool: PoolId) -> None:
+        if self._ordered_at:
+            return
         if self._own_until.pop(pool, None) is not None:
             self.appender.post(Release(new_record_id(), pool, self.incarnation))
 
     def _order_some(self, view: PoolView, model: Model, fence: Position) -> None:
         now = time.monotonic()
         loading = [at for at in self._ordered_at.values() if now - at < ORDER_S]
-        for address in self._behind(view, model):
+        for address in self._surely_behind(view, model):
             if len(loading) >= LOADS_AT_ONCE:
                 return
             if now - self._ordered_at.get(address, -ORDER_S) < ORDER_S:
@@ -141,9 +155,12 @@
         """Give one order, if the lease is still ours as of the end of its stream."""
         if not view.pool.checks_fences and not self._still_holds(view.pool.id, order.fence):
             self.counts.withheld += 1
+            self._ordered_at.pop(address, None)
             return
         done = view.engine_by_address[address].order(order)
         self._ordered_at.pop(address, None)
+        if done is True and address in view.load_by_address:
+            view.load_by_address[address].note_version(order.version)
         if isinstance(done, Failure):
             logger.warning("Order to %s failed. %s", address, done.detail)
         elif done:
--- a/libs/routing/ruddersaddle_routing/loads.py
+++ b/libs/routing/ruddersaddle_routing/loads.py
@@ -50,7 +50,8 @@
         self.report: LoadReport | None = None
         self.running = 0
         self._reported_at = 0.0
-        self._measured_at = 0.0
+        self.measured_at = 0.0
+        self._version_at = 0.0
         self._sent: deque[Sent] = deque()
         self._pending: dict[BlockKey, float] = {}
 
@@ -67,13 +68,19 @@
     def take_report(self, report: LoadReport) -> None:
         """Take a new report, which was measured `age_s` seconds ago."""
         self.report = report
-        self.version = report.version
         self._reported_at = time.monotonic()
-        self._measured_at = self._reported_at - report.age_s
+        self.measured_at = self._reported_at - report.age_s
+        if self.measured_at >= self._version_at:
+            self.version = report.version
         oldest = self._reported_at - SENT_KEPT_S
         while self._sent and self._sent[0].at < oldest:
             self._sent.popleft()
 
+    def note_version(self, version: str) -> None:
+        """Take the engine's own word for its weight version; older reports don't undo it."""
+        self.version = version
+        self._version_at = time.monotonic()
+
     def note_sent(self, tokens: int, keys: list[BlockKey]) -> Sent:
         """Count a request that was sent, with the blocks that it will leave in the cache."""
         sent = Sent(tokens)
@@ -94,8 +101,8 @@
         own = float(sum(sent.tokens for sent in self._sent if sent.done_at is None))
         if self.report is None or now - self._reported_at > REPORT_MAX_S:
             return own
-        elapsed_s = now - self._measured_at
-        since = sum(sent.tokens for sent in self._sent if sent.at >= self._measured_at)
+        elapsed_s = now - self.measured_at
+        since = sum(sent.tokens for sent in self._sent if sent.at >= self.measured_at)
         recent = sum(sent.tokens for sent in self._sent if sent.at >= now - RATE_WINDOW_S)
         others = (hosts - 1) * recent / RATE_WINDOW_S * elapsed_s
         computed = self.report.prefill_tokens_s * elapsed_s
--- a/libs/routing/ruddersaddle_routing/tests/test_loads.py
+++ b/libs/routing/ruddersaddle_routing/tests/test_loads.py
@@ -55,6 +55,16 @@
         sent.finish()
         self.assertEqual(self.load.waiting_tokens(hosts=6), 0)
 
+    def test_a_report_from_before_a_version_was_learned_does_not_undo_it(self):
+        self.report(0, 0.5)
+        self.load.note_version("v2")
+        self.now += 0.2
+        self.report(0, 0.5)
+        self.assertEqual(self.load.version, "v2")
+        self.now += 1.0
+        self.report(0, 0.5)
+        self.assertEqual(self.load.version, "v1")
+
     def test_an_old_report_is_not_used(self):
         self.report(5000, 0.0)
         self.now += 60.0
