Drop what earlier changes left dead: a time that only said done, an unused constant

Cause: read over the whole change. When the predicted load became a flow, the time at which a request's first token came was no longer read, only whether it had come; a piece size of the store stand-in was never used. Change: a flag in place of the time, the constant gone. Behaviour is the same. Looked at and left: the four pairs that `duplicates` lists are alike in shape only.

--- a/libs/routing/ruddersaddle_routing/loads.py
+++ b/libs/routing/ruddersaddle_routing/loads.py
@@ -20,17 +20,16 @@
 
 
 class Sent:
-    """One request that was sent: its tokens to prefill, when, and when its first token came."""
+    """One request that was sent: its tokens to prefill, when, and whether they are done."""
 
     def __init__(self, tokens: int) -> None:
         self.tokens = tokens
         self.at = time.monotonic()
-        self.done_at: float | None = None
+        self.is_done = False
 
     def finish(self) -> None:
         """Note that the prefill is done, or that the request was given up."""
-        if self.done_at is None:
-            self.done_at = time.monotonic()
+        self.is_done = True
 
 
 class Load:
@@ -98,7 +97,7 @@
         this one has just sent says too little of them.
         """
         now = time.monotonic()
-        own = float(sum(sent.tokens for sent in self._sent if sent.done_at is None))
+        own = float(sum(sent.tokens for sent in self._sent if not sent.is_done))
         if self.report is None or now - self._reported_at > REPORT_MAX_S:
             return own
         elapsed_s = now - self.measured_at
--- a/libs/standins/ruddersaddle_standins/store_servers.py
+++ b/libs/standins/ruddersaddle_standins/store_servers.py
@@ -25,7 +25,6 @@
 )
 from ruddersaddle_standins.speeds import Speeds
 
-PIECE_BYTES = 262_144
 FULL = 507
 
 
