--- a/libs/base/ruddersaddle_base/failures.py
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -54,6 +54,10 @@
     CORRUPT = "corrupt"
     NOT_READY = "not_ready"
     OTHER_VERSION = "other_version"
+    GAP = "gap"
+    """Records that were asked for are no longer kept."""
+    STALE_CONFIGURATION = "stale_configuration"
+    """The configuration is not confirmed to be young enough to let a caller's key in."""
     INTERNAL = "internal"
 
 
--- a/libs/base/ruddersaddle_base/loggers.py
+++ b/libs/base/ruddersaddle_base/loggers.py
@@ -16,6 +16,17 @@
     "engines": "engine",
     "services": "service",
     "stores": "store",
+    "fronts": "front",
+    "forwarders": "forward",
+    "entry_hosts": "host",
+    "publications": "configuration",
+    "upstream_lists": "upstreams",
+    "store_followers": "store",
+    "fence_leases": "lease",
+    "weight_rollouts": "weights",
+    "kept_parts": "kept",
+    "neighbours": "peer",
+    "metadata_stores": "store",
 }
 """Prefix of a module's log sentences; a module that is not listed uses its own name."""
 
@@ -36,9 +47,9 @@
         return True
 
 
-def start_logging(level: str, host: str) -> None:
-    """Write the whole process's logs to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def start_logging(level: str, host: str, handler: logging.Handler | None = None) -> None:
+    """Write the whole process's logs as JSON lines, to standard error if no handler is given."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     renames = {"asctime": "time", "levelname": "level", "message": "text"}
     handler.setFormatter(JsonFormatter(FIELDS, rename_fields=renames))
     handler.addFilter(PrefixFilter(host))
--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -45,6 +45,12 @@
     Default("host", "peer_port", "8081", int, "port for the other hosts", 1, 65535),
     Default("host", "operator_digest", "", str, "SHA-256 of the operators' key"),
     Default("host", "log_level", "INFO", str, "DEBUG, INFO, WARNING or ERROR"),
+    Default("listen", "callers", "127.0.0.1:8080", str, "IP:port for callers"),
+    Default("listen", "ready", "127.0.0.1:8081", str, "IP:port that the balancer asks"),
+    Default("listen", "peers", "127.0.0.1:8082", str, "IP:port for the other hosts"),
+    Default("listen", "metrics", "127.0.0.1:9464", str, "IP:port of the metrics page"),
+    Default("listen", "seeds", "", str, "IP:port of some other hosts' peer listeners, by commas"),
+    Default("platform", "store", "127.0.0.1:9000", str, "IP:port of the metadata store"),
     Default("platform", "log", "127.0.0.1:9000", str, "IP:port of the log service"),
     Default("platform", "host_list", "127.0.0.1:9001", str, "IP:port of the host list"),
     Default("platform", "poll_s", "1.0", float, "seconds between reads of the host list", 0.05, 60),
@@ -58,6 +64,12 @@
     Default("requests", "gather_ms", "40", float, "tokens are gathered this long", 0, 60),
     Default("requests", "stop_lag_s", "3", float, "seconds served on after a planned stop", 0, 600),
     Default("requests", "stop_max_s", "600", float, "longest wait for streams at a stop", 0, 86400),
+    Default("requests", "grace_s", "8", float, "seconds from SIGTERM until SIGKILL", 1, 3600),
+    Default("bounds", "key_end_ms", "5000", float, "ms until a key taken away is void", 500),
+    Default("bounds", "weights_ms", "12000", float, "ms until old weights are left", 1000),
+    Default("bounds", "lease_ms", "3000", float, "ms that two givers of orders stay apart", 500),
+    Default("bounds", "retry_share", "0.2", float, "retries as a share of requests, all hosts"),
+    Default("bounds", "retry_slack", "50", float, "retries beyond that share, all hosts", 0),
     Default("claims", "memory_s", "3600", float, "seconds that a key is remembered", 1, 86400),
     Default("claims", "skew_s", "30", float, "most seconds that clocks differ", 0, 600),
     Default("claims", "wait_s", "2.0", float, "longest wait for a claim", 0.05, 60),
@@ -187,6 +199,9 @@
     found = []
     for section in parser.sections():
         for key, value in parser.items(section):
+            if not value.strip():
+                # A template leaves a value empty where the platform has none; the default counts.
+                continue
             line = find_line(text, section, key)
             found.append(Given(f"{section}.{key}", value, path, line))
     return found
--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -12,6 +12,7 @@
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import START, HostId, Incarnation, new_incarnation
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_serving.peers import Peers, limit_threads
 from ruddersaddle_state.appenders import Appender
 from ruddersaddle_state.claims import Claims
 from ruddersaddle_state.configurations import Configuration
@@ -28,7 +29,6 @@
 from ruddersaddle.keyed_calls import KeyedCalls
 from ruddersaddle.messages import AskConfiguration, ConfigurationMessage, Message
 from ruddersaddle.orders import OrderTask
-from ruddersaddle.peers import Peers, limit_threads
 from ruddersaddle.pools import Pools
 from ruddersaddle.prefetches import Prefetcher
 from ruddersaddle.reports import LinkStatus, PoolStatus, Stats, Status, stats_from_rows
@@ -121,7 +121,7 @@
         caller = ServiceCaller(settings, self.pools)
         self.services = ServiceRoutes(settings, self.pools, caller, keyed, tickets, self.hosts)
         host = settings.text("host.address")
-        self.peers = Peers(f"{host}:{settings.whole('host.peer_port')}", self._answer_peer)
+        self.peers = Peers(f"{host}:{settings.whole('host.peer_port')}", self._answer_peer, Message)
         self.services.peers = self.peers
 
     def _build_tasks(self) -> None:
--- a/libs/daemon/ruddersaddle/messages.py
+++ b/libs/daemon/ruddersaddle/messages.py
@@ -58,12 +58,3 @@
 
 
 Message = AskAnswer | AskTicketed | AskConfiguration | AnswerMessage | ConfigurationMessage
-
-
-class Envelope(msgspec.Struct, frozen=True):
-    """A message on its way: the sender's peer address, the exchange it belongs to."""
-
-    sender: str
-    exchange: int
-    is_answer: bool
-    message: Message
--- a/libs/daemon/ruddersaddle/service_routes.py
+++ b/libs/daemon/ruddersaddle/service_routes.py
@@ -25,7 +25,7 @@
     Message,
     ServiceCall,
 )
-from ruddersaddle.peers import Peers
+from ruddersaddle_serving.peers import Peers
 from ruddersaddle.pools import Pools, PoolView
 from ruddersaddle.responses import Responder
 from ruddersaddle.service_calls import ServiceCaller
--- a/libs/daemon/ruddersaddle/tests/test_callers.py
+++ b/libs/daemon/ruddersaddle/tests/test_callers.py
@@ -23,7 +23,7 @@
     read_retry_token,
     render_prompt,
 )
-from ruddersaddle.messages import Envelope
+from ruddersaddle_serving.peers import Envelope
 from ruddersaddle.tickets import Ticket, is_ticket, parse_ticket
 
 DETERMINISTIC = settings(derandomize=True, max_examples=200, deadline=None)
--- a/libs/routing/ruddersaddle_routing/retries.py
+++ b/libs/routing/ruddersaddle_routing/retries.py
@@ -12,13 +12,14 @@
 
     def __init__(self, share: float) -> None:
         self.share = share
+        self.most = BUDGET_MAX
         self.saved = BUDGET_MAX
         self.spent = 0
         self.denied = 0
 
     def note_first(self) -> None:
         """Count a first try."""
-        self.saved = min(BUDGET_MAX, self.saved + self.share)
+        self.saved = min(self.most, self.saved + self.share)
 
     def take(self) -> bool:
         """Take one retry if the budget has one."""
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -0,0 +1,126 @@
+"""One try of a request at one upstream."""
+
+import logging
+
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+
+from ruddersaddle_serving.placements import Choice
+from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
+from ruddersaddle_serving.prompts import CallerRequest
+from ruddersaddle_serving.upstream_connections import Exchange
+
+logger = logging.getLogger(__name__)
+
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that promise the caller that its request has not run and never will."""
+REFUSED_RETRY_S = 0.2
+"""When a caller should come back after a refusal of an upstream; what it refuses for (a full queue,
+weights being loaded) passes in some hundred milliseconds, or another upstream takes it."""
+
+
+class Attempt:
+    """One try; it counts as the upstream's load until it is finished."""
+
+    def __init__(
+        self, request: CallerRequest, choice: Choice, wire: Wire, last_event: str | None
+    ) -> None:
+        self.request = request
+        self.choice = choice
+        self.wire = wire
+        self.last_event = last_event
+        self.sent = False
+        self.exchange: Exchange | None = None
+        self._tokens = self._missing_tokens()
+        tracker = choice.tracker
+        tracker.in_flight += 1
+        tracker.waiting_tokens += self._tokens
+        self._finished = False
+
+    def _missing_tokens(self) -> int:
+        prompt = self.request.head.prompt
+        return 0 if prompt is None else prompt.tokens_in
+
+    def connect(self) -> Failure | None:
+        """Get a connection; nothing is sent yet."""
+        exchange = self.choice.tracker.connections.begin()
+        if isinstance(exchange, Failure):
+            self.choice.tracker.note_no_connection()
+            return exchange
+        self.exchange = exchange
+        return None
+
+    def open(self) -> AnswerHead | Failure:
+        """Send the request and return the head of its answer, if it is one for the caller."""
+        request = self.request
+        delivery = Delivery(
+            request,
+            self.choice.tracker.id,
+            self.choice.version,
+            self.choice.transfer,
+            self.last_event,
+        )
+        headers = self.wire.write_delivery(delivery, request.remaining_s)
+        self.sent = True
+        failure = self.exchange.send(request.method, request.target, request.body, headers)
+        if failure is not None:
+            return failure
+        head = self.exchange.read_head(self.wire)
+        if isinstance(head, Failure):
+            return head
+        return self._check(head)
+
+    def _check(self, head: AnswerHead) -> AnswerHead | Failure:
+        """Return the head, or why this answer is not the caller's."""
+        if head.not_run:
+            return self._refused(head)
+        if head.request != self.request.id:
+            return self._spoiled("the answer belongs to another request")
+        if head.encoded:
+            return self._spoiled("the body is encoded, which nobody asked for")
+        if head.status in PROMISES:
+            return self._spoiled(f"status {head.status} without word that it did not run")
+        if 200 <= head.status < 300 and not head.has_receipt:
+            return self._spoiled("a success without its receipt")
+        if head.status < 200 or 300 <= head.status < 400:
+            return self._spoiled(f"status {head.status}")
+        return head
+
+    def _refused(self, head: AnswerHead) -> Failure:
+        self._read_refusal()
+        tracker = self.choice.tracker
+        prompt = self.request.head.prompt
+        if head.version is not None and prompt is not None:
+            tracker.take_version(prompt.model, head.version)
+        code = Code.OTHER_VERSION if head.status == 421 else Code.OVERLOADED
+        detail = f"status {head.status}, answered by {head.upstream}"
+        return Failure(
+            code, Step.SEND, tracker.id, detail, Ran.NOT_RUN, retry_after_s=REFUSED_RETRY_S
+        )
+
+    def _read_refusal(self) -> None:
+        """Read the refusal's body so that its connection can be used again."""
+        data = self.exchange.read_all(65536)
+        if isinstance(data, Failure):
+            logger.debug("Refusal was not read whole. %s", data.detail)
+
+    def _spoiled(self, detail: str) -> Failure:
+        tracker = self.choice.tracker
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, tracker.id, detail, Ran.UNKNOWN)
+
+    def note_first_event(self) -> None:
+        """Take that the prompt was read."""
+        self.choice.tracker.waiting_tokens -= self._tokens
+        self._tokens = 0
+
+    def finish(self, failed: bool | None) -> None:
+        """End the try; `failed` is None where it says nothing about the upstream."""
+        if self._finished:
+            return
+        self._finished = True
+        tracker = self.choice.tracker
+        tracker.in_flight -= 1
+        tracker.waiting_tokens -= self._tokens
+        if self.exchange is not None:
+            self.exchange.finish()
+        if failed is not None:
+            tracker.note_outcome(failed)
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/caller_bodies.py
@@ -0,0 +1,72 @@
+"""Reads callers' bodies whole, within the size that the configuration allows."""
+
+import re
+from typing import Any, BinaryIO
+
+from ruddersaddle_base.failures import Code, Failure, Step
+
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(;[^\r\n]*)?\r\n\Z")
+"""A chunk's size line; more than eight digits is over any limit."""
+LINE_MAX = 4096
+TRAILERS_MAX = 64
+
+
+def read_body(environ: dict[str, Any], bytes_max: int) -> bytes | Failure:
+    """Return a request's body, or why it can't be taken."""
+    source = environ["eventlet.input"]
+    try:
+        if source.chunked_input:
+            body = _read_chunks(source.rfile, bytes_max)
+            # The library would look for chunks that were read here already.
+            source.chunk_length = 0
+            return body
+        return _read_sized(source, bytes_max)
+    except (OSError, ValueError) as error:
+        return _refuse(Code.BAD_REQUEST, f"the body broke off: {error}")
+
+
+def _read_sized(source: Any, bytes_max: int) -> bytes | Failure:
+    length = source.content_length or 0
+    if length > bytes_max:
+        return _refuse(Code.TOO_LARGE, f"{length} bytes, at most {bytes_max}")
+    body = source.read(length) if length else b""
+    if len(body) < length:
+        return _refuse(Code.BAD_REQUEST, "the body is shorter than its length")
+    return body
+
+
+def _read_chunks(file: BinaryIO, bytes_max: int) -> bytes | Failure:
+    parts: list[bytes] = []
+    total = 0
+    while True:
+        match = CHUNK_SIZE.match(file.readline(LINE_MAX))
+        if match is None:
+            return _refuse(Code.BAD_REQUEST, "a chunk has no size")
+        size = int(match.group(1), 16)
+        if size == 0:
+            return b"".join(parts) if _skip_trailers(file) else _refuse_trailers()
+        total += size
+        if total > bytes_max:
+            return _refuse(Code.TOO_LARGE, f"over {bytes_max} bytes")
+        data = file.read(size)
+        if len(data) < size or file.read(2) != b"\r\n":
+            return _refuse(Code.BAD_REQUEST, "a chunk does not end where its size says")
+        parts.append(data)
+
+
+def _skip_trailers(file: BinaryIO) -> bool:
+    for _ in range(TRAILERS_MAX):
+        line = file.readline(LINE_MAX)
+        if line == b"\r\n":
+            return True
+        if not line.endswith(b"\n"):
+            return False
+    return False
+
+
+def _refuse_trailers() -> Failure:
+    return _refuse(Code.BAD_REQUEST, "the trailers do not end")
+
+
+def _refuse(code: Code, detail: str) -> Failure:
+    return Failure(code, Step.PARSE, "caller", detail)
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -0,0 +1,115 @@
+"""HTTP from callers: eventlet's WSGI protocol with stricter framing and time limits."""
+
+import re
+import time
+
+import eventlet
+from eventlet.wsgi import HttpProtocol
+
+from ruddersaddle_serving.routes import CallerLimits
+
+DIGITS = re.compile(r"[0-9]{1,18}\Z")
+NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
+"""A header's name (RFC 9110, 5.6.2)."""
+BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class HeadTimeout(eventlet.Timeout):
+    """Raised when a caller takes too long for a request's head."""
+
+
+class CallerProtocol(HttpProtocol):
+    """One connection of a caller."""
+
+    minimum_chunk_size = 0
+    """Events are passed on as they come; the runner gathers 4 KB by default."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The limits in force now."""
+        return self.server.app.limits
+
+    def handle_one_request(self) -> None:
+        """Wait for a request within the idle time, then read its head within the head's time."""
+        if not self._await_request():
+            self.close_connection = True
+            return
+        self._head_timer = HeadTimeout(self.limits.header_timeout_s)
+        try:
+            super().handle_one_request()
+        except HeadTimeout:
+            self._refuse(TOO_SLOW)
+        finally:
+            self._head_timer.cancel()
+
+    def _await_request(self) -> bool:
+        """Return whether a byte of a next request arrived."""
+        self.connection.settimeout(self.limits.idle_timeout_s)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            return False
+        finally:
+            self.connection.settimeout(None)
+
+    def parse_request(self) -> bool:
+        """Parse the head; refuse what two parties might frame differently."""
+        if not super().parse_request():
+            return False
+        self._head_timer.cancel()
+        refusal = self._find_refusal()
+        if refusal is None:
+            return True
+        self._refuse(refusal)
+        return False
+
+    def _find_refusal(self) -> bytes | None:
+        if self.headers.defects or not self.path.startswith("/"):
+            return BAD_REQUEST
+        size = len(self.raw_requestline)
+        for name, value in self.headers.items():
+            size += len(name) + len(value) + 4
+            if not NAME.match(name) or "\r" in value or "\n" in value or "\0" in value:
+                return BAD_REQUEST
+        if size > self.limits.header_bytes:
+            return TOO_LARGE
+        return None if self._has_one_framing() else BAD_REQUEST
+
+    def _has_one_framing(self) -> bool:
+        """Return whether the body's length is said once and without doubt (RFC 9112, 6)."""
+        lengths = self.headers.get_all("content-length", [])
+        encodings = self.headers.get_all("transfer-encoding", [])
+        if len(lengths) > 1 or len(encodings) > 1 or (lengths and encodings):
+            return False
+        if lengths and not DIGITS.match(lengths[0]):
+            return False
+        return not encodings or encodings[0].strip().lower() == "chunked"
+
+    def _refuse(self, answer: bytes) -> None:
+        self.close_connection = True
+        try:
+            self.wfile.write(answer)
+            self.wfile.flush()
+        except OSError:
+            # The caller is gone; there is nobody to tell.
+            return
+
+    def get_environ(self) -> dict[str, object]:
+        """Add what the front needs: the target as it was sent, the connection, the time."""
+        environ = super().get_environ()
+        environ["caller.target"] = self.path
+        environ["caller.connection"] = self.connection
+        environ["caller.protocol"] = self
+        environ["caller.began"] = time.monotonic()
+        return environ
+
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Answer a head that can't be parsed, without the library's page."""
+        self._refuse(TOO_LARGE if code == 431 else BAD_REQUEST)
+
+    def log_message(self, format: str, *args: object) -> None:  # noqa: A002
+        """Drop the library's own log lines; requests are logged by the front."""
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -0,0 +1,250 @@
+"""One entry host: its parts, its listeners, its planned stop."""
+
+import logging
+import os
+import signal
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import eventlet
+import eventlet.wsgi
+from ruddersaddle_base.histograms import Histograms
+from ruddersaddle_base.ids import HallId, HostId, Incarnation, new_incarnation
+from ruddersaddle_base.settings import Settings
+from ruddersaddle_routing.retries import RetryBudget
+
+from ruddersaddle_serving.caller_protocols import CallerProtocol
+from ruddersaddle_serving.fence_leases import FenceLease
+from ruddersaddle_serving.forwarders import Forwarder
+from ruddersaddle_serving.fronts import Front
+from ruddersaddle_serving.kept_parts import KeptParts
+from ruddersaddle_serving.metric_pages import (
+    TEXT_TYPE,
+    format_counters,
+    format_gauges,
+    format_histograms,
+)
+from ruddersaddle_serving.neighbours import Neighbours
+from ruddersaddle_serving.peers import limit_threads
+from ruddersaddle_serving.placements import Placement
+from ruddersaddle_serving.ports import Engines, MetadataStore, Wire
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.store_followers import (
+    OPERATOR_WAIT_S,
+    UPSTREAM_PAUSE_S,
+    OperatorFollower,
+    StoreLink,
+    UpstreamFollower,
+)
+from ruddersaddle_serving.trackers import Trackers
+from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.weight_rollouts import WeightRollouts
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000.0
+BACKLOG = 1024
+KEY_AGE_MARGIN_S = 0.3
+"""A request with a key leaves at the latest this long before the bound on keys taken away, for what
+lies between the check and the last byte sent."""
+HOUSEKEEPING_S = 1.0
+ACCEPT_AFTER_STOP_S = 2.6
+"""New connections are taken this long after a stop began: the balancer asks each second and needs
+two misses."""
+GRACE_MARGIN_S = 0.7
+"""A host ends by itself this long before the platform would kill it."""
+STOP_STEP_S = 0.05
+CONNECTIONS_MAX = 3000
+"""Connections of callers at once; a host has about 4,000 descriptors."""
+BUDGET_SHARE = 0.75
+"""Share of the installation's retry bound that all hosts together use: hosts see unequal shares of
+the requests, and the bound counts them all."""
+
+
+class EntryHost:
+    """The program of one host."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        store: MetadataStore,
+        wire: Wire,
+        engines: Engines,
+        incarnation: Incarnation,
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.engines = engines
+        self.incarnation = incarnation
+        self.stopping = False
+        self.histograms = Histograms()
+        self.link = StoreLink()
+        self.publications = Publications()
+        self.upstreams = UpstreamList()
+        self.trackers = Trackers()
+        self.kept = KeptParts(engines)
+        self.budget = RetryBudget(settings.number("bounds.retry_share") * BUDGET_SHARE)
+        self._build_request_path(wire)
+        self._build_tasks()
+        self._table = None
+
+    @classmethod
+    def from_settings(
+        cls, settings: Settings, store: MetadataStore, wire: Wire, engines: Engines
+    ) -> "EntryHost":
+        """Return a host that is not started yet, as a new incarnation."""
+        incarnation = new_incarnation(HostId(settings.text("host.id")))
+        return cls(settings, store, wire, engines, incarnation)
+
+    def _build_request_path(self, wire: Wire) -> None:
+        settings = self.settings
+        self.key_age_max_s = settings.number("bounds.key_end_ms") / MS_PER_S - KEY_AGE_MARGIN_S
+        placement = Placement(
+            HallId(settings.text("host.hall")),
+            settings.number("bounds.weights_ms") / MS_PER_S,
+            self.publications,
+            self.upstreams,
+            self.trackers,
+            self.kept,
+        )
+        self.forwarder = Forwarder(
+            placement, wire, self.publications, self.budget, self.key_age_max_s
+        )
+        self.front = Front(wire, self.publications, self.forwarder, self.histograms)
+
+    def _build_tasks(self) -> None:
+        settings = self.settings
+        self.neighbours = Neighbours(
+            HostId(settings.text("host.id")),
+            settings.text("listen.peers"),
+            settings.text("listen.seeds").split(","),
+            self.store,
+            self.publications,
+            self.upstreams,
+            self.trackers,
+        )
+        lease_s = settings.number("bounds.lease_ms") / MS_PER_S
+        lease = FenceLease(self.store, self.incarnation, lease_s)
+        self.rollouts = WeightRollouts(
+            lease,
+            self.publications,
+            self.upstreams,
+            self.trackers,
+            self.neighbours,
+            self.engines,
+            self.kept,
+        )
+
+    # Running
+
+    def serve(self) -> None:
+        """Run until a planned stop has ended."""
+        limit_threads()
+        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        signal.signal(signal.SIGINT, lambda *_: self.stop())
+        front = self._listen("listen.callers", self.front, CallerProtocol)
+        self._listen("listen.ready", self._serve_ready, eventlet.wsgi.HttpProtocol)
+        self._listen("listen.metrics", self._serve_metrics, eventlet.wsgi.HttpProtocol)
+        self._start_tasks()
+        logger.info("Host %s has started.", self.incarnation, extra={"pid": os.getpid()})
+        while not self.stopping:
+            eventlet.sleep(STOP_STEP_S)
+        self._finish(*front)
+
+    def _listen(self, name: str, app: Any, protocol: type) -> tuple[Any, Any]:
+        host, _, port = self.settings.text(name).rpartition(":")
+        listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
+        server = eventlet.spawn(
+            eventlet.wsgi.server,
+            listener,
+            app,
+            protocol=protocol,
+            log_output=False,
+            minimum_chunk_size=0,
+            max_size=CONNECTIONS_MAX,
+            debug=False,
+        )
+        return listener, server
+
+    def _start_tasks(self) -> None:
+        operator = OperatorFollower(self.store, self.link, self.publications)
+        entries = UpstreamFollower(self.store, self.link, self.upstreams)
+        eventlet.spawn(operator.run, OPERATOR_WAIT_S, 0.0)
+        eventlet.spawn(entries.run, 0.0, UPSTREAM_PAUSE_S)
+        self.neighbours.start()
+        self.rollouts.start()
+        eventlet.spawn(self._keep_house)
+
+    def _keep_house(self) -> None:
+        while True:
+            table = self.publications.table
+            if table is not None and table is not self._table:
+                self._table = table
+                self.kept.update(table.published.stores)
+            self.trackers.keep_only(set(self.upstreams.by_id))
+            self.trackers.close_expired()
+            slack = self.settings.number("bounds.retry_slack") * BUDGET_SHARE
+            self.budget.most = max(1.0, slack / self.neighbours.hosts_count)
+            eventlet.sleep(HOUSEKEEPING_S)
+
+    # Readiness, metrics
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send callers here."""
+        if self.stopping or self.publications.table is None or not self.upstreams.complete:
+            return False
+        return self.publications.age_s < self.key_age_max_s
+
+    def _serve_ready(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        start("200 OK" if self.is_ready() else "503 Service Unavailable", [])
+        return [b""]
+
+    def _serve_metrics(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        start("200 OK", [("Content-Type", TEXT_TYPE)])
+        return [self.metrics().encode()]
+
+    def metrics(self) -> str:
+        """Return the metrics page."""
+        opened = sum(each.connections.opened for each in self.trackers.by_id.values())
+        gauges = (
+            ("requests_active", "requests under way", self.front.active),
+            ("configuration_version", "version in force", self.publications.version),
+            ("configuration_age_seconds", "age of its confirmation", self.publications.age_s),
+            ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
+            ("upstream_connections_opened", "connections opened", opened),
+            ("ready", "1 if the balancer should send callers here", self.is_ready()),
+            ("hosts_known", "hosts, this one included", self.neighbours.hosts_count),
+            ("peer_sent_bytes", "bytes sent to peers", self.neighbours.peers.sent_bytes),
+        )
+        budget = {"spent": self.budget.spent, "denied": self.budget.denied}
+        lines = format_gauges(gauges)
+        lines += format_counters("answers", "answers by status", self.front.counts)
+        lines += format_counters("retries", "retries by outcome", budget)
+        lines += format_counters("contexts", "kept context by action", self.kept.counts)
+        lines += format_counters("orders", "orders to engines", self.rollouts.counts)
+        lines += format_histograms(self.histograms)
+        return "\n".join(lines) + "\n"
+
+    # The planned stop
+
+    def stop(self) -> None:
+        """Begin the planned stop."""
+        if not self.stopping:
+            logger.info("Planned stop begins.", extra={"active": self.front.active})
+        self.stopping = True
+        self.front.closing = True
+        self.rollouts.stopping = True
+
+    def _finish(self, listener: Any, server: Any) -> None:
+        """Serve on until the balancer has noticed, then until no request is under way."""
+        began = time.monotonic()
+        eventlet.spawn(self.neighbours.leave)
+        eventlet.sleep(ACCEPT_AFTER_STOP_S)
+        # The runner closes idle connections as it ends, and goes on with the requests under way.
+        server.kill()
+        listener.close()
+        latest = began + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
+        while self.front.active and time.monotonic() < latest:
+            eventlet.sleep(STOP_STEP_S)
+        logger.info("Host %s has stopped.", self.incarnation, extra={"cut": self.front.active})
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -0,0 +1,52 @@
+"""Splits a stream of events (text/event-stream) into whole events.
+
+Only whole events are passed on, so that a stream that breaks off in the middle of an event can be
+taken up again at another upstream without a torn event before it.
+"""
+
+END = b"\n\n"
+END_CRLF = b"\r\n\r\n"
+ID_FIELD = b"id:"
+
+
+class EventSplitter:
+    """Collects bytes and returns whole events."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self.last_id: str | None = None
+        self.events = 0
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether no part of an event is held back."""
+        return not self._rest.strip()
+
+    def take(self, data: bytes) -> bytes:
+        """Return the whole events that `data` completes, possibly none."""
+        buffered = self._rest + data
+        cut = max(_end_of(buffered, END), _end_of(buffered, END_CRLF))
+        whole, self._rest = buffered[:cut], buffered[cut:]
+        if whole:
+            self._note_ids(whole)
+        return whole
+
+    def take_rest(self) -> bytes:
+        """Return what is left at the end of a stream that ended as it should."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def drop_rest(self) -> None:
+        """Forget a torn event."""
+        self._rest = b""
+
+    def _note_ids(self, whole: bytes) -> None:
+        for line in whole.split(b"\n"):
+            if line.startswith(ID_FIELD):
+                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
+                self.events += 1
+
+
+def _end_of(data: bytes, mark: bytes) -> int:
+    found = data.rfind(mark)
+    return found + len(mark) if found >= 0 else 0
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -0,0 +1,294 @@
+"""The callers' side of a host: takes requests, finds route and workspace, answers."""
+
+import logging
+import time
+from collections.abc import Callable, Iterable, Iterator
+from http.client import responses
+from typing import Any
+
+import eventlet
+import msgspec
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.histograms import Histograms, Measure
+
+from ruddersaddle_serving.caller_bodies import read_body
+from ruddersaddle_serving.caller_watches import CallerLeft, CallerWatch
+from ruddersaddle_serving.forwarders import Forwarder, Forwarding, Whole
+from ruddersaddle_serving.ports import AnswerHead, Wire
+from ruddersaddle_serving.prompts import CallerHead, CallerRequest
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.routes import CallerLimits, Route, RouteTable, Workspace
+
+logger = logging.getLogger(__name__)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+STATUS_BY_CODE = {
+    Code.BAD_REQUEST: 400,
+    Code.UNAUTHORIZED: 401,
+    Code.NOT_FOUND: 404,
+    Code.TOO_LARGE: 413,
+    Code.DEADLINE: 504,
+    Code.UPSTREAM_FAILED: 502,
+    Code.INTERNAL: 502,
+}
+"""Statuses of failures; all others are 503, which promises that the request has not run."""
+UNKNOWN_YET_S = 0.5
+"""When to come back to a host that knows no configuration yet; it reads it every 0.3 to 0.6 s."""
+PUBLIC = "public"
+
+
+class RouteTimeout(eventlet.Timeout):
+    """Raised into a request whose time, or whose route's time, is over."""
+
+
+class Front:
+    """The WSGI application for callers; one instance serves all connections of a host."""
+
+    def __init__(
+        self,
+        wire: Wire,
+        publications: Publications,
+        forwarder: Forwarder,
+        histograms: Histograms,
+    ) -> None:
+        self.wire = wire
+        self.publications = publications
+        self.forwarder = forwarder
+        self.histograms = histograms
+        self.closing = False
+        """Whether answers tell callers to open no further request on their connection."""
+        self.active = 0
+        self.counts: dict[str, int] = {}
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The limits on callers that are in force."""
+        table = self.publications.table
+        return CallerLimits() if table is None else table.published.limits
+
+    def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
+        """Serve one request."""
+        return _Visit(self, environ, start).run()
+
+    def count(self, name: str) -> None:
+        """Count an event by name."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+
+class _Visit:
+    """One request of a caller, from its head to the end of its answer."""
+
+    def __init__(self, front: Front, environ: dict[str, Any], start: StartResponse) -> None:
+        self.front = front
+        self.environ = environ
+        self.start = start
+        self.began: float = environ["caller.began"]
+        self.request: CallerRequest | None = None
+        self.forwarding: Forwarding | None = None
+        self.watch: CallerWatch | None = None
+        self.timer: eventlet.Timeout | None = None
+        self.status = 0
+        self._answered = False
+
+    def run(self) -> Iterable[bytes]:
+        """Return the answer; a stream goes on after this has returned."""
+        self.front.active += 1
+        try:
+            request = self._read_request()
+            if isinstance(request, Failure):
+                return self._end_with(self._refuse(request))
+            self.request = request
+            return self._forward(request)
+        except CallerLeft:
+            self._end("caller left")
+            raise
+        except RouteTimeout as timeout:
+            if timeout is not self.timer:
+                raise
+            return self._end_with(self._refuse(self._time_over()))
+        except BaseException:
+            self._end("failed")
+            raise
+
+    def _end_with(self, body: list[bytes]) -> list[bytes]:
+        self._end("answered")
+        return body
+
+    # What the request is
+
+    def _read_request(self) -> CallerRequest | Failure:
+        head = self.front.wire.read_caller(self.environ["headers_raw"])
+        if isinstance(head, Failure):
+            return head
+        self.head = head
+        table = self.front.publications.table
+        if table is None:
+            detail = "no configuration is known yet"
+            return Failure(
+                Code.NOT_READY, Step.ADMIT, "store", detail, retry_after_s=UNKNOWN_YET_S
+            )
+        target = self.environ["caller.target"]
+        route = table.find(self.environ.get("HTTP_HOST", ""), target.partition("?")[0])
+        if route is None:
+            return Failure(Code.NOT_FOUND, Step.ADMIT, "routes", "no route")
+        workspace = self._find_workspace(table, route, head)
+        if isinstance(workspace, Failure):
+            return workspace
+        body = self._read_body(table, route)
+        if isinstance(body, Failure):
+            return body
+        method = self.environ["REQUEST_METHOD"]
+        return CallerRequest(head, method, target, body, route, workspace, self.began)
+
+    def _find_workspace(
+        self, table: RouteTable, route: Route, head: CallerHead
+    ) -> Workspace | None | Failure:
+        if route.public or not table.published.checks_keys:
+            return None
+        found = table.published.workspace_by_key.get(head.key or "")
+        if found is None:
+            return Failure(Code.UNAUTHORIZED, Step.AUTHENTICATE, "keys", "the key is not known")
+        return found
+
+    def _read_body(self, table: RouteTable, route: Route) -> bytes | Failure:
+        with eventlet.Timeout(route.timeout_s, False):
+            return read_body(self.environ, table.published.limits.body_bytes)
+        return Failure(Code.DEADLINE, Step.PARSE, "caller", "the body did not come in time")
+
+    # Carrying it
+
+    def _forward(self, request: CallerRequest) -> Iterable[bytes]:
+        self.timer = RouteTimeout(max(0.001, request.remaining_s))
+        self.watch = CallerWatch(self.environ["caller.connection"])
+        self.forwarding = self.front.forwarder.start(request)
+        result = self.forwarding.begin()
+        if isinstance(result, Failure):
+            return self._end_with(self._refuse(result))
+        if isinstance(result, Whole):
+            return self._end_with(self._answer(result))
+        return self._stream(result)
+
+    def _answer(self, whole: Whole) -> list[bytes]:
+        headers = [*whole.headers, ("Content-Length", str(len(whole.body)))]
+        self._start(whole.status, headers)
+        return [whole.body]
+
+    def _stream(self, head: AnswerHead) -> Iterator[bytes]:
+        self._start(head.status, list(head.headers))
+        return self._events()
+
+    def _events(self) -> Iterator[bytes]:
+        word = "broken off"
+        try:
+            for data in self.forwarding.events():
+                if isinstance(data, Failure):
+                    word = f"stream broke: {data.detail}"
+                    # Raising ends the connection without the stream's end, so that what the
+                    # caller has cannot pass for a whole answer.
+                    raise StreamBroken(data.detail)
+                yield data
+            word = "answered"
+        except CallerLeft:
+            word = "caller left"
+            raise
+        except RouteTimeout:
+            word = "time is over"
+            raise
+        finally:
+            self._end(word)
+
+    def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self.status = status
+        if self.front.closing:
+            self.environ["caller.protocol"].close_connection = 1
+        self.start(f"{status} {responses.get(status, 'Unknown')}", headers)
+        self._answered = True
+
+    def _time_over(self) -> Failure:
+        return Failure(Code.DEADLINE, Step.READ, "upstream", "the time for the request is over")
+
+    def _refuse(self, failure: Failure) -> list[bytes]:
+        status = STATUS_BY_CODE.get(failure.code, 503)
+        body = msgspec.json.encode({"error": failure.code.value, "detail": failure.detail})
+        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        request = getattr(self, "head", None)
+        if request is not None and request.id:
+            headers.append(("Request-Id", request.id))
+        if status == 503:
+            headers.append(self.front.wire.retry_after(failure.retry_after_s))
+        if failure.code is Code.TOO_LARGE or failure.step is Step.PARSE:
+            # What is left of the body can't be told from a next request.
+            self.environ["caller.protocol"].close_connection = 1
+        self.failure = failure
+        self._start(status, headers)
+        return [body]
+
+    # The end of it
+
+    def _end(self, word: str) -> None:
+        """Give back what the request holds and write its line."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.watch is not None:
+            self.watch.stop()
+        if self.forwarding is not None:
+            self.forwarding.finish()
+        self.front.active -= 1
+        self._note(word)
+
+    def _note(self, word: str) -> None:
+        front = self.front
+        front.count(f"answers_{self.status or 'none'}")
+        total_s = time.monotonic() - self.began
+        fields: dict[str, Any] = {
+            "status": self.status,
+            "outcome": word,
+            "total_ms": round(total_s * 1000),
+            "configuration": front.publications.version,
+            "configuration_age_ms": _milliseconds(front.publications.age_s),
+        }
+        head = getattr(self, "head", None)
+        fields["request"] = None if head is None else head.id
+        failure = getattr(self, "failure", None)
+        if failure is not None:
+            fields["reason"] = f"{failure.step.value} at {failure.peer}: {failure.detail}"
+        if self.request is not None:
+            self._note_request(fields)
+        logger.info("Request ended.", extra=fields)
+
+    def _note_request(self, fields: dict[str, Any]) -> None:
+        request = self.request
+        workspace = PUBLIC if request.workspace is None else request.workspace.id
+        fields["route"] = request.route.name
+        fields["workspace"] = workspace
+        if self.forwarding is None:
+            return
+        trail = self.forwarding.trail
+        fields["upstream"] = trail.upstream
+        fields["weights"] = trail.version
+        fields["rank"] = trail.rank
+        fields["candidates"] = trail.candidates
+        fields["fetched_parts"] = trail.fetched
+        fields["saved_parts"] = trail.saved
+        fields["tries"] = trail.tries
+        entries_s = time.monotonic() - self.front.forwarder.placement.upstreams.confirmed_at
+        fields["entries_age_ms"] = _milliseconds(entries_s)
+        if trail.first_s is not None:
+            fields["first_ms"] = round(trail.first_s * 1000)
+            self._record(Measure.FIRST_TOKEN, trail.first_s)
+        if self.status == 200:
+            self._record(Measure.WHOLE, time.monotonic() - self.began)
+
+    def _record(self, measure: Measure, elapsed_s: float) -> None:
+        request = self.request
+        workspace = PUBLIC if request.workspace is None else request.workspace.id
+        self.front.histograms.record(measure, workspace, request.route.name, elapsed_s * 1000)
+
+
+class StreamBroken(Exception):
+    """Raised to end a caller's connection when its stream can't be finished."""
+
+
+def _milliseconds(seconds: float) -> int | None:
+    return round(seconds * 1000) if seconds < 1e6 else None
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/metric_pages.py
@@ -0,0 +1,41 @@
+"""The metrics page of a host, in the usual text format, with units in the names."""
+
+from collections.abc import Iterable, Mapping
+
+from ruddersaddle_base.histograms import Histograms
+
+PREFIX = "ruddersaddle"
+TEXT_TYPE = "text/plain; version=0.0.4"
+
+
+def format_counters(name: str, about: str, by_label: Mapping[str, float]) -> list[str]:
+    """Return the lines of one counter with a label for each kind of event."""
+    full = f"{PREFIX}_{name}_total"
+    lines = [f"# HELP {full} {about}", f"# TYPE {full} counter"]
+    lines += [f'{full}{{kind="{label}"}} {value:g}' for label, value in sorted(by_label.items())]
+    return lines
+
+
+def format_gauges(gauges: Iterable[tuple[str, str, float]]) -> list[str]:
+    """Return the lines of gauges, each a name, what it means, and its value."""
+    lines = []
+    for name, about, value in gauges:
+        full = f"{PREFIX}_{name}"
+        lines += [f"# HELP {full} {about}", f"# TYPE {full} gauge", f"{full} {value:g}"]
+    return lines
+
+
+def format_histograms(histograms: Histograms) -> list[str]:
+    """Return percentiles for each measure, workspace and class."""
+    lines = []
+    seen = set()
+    for row in histograms.rows():
+        full = f"{PREFIX}_{row.measure}"
+        if full not in seen:
+            seen.add(full)
+            lines += [f"# HELP {full} milliseconds", f"# TYPE {full} summary"]
+        labels = f'workspace="{row.workspace}",class="{row.group}"'
+        for percentile, value in row.by_percentile.items():
+            lines.append(f'{full}{{{labels},quantile="{percentile / 100:g}"}} {value}')
+        lines.append(f"{full}_count{{{labels}}} {row.count}")
+    return lines
--- a/libs/daemon/ruddersaddle/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -8,16 +8,16 @@
 import itertools
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import eventlet
+import msgspec
 import pynng
 from eventlet.event import Event as Signal
 from eventlet.hubs import trampoline
 from ruddersaddle_base.codecs import decode_packed, encode_packed
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
-from ruddersaddle.messages import Envelope, Message
-
 logger = logging.getLogger(__name__)
 
 CONNECT_S = 0.5
@@ -29,9 +29,20 @@
 TASK_THREADS = 2
 """Threads of the library; it would start about 30."""
 
+Message = Any
+"""A message of the type that a `Peers` was made for."""
 Handler = Callable[[Message], Message]
 
 
+class Envelope(msgspec.Struct, frozen=True):
+    """A message on its way: the sender's peer address, the exchange it belongs to."""
+
+    sender: str
+    exchange: int
+    is_answer: bool
+    message: msgspec.Raw
+
+
 def limit_threads() -> None:
     """Keep the library's threads few; call before the first socket is opened."""
     library = pynng._nng.lib
@@ -44,11 +55,12 @@
 
 
 class Peers:
-    """This host's end of the messages to all others."""
+    """This host's end of the messages to all others; `message_type` is a union of structs."""
 
-    def __init__(self, address: str, handler: Handler) -> None:
+    def __init__(self, address: str, handler: Handler, message_type: Any) -> None:
         self.address = address
         self.handler = handler
+        self.message_type = message_type
         self.sent_bytes = 0
         self.received_bytes = 0
         self._socket: pynng.Pull0 | None = None
@@ -79,21 +91,27 @@
         envelope = decode_packed(data, Envelope, Step.PEER, "peer")
         if isinstance(envelope, Failure):
             logger.warning("Unreadable message. %s", envelope.detail)
+            return
+        message = decode_packed(bytes(envelope.message), self.message_type, Step.PEER, "peer")
+        if isinstance(message, Failure):
+            logger.warning("Unreadable message of %s. %s", envelope.sender, message.detail)
         elif envelope.is_answer:
-            self._take_answer(envelope)
+            self._take_answer(envelope, message)
         else:
-            eventlet.spawn(self._serve, envelope)
+            eventlet.spawn(self._serve, envelope, message)
 
-    def _take_answer(self, envelope: Envelope) -> None:
+    def _take_answer(self, envelope: Envelope, message: Message) -> None:
         signal = self._signal_by_exchange.get(envelope.exchange)
         # An answer that comes after its asker gave up finds no signal and is dropped.
         if signal is not None and not signal.ready():
-            signal.send(envelope.message)
+            signal.send(message)
+
+    def _serve(self, envelope: Envelope, message: Message) -> None:
+        answer = self.handler(message)
+        self._send(envelope.sender, self._wrap(envelope.exchange, True, answer))
 
-    def _serve(self, envelope: Envelope) -> None:
-        answer = self.handler(envelope.message)
-        reply = Envelope(self.address, envelope.exchange, True, answer)
-        self._send(envelope.sender, reply)
+    def _wrap(self, exchange: int, is_answer: bool, message: Message) -> Envelope:
+        return Envelope(self.address, exchange, is_answer, msgspec.Raw(encode_packed(message)))
 
     def ask(self, address: str, message: Message, timeout_s: float) -> Message | Failure:
         """Ask the host at a peer address; a failure says that no answer came, not that it ran."""
@@ -101,7 +119,7 @@
         signal: Signal = Signal()
         self._signal_by_exchange[exchange] = signal
         try:
-            if not self._send(address, Envelope(self.address, exchange, False, message)):
+            if not self._send(address, self._wrap(exchange, False, message)):
                 return self._gone(address, "not connected")
             with eventlet.Timeout(timeout_s, False):
                 return signal.wait()
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -0,0 +1,93 @@
+"""Requests of callers, in the terms that decisions are made in."""
+
+import time
+from typing import NewType
+
+import msgspec
+from ruddersaddle_base.ids import ModelId, RequestId
+
+from ruddersaddle_serving.routes import Route, Workspace
+
+PartId = NewType("PartId", str)
+Headers = tuple[tuple[str, str], ...]
+
+
+class Part(msgspec.Struct, frozen=True):
+    """One part of a prompt, named by its content; `tokens` is its length."""
+
+    id: PartId
+    tokens: int
+
+
+class Prompt(msgspec.Struct, frozen=True):
+    """What a request asks an engine: its parts in order, and the most tokens it generates."""
+
+    model: ModelId
+    parts: tuple[Part, ...]
+    tokens_in: int
+    tokens_out: int
+
+    @property
+    def shared_parts(self) -> tuple[Part, ...]:
+        """The parts that other requests have too; the last one is the request's own."""
+        return self.parts[:-1]
+
+    @property
+    def affinity_key(self) -> str:
+        """What requests that share most of their prompt have in common."""
+        shared = self.shared_parts or self.parts
+        return shared[-1].id if shared else ""
+
+
+class CallerHead(msgspec.Struct, frozen=True):
+    """What a request's headers say. `budget_s` is how long the caller waits, in seconds."""
+
+    id: RequestId
+    key: str | None
+    budget_s: float | None
+    prompt: Prompt | None
+    last_event: str | None
+    passed_headers: Headers
+    """Headers that go to the upstream as they came."""
+
+
+class CallerRequest:
+    """One request on its way through this host."""
+
+    def __init__(
+        self,
+        head: CallerHead,
+        method: str,
+        target: str,
+        body: bytes,
+        route: Route,
+        workspace: Workspace | None,
+        began: float,
+    ) -> None:
+        self.head = head
+        self.method = method
+        self.target = target
+        self.body = body
+        self.route = route
+        self.workspace = workspace
+        self.began = began
+        budget_s = route.timeout_s if head.budget_s is None else head.budget_s
+        self.budget_s = min(budget_s, route.timeout_s)
+        self.sent_to: list[str] = []
+
+    @property
+    def id(self) -> RequestId:
+        """The id that the caller gave."""
+        return self.head.id
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds that are left of the caller's time and the route's."""
+        return self.began + self.budget_s - time.monotonic()
+
+    @property
+    def priority(self) -> int:
+        """0 is the most urgent; a workspace's own goes before the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -0,0 +1,69 @@
+"""What this host believes of what operators published, and how young that belief is."""
+
+import logging
+import time
+
+from ruddersaddle_base.ids import ModelId
+
+from ruddersaddle_serving.ports import ModelVersion
+from ruddersaddle_serving.routes import Published, RouteTable
+
+logger = logging.getLogger(__name__)
+
+
+class Publications:
+    """The newest configuration and the newest named weights.
+
+    Within one process neither ever goes back. `confirmed_at` is the steady time at which the
+    question was sent whose answer last showed that nothing newer had been published.
+    """
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+        self.confirmed_at = float("-inf")
+        self.version_by_model: dict[ModelId, int] = {}
+        self.named_at_by_model: dict[ModelId, float] = {}
+        """When this host first heard of the newest weights of a model."""
+        self.end = 0
+        """Offset that follows the newest record that was taken into account."""
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration; 0 if there is none yet."""
+        return 0 if self.table is None else self.table.published.version
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the belief was last known to be the newest."""
+        return time.monotonic() - self.confirmed_at
+
+    def take(self, item: Published | ModelVersion) -> None:
+        """Take one published item if it is newer than what is known."""
+        match item:
+            case Published():
+                self._take_configuration(item)
+            case ModelVersion():
+                self._take_version(item)
+
+    def _take_configuration(self, published: Published) -> None:
+        if published.version <= self.version:
+            return
+        logger.info("Configuration %d is in force, after %d.", published.version, self.version)
+        self.table = RouteTable(published)
+
+    def _take_version(self, named: ModelVersion) -> None:
+        known = self.version_by_model.get(named.model, 0)
+        if named.version <= known:
+            return
+        logger.info("Weights %d of %s are named, after %d.", named.version, named.model, known)
+        self.version_by_model[named.model] = named.version
+        self.named_at_by_model[named.model] = time.monotonic()
+
+    def confirm(self, asked_at: float, end: int) -> bool:
+        """Note an answer to a question sent at `asked_at`; refuse one that lags behind."""
+        if end < self.end:
+            logger.warning("Answer of the store lags: it ends at %d, known is %d.", end, self.end)
+            return False
+        self.end = end
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        return True
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/routes.py
@@ -0,0 +1,128 @@
+"""The published configuration: routes, pools, context stores, workspaces and callers' limits."""
+
+from enum import Enum
+from typing import NewType
+
+import msgspec
+from ruddersaddle_base.ids import HallId, ModelId, PoolId, StoreId, WorkspaceId
+
+RouteName = NewType("RouteName", str)
+
+
+class RouteKind(Enum):
+    """What may be done with a request of a route."""
+
+    REPEATABLE = "repeatable"
+    """May run more than once."""
+    ONCE = "once"
+    """May run once at most."""
+    STREAM = "stream"
+    """Answered by a series of events."""
+
+
+class Target(msgspec.Struct, frozen=True):
+    """A pool that a route sends to, with its share of the route's requests."""
+
+    pool: PoolId
+    weight: float = 1.0
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where requests go, and within what bounds. Times are in seconds."""
+
+    name: RouteName
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_latency_s: float
+    targets: tuple[Target, ...]
+    priority: int = 5
+    """0 is the most urgent."""
+    upstreams_max: int = 1
+    """Most upstreams that one request may be sent to."""
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may be run again after it may have run once."""
+        return self.kind is RouteKind.REPEATABLE or self.resumable
+
+
+class Engine(msgspec.Struct, frozen=True):
+    """What the engines of a pool can do. Sizes are in tokens."""
+
+    slots: int
+    cache_tokens: int
+    models: tuple[ModelId, ...]
+    watchers_max: int = 8
+    """Most calls that wait for cache events at once."""
+
+
+class Pool(msgspec.Struct, frozen=True):
+    """Upstreams that serve the same work; `engine` is None for plain services."""
+
+    id: PoolId
+    engine: Engine | None = None
+
+
+class ContextStore(msgspec.Struct, frozen=True):
+    """A store of kept prompt parts. `link_mbps` is its link, `first_s` the wait of each move."""
+
+    id: StoreId
+    address: str
+    hall: HallId
+    capacity_tokens: int
+    link_mbps: float
+    first_s: float
+    watchers_max: int
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """Who sends requests. `dedicated` workspaces share no kept context with others."""
+
+    id: WorkspaceId
+    priority: int | None = None
+    dedicated: bool = False
+
+
+class CallerLimits(msgspec.Struct, frozen=True):
+    """Bounds on what callers send: sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4194304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+class Published(msgspec.Struct, frozen=True):
+    """One version of the configuration, whole."""
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    stores: tuple[ContextStore, ...] = ()
+    workspace_by_key: dict[str, Workspace] = {}
+    limits: CallerLimits = CallerLimits()
+    checks_keys: bool = False
+    """Whether requests of routes that are not public need a key."""
+
+
+class RouteTable:
+    """The routes of one configuration, found by host and path."""
+
+    def __init__(self, published: Published) -> None:
+        self.published = published
+        self.pool_by_id = {pool.id: pool for pool in published.pools}
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in sorted(published.routes, key=lambda route: -len(route.path_prefix)):
+            self._routes_by_host.setdefault(route.host.lower(), []).append(route)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, or None."""
+        name = host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
+        for route in self._routes_by_host.get(name.lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -0,0 +1,147 @@
+"""Follows topics of the platform's store, one task for each topic."""
+
+import logging
+import random
+import time
+
+
+import eventlet
+from ruddersaddle_base.failures import Code, Failure
+from ruddersaddle_base.ids import UpstreamId
+
+from ruddersaddle_serving.ports import MetadataStore, Page, Record, Topic
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+
+logger = logging.getLogger(__name__)
+
+OPERATOR_WAIT_S = 1.0
+"""How long one question for news of operators waits at the store. An answer confirms the
+configuration, whose age has to stay well under the shortest bound on it (`config_apply_ms`, 2 s)."""
+UPSTREAM_PAUSE_S = 0.8
+"""Pause between reads of upstreams' entries. Each upstream writes every 1.2 s, so a waiting read
+would return at once; a leave has to be known within `drain_ms` (2 s)."""
+RETRY_S = 0.3
+"""Pause after a failed read, with as much again drawn at random, so that hosts spread out."""
+
+
+class StoreLink:
+    """Whether the store answers this host, told in the log once for each change."""
+
+    def __init__(self) -> None:
+        self.lost_since: float | None = None
+        self.answered_at = float("-inf")
+
+    def note(self, answer: object) -> None:
+        """Take the answer to any call."""
+        if isinstance(answer, Failure) and answer.code is not Code.GAP:
+            if self.lost_since is None:
+                self.lost_since = time.monotonic()
+                logger.warning("Store is lost. %s: %s", answer.step.value, answer.detail)
+            return
+        self.answered_at = time.monotonic()
+        if self.lost_since is not None:
+            away_s = time.monotonic() - self.lost_since
+            logger.info("Store is regained after %.1f s.", away_s)
+            self.lost_since = None
+
+
+class TopicFollower:
+    """Reads one keyed topic whole, then what changes."""
+
+    def __init__(self, store: MetadataStore, topic: Topic, link: StoreLink) -> None:
+        self.store = store
+        self.topic = topic
+        self.link = link
+        self.position: int | None = None
+
+    def run(self, wait_s: float, pause_s: float) -> None:
+        """Follow the topic for good."""
+        while True:
+            page = self._read(wait_s)
+            self.link.note(page)
+            if isinstance(page, Failure):
+                self._note_failure(page)
+                eventlet.sleep(RETRY_S * (1 + random.random()))
+                continue
+            eventlet.sleep(pause_s)
+
+    def _read(self, wait_s: float) -> Page | Failure:
+        asked_at = time.monotonic()
+        if self.position is None:
+            page = self.store.newest(self.topic)
+        else:
+            page = self.store.changes(self.topic, self.position, wait_s)
+        if isinstance(page, Failure):
+            return page
+        whole = self.position is None
+        if self.take(page, whole, asked_at):
+            self.position = page.end
+        return page
+
+    def _note_failure(self, failure: Failure) -> None:
+        if failure.code is Code.GAP:
+            logger.info("Topic %s has dropped records; it is read whole.", self.topic.value)
+            self.position = None
+        else:
+            self.note_outage()
+
+    def take(self, page: Page, whole: bool, asked_at: float) -> bool:
+        """Take a page; return whether it is not older than what is known."""
+        raise NotImplementedError
+
+    def note_outage(self) -> None:
+        """Take that the store did not answer."""
+
+
+class OperatorFollower(TopicFollower):
+    """Follows what operators publish."""
+
+    def __init__(self, store: MetadataStore, link: StoreLink, publications: Publications) -> None:
+        super().__init__(store, Topic.OPERATOR, link)
+        self.publications = publications
+
+    def take(self, page: Page, whole: bool, asked_at: float) -> bool:
+        """Take published items, then confirm the belief as of the question."""
+        for record in page.records:
+            item = self.store.decode_operator(record)
+            if isinstance(item, Failure):
+                logger.error("Record %d of %s is unreadable. %s", record.offset, record.key, item)
+            elif item is not None:
+                self.publications.take(item)
+        return self.publications.confirm(asked_at, page.end)
+
+
+class UpstreamFollower(TopicFollower):
+    """Follows the entries of upstreams."""
+
+    def __init__(self, store: MetadataStore, link: StoreLink, upstreams: UpstreamList) -> None:
+        super().__init__(store, Topic.UPSTREAMS, link)
+        self.upstreams = upstreams
+
+    def take(self, page: Page, whole: bool, asked_at: float) -> bool:
+        """Take entries and their ends."""
+        if whole:
+            decoded = [self._decode(record) for record in page.records if record.value]
+            entries = [entry for entry in decoded if entry is not None]
+            self.upstreams.replace(entries, asked_at)
+            return True
+        for record in page.records:
+            entry = self._decode(record) if record.value else None
+            if entry is not None:
+                self.upstreams.put(entry)
+            elif not record.value:
+                self.upstreams.remove(UpstreamId(record.key))
+        self.upstreams.confirm(asked_at)
+        return True
+
+    def _decode(self, record: Record) -> UpstreamEntry | None:
+        entry = self.store.decode_upstream(record)
+        if isinstance(entry, Failure):
+            logger.error("Entry of %s is unreadable. %s", record.key, entry.detail)
+            return None
+        return entry
+
+    def note_outage(self) -> None:
+        """Entries may lapse while the store is away."""
+        self.upstreams.note_outage()
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -0,0 +1,109 @@
+"""What this host knows of each upstream from its own requests."""
+
+import time
+
+from ruddersaddle_base.ids import UpstreamId
+
+from ruddersaddle_serving.upstream_connections import UpstreamConnections
+from ruddersaddle_serving.upstream_lists import UpstreamEntry
+
+OUTCOME_WEIGHT = 0.2
+"""Weight of the newest outcome in the mean share of failures: about the last ten count."""
+FAILING_SHARE = 0.35
+"""An upstream that fails more than this share is left out while others are there. Upstreams answer
+some of their requests with an error of their own (up to 14 % of a class on the sheets)."""
+FORGET_S = 3.0
+"""A share of failures halves in this time without requests, so that an upstream is tried again."""
+OFF_AFTER_CONNECT_S = 0.5
+"""An upstream that took no connection is left out this long, then twice as long each time."""
+OFF_MAX_S = 4.0
+
+
+class Tracker:
+    """One upstream as this host's own requests show it."""
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.entry = entry
+        self.connections = UpstreamConnections(entry.address)
+        self.in_flight = 0
+        self.waiting_tokens = 0
+        """Tokens of prompts that were sent and whose first event has not come."""
+        self.version_by_model = dict(entry.version_by_model)
+        self.avoided_until = 0.0
+        """The holder of the lease empties this upstream until then, on the steady clock."""
+        self._failing = 0.0
+        self._noted_at = time.monotonic()
+        self._refusals = 0
+        self._off_until = 0.0
+
+    @property
+    def id(self) -> UpstreamId:
+        """The upstream's id."""
+        return self.entry.id
+
+    @property
+    def failing_share(self) -> float:
+        """About the share of recent requests that failed."""
+        idle_s = time.monotonic() - self._noted_at
+        return self._failing * 0.5 ** (idle_s / FORGET_S)
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether requests to it are likely to be answered."""
+        return time.monotonic() >= self._off_until and self.failing_share < FAILING_SHARE
+
+    @property
+    def is_avoided(self) -> bool:
+        """Whether it is being emptied for an order."""
+        return time.monotonic() < self.avoided_until
+
+    def note_outcome(self, failed: bool) -> None:
+        """Count how a request ended."""
+        share = self.failing_share
+        self._failing = share + OUTCOME_WEIGHT * (float(failed) - share)
+        self._noted_at = time.monotonic()
+        if not failed:
+            self._refusals = 0
+
+    def note_no_connection(self) -> None:
+        """Count a connection that did not come about."""
+        off_s = min(OFF_MAX_S, OFF_AFTER_CONNECT_S * 2**self._refusals)
+        self._refusals += 1
+        self._off_until = time.monotonic() + off_s
+
+    def take_entry(self, entry: UpstreamEntry) -> None:
+        """Take a newer entry; versions of weights never go back within one start."""
+        self.entry = entry
+        for model, version in entry.version_by_model.items():
+            self.take_version(model, version)
+
+    def take_version(self, model: str, version: int) -> None:
+        """Take that the upstream has these weights of a model now."""
+        self.version_by_model[model] = max(version, self.version_by_model.get(model, 0))
+
+
+class Trackers:
+    """Trackers of all upstreams that have an entry, by id."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[UpstreamId, Tracker] = {}
+
+    def at(self, entry: UpstreamEntry) -> Tracker:
+        """Return the tracker of an entry."""
+        tracker = self.by_id.get(entry.id)
+        if tracker is None:
+            tracker = self.by_id[entry.id] = Tracker(entry)
+        elif tracker.entry is not entry:
+            tracker.take_entry(entry)
+        return tracker
+
+    def keep_only(self, upstreams: set[UpstreamId]) -> None:
+        """Forget upstreams that are gone and have no request under way."""
+        for gone in set(self.by_id) - upstreams:
+            if not self.by_id[gone].in_flight:
+                self.by_id.pop(gone).connections.close()
+
+    def close_expired(self) -> None:
+        """Close idle connections that are too old."""
+        for tracker in self.by_id.values():
+            tracker.connections.close_expired()
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -0,0 +1,194 @@
+"""Connections to upstreams for callers' requests, kept open between requests.
+
+A connection is used again only after a whole answer to the right request was read from it, and only
+while nothing has arrived on it since: what arrives on an idle connection belongs to no request.
+"""
+
+import socket
+import time
+from collections.abc import Mapping
+
+from http.client import HTTPException
+
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from urllib3.response import BaseHTTPResponse
+from urllib3.util import SKIP_HEADER
+
+from ruddersaddle_serving.ports import AnswerHead, Wire
+
+CONNECT_S = 0.35
+"""Longest wait for a connection. Upstreams take one in a few milliseconds; the bound leaves time to
+try another upstream within the shortest latency targets (200 ms) plus one."""
+IDLE_S = 4.0
+"""Idle connections are kept this long where the upstream names no time of its own."""
+IDLE_MARGIN_S = 1.0
+"""An idle connection is left alone this long before the upstream would close it."""
+IDLE_MAX = 32
+"""Idle connections kept for each address."""
+READ_BYTES = 65536
+UNACKNOWLEDGED_MS = 3000
+"""TCP gives a connection up when sent bytes are not acknowledged for this long, so that a silent
+host is noticed (TCP_USER_TIMEOUT). As long as `contact_ms`: shorter cuts are outlived."""
+ERRORS = (HTTPError, HTTPException, OSError, ValueError)
+SKIPPED = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+
+
+class IdleConnection:
+    """A connection that waits for its next request."""
+
+    def __init__(self, connection: HTTPConnection, until: float) -> None:
+        self.connection = connection
+        self.until = until
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it is young enough and nothing has arrived on it."""
+        return time.monotonic() < self.until and self.connection.is_connected
+
+
+class Exchange:
+    """One request on one connection, and its answer."""
+
+    def __init__(self, pool: "UpstreamConnections", connection: HTTPConnection) -> None:
+        self.pool = pool
+        self.connection = connection
+        self.raw: BaseHTTPResponse | None = None
+        self.head: AnswerHead | None = None
+        self.whole = False
+
+    def send(
+        self, method: str, target: str, body: bytes, headers: Mapping[str, str]
+    ) -> Failure | None:
+        """Send the request; after a failure it may have run."""
+        sent = {name: value for name, value in SKIPPED.items() if name.lower() not in _names(headers)}
+        sent.update(headers)
+        data = body if body or method not in ("GET", "HEAD", "DELETE") else None
+        try:
+            self.connection.request(
+                method, target, data, sent, preload_content=False, decode_content=False
+            )
+        except ERRORS as error:
+            return self._fail(Step.SEND, error)
+        return None
+
+    def read_head(self, wire: Wire) -> AnswerHead | Failure:
+        """Wait for the head of the answer."""
+        try:
+            self.raw = self.connection.getresponse()
+        except ERRORS as error:
+            return self._fail(Step.READ, error)
+        headers = tuple((name, value) for name, value in self.raw.headers.items())
+        self.head = wire.read_answer(self.raw.status, headers)
+        return self.head
+
+    def read_some(self) -> bytes | Failure:
+        """Return bytes of the body as they arrive; empty at its end."""
+        try:
+            data = self.raw.read1(READ_BYTES, decode_content=False)
+        except ERRORS as error:
+            return self._fail(Step.READ, error)
+        if not data:
+            self.whole = True
+        return data
+
+    def read_all(self, bytes_max: int) -> bytes | Failure:
+        """Return the whole body."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            data = self.read_some()
+            if isinstance(data, Failure):
+                return data
+            if not data:
+                return b"".join(parts)
+            size += len(data)
+            if size > bytes_max:
+                return self._fail(Step.READ, ValueError("the answer is too large"))
+            parts.append(data)
+
+    def finish(self) -> None:
+        """Keep the connection if its answer was read whole, or close it."""
+        if self.whole and self._may_be_kept():
+            self.pool.keep(self.connection, self.head.keep_idle_s)
+        else:
+            self.connection.close()
+
+    def _may_be_kept(self) -> bool:
+        if self.raw is None or self.raw.version != 11:
+            return False
+        headers = self.raw.headers
+        tokens = headers.get("Connection", "").lower()
+        sized = headers.get("Content-Length") is not None
+        chunked = headers.get("Transfer-Encoding", "").lower() == "chunked"
+        return "close" not in tokens and (sized or chunked)
+
+    def _fail(self, step: Step, error: Exception) -> Failure:
+        detail = f"{type(error).__name__}: {error}"
+        return Failure(Code.UPSTREAM_FAILED, step, self.pool.address, detail, Ran.UNKNOWN)
+
+
+class UpstreamConnections:
+    """The connections to one address."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.opened = 0
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._idle: list[IdleConnection] = []
+
+    def begin(self) -> Exchange | Failure:
+        """Return an exchange on an idle connection, or on a new one."""
+        while self._idle:
+            idle = self._idle.pop()
+            if idle.is_usable:
+                return Exchange(self, idle.connection)
+            idle.connection.close()
+        connection = HTTPConnection(
+            self._host, self._port, timeout=CONNECT_S, socket_options=_socket_options()
+        )
+        try:
+            connection.connect()
+        except ERRORS as error:
+            connection.close()
+            detail = f"{type(error).__name__}: {error}"
+            return Failure(Code.UPSTREAM_FAILED, Step.CONNECT, self.address, detail, Ran.NOT_RUN)
+        self.opened += 1
+        # Bounds on the answer are the request's own; it raises into whoever waits here.
+        connection.timeout = None
+        return Exchange(self, connection)
+
+    def keep(self, connection: HTTPConnection, idle_s: float | None) -> None:
+        """Keep a connection for the next request."""
+        kept_s = IDLE_S if idle_s is None else idle_s
+        if kept_s <= IDLE_MARGIN_S or len(self._idle) >= IDLE_MAX:
+            connection.close()
+            return
+        until = time.monotonic() + kept_s - IDLE_MARGIN_S
+        self._idle.append(IdleConnection(connection, until))
+
+    def close_expired(self) -> None:
+        """Close idle connections that are too old."""
+        usable = [idle for idle in self._idle if idle.is_usable]
+        for idle in set(self._idle) - set(usable):
+            idle.connection.close()
+        self._idle = usable
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle:
+            idle.connection.close()
+        self._idle.clear()
+
+
+def _names(headers: Mapping[str, str]) -> set[str]:
+    return {name.lower() for name in headers}
+
+
+def _socket_options() -> list[tuple[int, int, int]]:
+    return [
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+    ]
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -0,0 +1,103 @@
+"""Which upstreams there are, as their own entries in the platform's store say."""
+
+import logging
+import time
+from collections.abc import Iterable
+
+import msgspec
+from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
+
+logger = logging.getLogger(__name__)
+
+LAPSE_GRACE_S = 1.6
+"""An entry that is gone right after an outage of the store is kept this long: entries that lapsed
+meanwhile are back within about two seconds, and a planned leave binds after `drain_ms` (2 s)."""
+OUTAGE_MEMORY_S = 4.0
+"""How long after the store's return a missing entry may be one that lapsed: two seconds until
+upstreams write again, and two for this host to read it."""
+
+
+class UpstreamEntry(msgspec.Struct, frozen=True):
+    """One start of one upstream, as it describes itself."""
+
+    id: UpstreamId
+    pool: PoolId
+    address: str
+    hall: HallId
+    slots: int
+    leaving: bool
+    version_by_model: dict[ModelId, int]
+
+
+class UpstreamList:
+    """The entries by id. Times are of the steady clock, in seconds."""
+
+    def __init__(self) -> None:
+        self.by_id: dict[UpstreamId, UpstreamEntry] = {}
+        self.complete = False
+        self.confirmed_at = 0.0
+        """When the question was sent whose answer was last taken."""
+        self._lapse_by_id: dict[UpstreamId, float] = {}
+        self._outage_until = 0.0
+
+    def note_outage(self) -> None:
+        """Remember that the store does not answer; entries may lapse meanwhile."""
+        self._outage_until = time.monotonic() + OUTAGE_MEMORY_S
+
+    def replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
+        """Take a whole list."""
+        found = {entry.id: entry for entry in entries}
+        for gone in set(self.by_id) - set(found):
+            self.remove(gone)
+        for entry in found.values():
+            self.put(entry)
+        self.complete = True
+        self.confirm(asked_at)
+
+    def put(self, entry: UpstreamEntry) -> None:
+        """Take one entry."""
+        known = self.by_id.get(entry.id)
+        self._lapse_by_id.pop(entry.id, None)
+        if known is not None and known.leaving and not entry.leaving:
+            # A leave is never taken back within one start of an upstream.
+            entry = msgspec.structs.replace(entry, leaving=True)
+        self.by_id[entry.id] = entry
+        if known != entry:
+            logger.info(
+                "Upstream %s of %s at %s: leaving %s, versions %s.",
+                entry.id,
+                entry.pool,
+                entry.address,
+                entry.leaving,
+                entry.version_by_model,
+            )
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Take that an entry is gone, at once or after the grace that follows an outage."""
+        if upstream not in self.by_id:
+            return
+        now = time.monotonic()
+        if now < self._outage_until:
+            if upstream not in self._lapse_by_id:
+                logger.info("Entry of %s is gone after an outage of the store.", upstream)
+            self._lapse_by_id.setdefault(upstream, now + LAPSE_GRACE_S)
+            return
+        self._drop(upstream)
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that the list is as new as a question sent at `asked_at`; drop what lapsed."""
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+        now = time.monotonic()
+        for upstream, until in list(self._lapse_by_id.items()):
+            if now >= until:
+                del self._lapse_by_id[upstream]
+                self._drop(upstream)
+
+    def _drop(self, upstream: UpstreamId) -> None:
+        entry = self.by_id.pop(upstream, None)
+        if entry is not None:
+            logger.info("Upstream %s of %s at %s is gone.", upstream, entry.pool, entry.address)
+
+    def of_pool(self, pool: PoolId) -> list[UpstreamEntry]:
+        """Return the entries of a pool that take new work."""
+        return [each for each in self.by_id.values() if each.pool == pool and not each.leaving]
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -0,0 +1,243 @@
+"""Brings engines to newly named weights, a share of them at a time.
+
+Any host may do this; the holder of the lease does. An engine first gets no new work for a moment, so
+that few runs have to end before it loads and few requests are refused meanwhile.
+"""
+
+import logging
+import time
+
+import eventlet
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import ModelId, UpstreamId
+from ruddersaddle_routing.rendezvous import rank_names
+
+from ruddersaddle_serving.fence_leases import FenceLease
+from ruddersaddle_serving.kept_parts import KeptParts, KeptStore
+from ruddersaddle_serving.neighbours import Emptying, Loaded, Neighbours
+from ruddersaddle_serving.ports import Engines, Order, OrderOutcome
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.trackers import Tracker, Trackers
+from ruddersaddle_serving.upstream_lists import UpstreamList
+
+logger = logging.getLogger(__name__)
+
+LOOK_S = 0.2
+AT_ONCE_SHARE = 0.4
+"""Share of a pool's engines that load at once. The weight store serves about this share before each
+load takes longer (2 of 5, 18 of 45, 22 of 56 on the sheets), and the rest carries the traffic."""
+EMPTY_S = 0.9
+"""Longest wait for an engine to become empty before its order; most runs take less than a second."""
+REPORT_S = 0.25
+"""Pause between looks at an engine's report, which is some hundred milliseconds old itself."""
+LOAD_MAX_S = 6.0
+"""An engine that does not show the new weights after this long is tried again. A load takes 1.3 s,
+longer when many load, and waits for runs that have to end."""
+UNANSWERED_S = 2.5
+"""An order without an answer is given again after this long if the engine shows no sign of it."""
+STALLED_S = 2.5
+"""A host that is not first in line for the lease acts when nothing has moved for this long, and for
+`RANK_S` longer for each host before it."""
+RANK_S = 1.2
+FREE_AFTER_S = 6.0
+"""Parts of replaced weights are freed this long after the last engine has newer ones: a request that
+was sent to an engine before may fetch for `FETCH_S`, and hosts differ in what they know by two
+seconds."""
+FREE_BATCH = 400
+
+
+class WeightRollouts:
+    """The task that gives orders while this host holds the lease."""
+
+    def __init__(
+        self,
+        lease: FenceLease,
+        publications: Publications,
+        upstreams: UpstreamList,
+        trackers: Trackers,
+        neighbours: Neighbours,
+        engines: Engines,
+        kept: KeptParts,
+    ) -> None:
+        self.lease = lease
+        self.publications = publications
+        self.upstreams = upstreams
+        self.trackers = trackers
+        self.neighbours = neighbours
+        self.engines = engines
+        self.kept = kept
+        self.counts = {"orders": 0, "orders_fenced": 0, "loads": 0, "parts_freed": 0}
+        self.stopping = False
+        self._loading: set[UpstreamId] = set()
+        self._left: dict[ModelId, int] = {}
+        self._moved_at = time.monotonic()
+        self._settled_at: dict[ModelId, float] = {}
+        self._fenced_until = float("-inf")
+
+    def start(self) -> None:
+        """Start the task."""
+        eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            for model, version in list(self.publications.version_by_model.items()):
+                self._look(model, version)
+            eventlet.sleep(LOOK_S)
+
+    def _look(self, model: ModelId, version: int) -> None:
+        engines = self._engines_of(model)
+        outdated = [each for each in engines if each.version_by_model.get(model, 0) < version]
+        self._note_progress(model, len(outdated))
+        if not outdated:
+            self._free_replaced(model, version, bool(engines))
+            return
+        self._settled_at.pop(model, None)
+        room = self._room(engines)
+        waiting = [each for each in outdated if each.id not in self._loading]
+        if room <= 0 or not waiting or not self._is_in_turn(model):
+            return
+        if not self.lease.take():
+            return
+        for tracker in sorted(waiting, key=lambda each: each.in_flight)[:room]:
+            self._loading.add(tracker.id)
+            eventlet.spawn(self._bring, tracker, model, version)
+
+    def _engines_of(self, model: ModelId) -> list[Tracker]:
+        """Return the engines that have a model and stay."""
+        entries = self.upstreams.by_id.values()
+        found = [each for each in entries if model in each.version_by_model and not each.leaving]
+        return [self.trackers.at(entry) for entry in found]
+
+    def _room(self, engines: list[Tracker]) -> int:
+        busy = sum(each.is_avoided or each.id in self._loading for each in engines)
+        return max(1, int(len(engines) * AT_ONCE_SHARE)) - busy
+
+    def _note_progress(self, model: ModelId, left: int) -> None:
+        if self._left.get(model, 0) != left:
+            self._left[model] = left
+            self._moved_at = time.monotonic()
+        self._moved_at = max(self._moved_at, self.neighbours.news_at)
+
+    def _is_in_turn(self, model: ModelId) -> bool:
+        """Return whether this host is first in line, or those before it do nothing."""
+        now = time.monotonic()
+        if self.stopping or now < self._fenced_until:
+            return False
+        if self.lease.is_holder:
+            return True
+        line = rank_names(model, self.neighbours.live_hosts)
+        rank = line.index(self.neighbours.address)
+        if rank == 0:
+            return True
+        return now - self._moved_at > STALLED_S + RANK_S * rank
+
+    # One engine
+
+    def _bring(self, tracker: Tracker, model: ModelId, version: int) -> None:
+        try:
+            self.neighbours.tell_all(Emptying(tracker.id, EMPTY_S + LOAD_MAX_S))
+            self._await_empty(tracker)
+            if self._order(tracker, model, version) and self._await_version(
+                tracker, model, version
+            ):
+                self.counts["loads"] += 1
+                self.neighbours.tell_all(Loaded(tracker.id, model, version))
+                return
+            # It takes work again on the weights that it has, until it is tried again.
+            held = tracker.version_by_model.get(model, 0)
+            self.neighbours.tell_all(Loaded(tracker.id, model, held))
+        finally:
+            self._loading.discard(tracker.id)
+
+    def _await_empty(self, tracker: Tracker) -> None:
+        until = time.monotonic() + EMPTY_S
+        eventlet.sleep(REPORT_S * 2)
+        while time.monotonic() < until:
+            report = self.engines.report(tracker.entry.address)
+            if isinstance(report, Failure) or report.active + report.queued == 0:
+                return
+            eventlet.sleep(min(REPORT_S, max(0.0, until - time.monotonic())))
+
+    def _order(self, tracker: Tracker, model: ModelId, version: int) -> bool:
+        """Give the order; return whether the engine has taken it or may have."""
+        report = self.engines.report(tracker.entry.address)
+        if isinstance(report, Failure):
+            logger.info("Engine %s gives no report. %s", tracker.id, report.detail)
+            return False
+        if report.version_by_model.get(model, 0) >= version or report.loading:
+            return True
+        if not self.lease.take() or not self.lease.may_order:
+            return False
+        self.counts["orders"] += 1
+        order = Order(
+            upstream=tracker.id,
+            model=model,
+            version=version,
+            holder=self.lease.holder,
+            fence=self.lease.fence,
+            sequence=report.sequence,
+        )
+        outcome = self.engines.order(tracker.entry.address, order)
+        detail = outcome.detail if isinstance(outcome, Failure) else outcome.value
+        logger.info(
+            "Order to %s: weights %d of %s, fence %d, sequence %d: %s.",
+            tracker.id,
+            version,
+            model,
+            order.fence,
+            order.sequence,
+            detail,
+        )
+        if outcome is OrderOutcome.FENCED:
+            self.counts["orders_fenced"] += 1
+            self._fenced_until = time.monotonic() + 2 * self.lease.lease_s
+        return isinstance(outcome, Failure) or outcome in (
+            OrderOutcome.TAKEN,
+            OrderOutcome.HOLDS,
+            OrderOutcome.BUSY,
+        )
+
+    def _await_version(self, tracker: Tracker, model: ModelId, version: int) -> bool:
+        """Wait for the new weights; return whether the engine shows them."""
+        began = time.monotonic()
+        while time.monotonic() - began < LOAD_MAX_S:
+            eventlet.sleep(REPORT_S)
+            report = self.engines.report(tracker.entry.address)
+            if tracker.id not in self.upstreams.by_id:
+                return False
+            if isinstance(report, Failure):
+                continue
+            if report.version_by_model.get(model, 0) >= version:
+                tracker.take_version(model, report.version_by_model[model])
+                return True
+            if not report.loading and time.monotonic() - began > UNANSWERED_S:
+                return False
+        return False
+
+    # Parts of replaced weights
+
+    def _free_replaced(self, model: ModelId, version: int, any_engine: bool) -> None:
+        """Free what was kept for older weights, once no engine can ask for it any more."""
+        now = time.monotonic()
+        settled_at = self._settled_at.setdefault(model, now)
+        if not any_engine or now - settled_at < FREE_AFTER_S:
+            return
+        line = rank_names(f"free/{model}", self.neighbours.live_hosts)
+        if line[0] != self.neighbours.address or self.stopping:
+            return
+        for kept in self.kept.by_id.values():
+            if kept.is_trusted:
+                self._free_at(kept, model, version)
+
+    def _free_at(self, kept: KeptStore, model: ModelId, version: int) -> None:
+        parts = kept.parts_before(model, version)[:FREE_BATCH]
+        if not parts:
+            return
+        failure = self.engines.free(kept.spec, kept.epoch, parts)
+        if failure is not None:
+            logger.info("Parts at %s were not freed. %s", kept.spec.id, failure.detail)
+            return
+        self.counts["parts_freed"] += len(parts)
+        logger.info("Freed %d parts of replaced weights at %s.", len(parts), kept.spec.id)
+        for part in parts:
+            kept.put(part)
