Place prompts by reading, memory and moves; hosts tell one another of requests at engines

Change: every host tells the others each step of its requests; placement takes the lowest sum of waiting, moving, reading; small parts are saved to fast stores, large ones to slow ones; requests are held while all engines are full; engines are emptied before an order, which then retains what is left.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := base state upstreams routing daemon standins
+LIBS := base state upstreams routing serving daemon standins
 TOPOLOGY ?= akureyri
 SEED ?= 1
 ROUNDS ?= 20
@@ -10,18 +10,18 @@
 
 setup: $(VENV)/.done
 
-$(VENV)/.done: requirements.lock $(foreach l,$(LIBS),libs/$(l)/pyproject.toml)
+$(VENV)/.done: requirements.lock $(foreach l,$(LIBS),libs/$(l)/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q -r requirements.lock
-	$(BIN)/pip install -q --no-deps --no-build-isolation $(foreach l,$(LIBS),-e libs/$(l))
+	$(BIN)/pip install -q --no-deps --no-build-isolation $(foreach l,$(LIBS),-e libs/$(l)) -e platform
 	touch $@
 
 demo: setup
 	$(BIN)/ruddersaddle-standin demo --topology $(TOPOLOGY)
 
 lint: setup
-	$(BIN)/ruff format --check libs
-	$(BIN)/ruff check libs
+	$(BIN)/ruff format --check libs platform
+	$(BIN)/ruff check libs platform
 
 test: setup
 	$(BIN)/python -m ruddersaddle_standins.suites
--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -1,16 +1,22 @@
 """One try of a request at one upstream."""
 
+import itertools
 import logging
+from collections.abc import Callable
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
 from ruddersaddle_serving.prompts import CallerRequest
+from ruddersaddle_serving.trackers import Assignment, Notice, Progress
 from ruddersaddle_serving.upstream_connections import Exchange
 
 logger = logging.getLogger(__name__)
 
+_numbers = itertools.count(1)
+"""Numbers of this process's tries, by which other hosts tell them apart."""
+
 PROMISES = frozenset({408, 421, 429, 503})
 """Statuses that promise the caller that its request has not run and never will."""
 REFUSED_RETRY_S = 0.2
@@ -22,24 +28,24 @@
     """One try; it counts as the upstream's load until it is finished."""
 
     def __init__(
-        self, request: CallerRequest, choice: Choice, wire: Wire, last_event: str | None
+        self,
+        request: CallerRequest,
+        choice: Choice,
+        wire: Wire,
+        last_event: str | None,
+        tell: Callable[[Notice], None],
     ) -> None:
+        self.tell = tell
+        self.number = next(_numbers)
         self.request = request
         self.choice = choice
         self.wire = wire
         self.last_event = last_event
         self.sent = False
         self.exchange: Exchange | None = None
-        self._tokens = self._missing_tokens()
-        tracker = choice.tracker
-        tracker.in_flight += 1
-        tracker.waiting_tokens += self._tokens
+        choice.tracker.in_flight += 1
         self._finished = False
 
-    def _missing_tokens(self) -> int:
-        prompt = self.request.head.prompt
-        return 0 if prompt is None else prompt.tokens_in
-
     def connect(self) -> Failure | None:
         """Get a connection; nothing is sent yet."""
         exchange = self.choice.tracker.connections.begin()
@@ -61,6 +67,7 @@
         )
         headers = self.wire.write_delivery(delivery, request.remaining_s)
         self.sent = True
+        self._note(Progress.SENT, self.choice.assignment)
         failure = self.exchange.send(request.method, request.target, request.body, headers)
         if failure is not None:
             return failure
@@ -109,8 +116,13 @@
 
     def note_first_event(self) -> None:
         """Take that the prompt was read."""
-        self.choice.tracker.waiting_tokens -= self._tokens
-        self._tokens = 0
+        self._note(Progress.FIRST)
+
+    def _note(self, progress: Progress, assignment: Assignment | None = None) -> None:
+        """Tell all hosts, this one among them, how far the request is at an engine."""
+        if self.choice.assignment is not None:
+            tracker = self.choice.tracker
+            self.tell(Notice(tracker.id, self.number, progress, assignment))
 
     def finish(self, failed: bool | None) -> None:
         """End the try; `failed` is None where it says nothing about the upstream."""
@@ -119,7 +131,8 @@
         self._finished = True
         tracker = self.choice.tracker
         tracker.in_flight -= 1
-        tracker.waiting_tokens -= self._tokens
+        if self.sent:
+            self._note(Progress.ENDED)
         if self.exchange is not None:
             self.exchange.finish()
         if failed is not None:
--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -13,9 +13,7 @@
 """A header's name (RFC 9110, 5.6.2)."""
 BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-TOO_LARGE = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-)
+TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 
 class HeadTimeout(eventlet.Timeout):
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -37,7 +37,7 @@
     StoreLink,
     UpstreamFollower,
 )
-from ruddersaddle_serving.trackers import Trackers
+from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.weight_rollouts import WeightRollouts
 
@@ -109,7 +109,12 @@
             self.kept,
         )
         self.forwarder = Forwarder(
-            placement, wire, self.publications, self.budget, self.key_age_max_s
+            placement,
+            wire,
+            self.publications,
+            self.budget,
+            self.key_age_max_s,
+            self._tell_notice,
         )
         self.front = Front(wire, self.publications, self.forwarder, self.histograms)
 
@@ -128,6 +133,7 @@
         lease = FenceLease(self.store, self.incarnation, lease_s)
         self.rollouts = WeightRollouts(
             lease,
+            settings.number("bounds.weights_ms") / MS_PER_S,
             self.publications,
             self.upstreams,
             self.trackers,
@@ -136,6 +142,9 @@
             self.kept,
         )
 
+    def _tell_notice(self, notice: Notice) -> None:
+        self.neighbours.tell_notice(notice)
+
     # Running
 
     def serve(self) -> None:
@@ -182,12 +191,22 @@
             if table is not None and table is not self._table:
                 self._table = table
                 self.kept.update(table.published.stores)
+            self._size_memories()
             self.trackers.keep_only(set(self.upstreams.by_id))
             self.trackers.close_expired()
             slack = self.settings.number("bounds.retry_slack") * BUDGET_SHARE
             self.budget.most = max(1.0, slack / self.neighbours.hosts_count)
             eventlet.sleep(HOUSEKEEPING_S)
 
+    def _size_memories(self) -> None:
+        """Take the engines' memory from the configuration."""
+        if self._table is None:
+            return
+        for tracker in self.trackers.by_id.values():
+            pool = self._table.pool_by_id.get(tracker.entry.pool)
+            if pool is not None and pool.engine is not None:
+                tracker.memory.capacity_tokens = pool.engine.cache_tokens
+
     # Readiness, metrics
 
     def is_ready(self) -> bool:
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -2,8 +2,9 @@
 
 import logging
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
+import eventlet
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, UpstreamId
@@ -11,11 +12,12 @@
 
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.event_streams import EventSplitter
-from ruddersaddle_serving.placements import Placement
+from ruddersaddle_serving.placements import Choice, Full, Placement
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import RouteKind
+from ruddersaddle_serving.trackers import Notice
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +25,11 @@
 """Longest answer that is read whole before it is passed on, in bytes."""
 CONNECTS_MAX = 6
 """Upstreams that are tried for a connection; nothing was sent to those that gave none."""
+HELD_SHARE = 0.8
+"""Share of the latency target for which a request is held while all engines are full. It is offered
+to one within its target in any case."""
+HELD_LOOK_S = 0.02
+"""Pause between looks at engines' room; a run ends about each 10 ms at the peak of the sheets."""
 LEAST_REMAINING_S = 0.02
 """With less time than this left nothing is sent any more."""
 
@@ -42,11 +49,14 @@
         self.tries: list[str] = []
         self.upstream = ""
         self.version: int | None = None
-        self.rank = 0
+        self.wait_s = 0.0
+        self.covered_tokens = 0
+        self.missing_tokens = 0
         self.candidates = 0
         self.fetched = 0
         self.saved = 0
         self.first_s: float | None = None
+        self.held_s = 0.0
 
 
 class Forwarder:
@@ -59,7 +69,9 @@
         publications: Publications,
         budget: RetryBudget,
         key_age_max_s: float,
+        tell: Callable[[Notice], None],
     ) -> None:
+        self.tell = tell
         self.placement = placement
         self.wire = wire
         self.publications = publications
@@ -124,10 +136,10 @@
         for _ in range(CONNECTS_MAX):
             if self.request.remaining_s < LEAST_REMAINING_S:
                 return Failure(Code.DEADLINE, Step.CONNECT, str(self.pool), "no time is left")
-            choice = forwarder.placement.choose(self.request, self.pool, self._excluded)
+            choice = self._choose()
             if isinstance(choice, Failure):
                 return choice if failure is None else failure
-            self.attempt = Attempt(self.request, choice, forwarder.wire, last_event)
+            self.attempt = Attempt(self.request, choice, forwarder.wire, last_event, forwarder.tell)
             self._note_choice()
             failure = self.attempt.connect()
             if failure is None:
@@ -136,6 +148,21 @@
             self._end_attempt(None, f"{choice.tracker.id} no connection")
         return failure
 
+    def _choose(self) -> Choice | Failure:
+        """Return the upstream for the next try; wait a little while all engines are full."""
+        placement = self.forwarder.placement
+        began = time.monotonic()
+        while True:
+            waited_s = time.monotonic() - began
+            may_wait = (
+                self.trail.held_s + waited_s < self.request.route.target_latency_s * HELD_SHARE
+            )
+            choice = placement.choose(self.request, self.pool, self._excluded, may_wait)
+            if not isinstance(choice, Full):
+                self.trail.held_s += waited_s
+                return choice
+            eventlet.sleep(HELD_LOOK_S)
+
     def _send(self) -> AnswerHead | Failure:
         stale = self.forwarder.check_key_age(self.request)
         if stale is not None:
@@ -155,7 +182,9 @@
         trail = self.trail
         trail.upstream = choice.tracker.id
         trail.version = choice.version
-        trail.rank = choice.rank
+        trail.wait_s = choice.wait_s
+        trail.covered_tokens = choice.covered_tokens
+        trail.missing_tokens = choice.missing_tokens
         trail.candidates = choice.candidates
         if choice.transfer is not None:
             trail.fetched = sum(place is not None for place in choice.transfer.fetch_from)
@@ -236,7 +265,9 @@
         while self._may_try_again(failure):
             result = self._try_once(self.splitter.last_id)
             if isinstance(result, AnswerHead):
-                logger.info("Stream of %s goes on after %s.", self.request.id, self.splitter.last_id)
+                logger.info(
+                    "Stream of %s goes on after %s.", self.request.id, self.splitter.last_id
+                )
                 return None
             if isinstance(result, Whole):
                 return failure
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -125,9 +125,7 @@
         table = self.front.publications.table
         if table is None:
             detail = "no configuration is known yet"
-            return Failure(
-                Code.NOT_READY, Step.ADMIT, "store", detail, retry_after_s=UNKNOWN_YET_S
-            )
+            return Failure(Code.NOT_READY, Step.ADMIT, "store", detail, retry_after_s=UNKNOWN_YET_S)
         target = self.environ["caller.target"]
         route = table.find(self.environ.get("HTTP_HOST", ""), target.partition("?")[0])
         if route is None:
@@ -267,7 +265,13 @@
         trail = self.forwarding.trail
         fields["upstream"] = trail.upstream
         fields["weights"] = trail.version
-        fields["rank"] = trail.rank
+        fields["wait_ms"] = round(trail.wait_s * 1000)
+        fields["held_ms"] = round(trail.held_s * 1000)
+        fields["covered_tokens"] = trail.covered_tokens
+        fields["missing_tokens"] = trail.missing_tokens
+        if request.head.prompt is not None:
+            fields["prompt_tokens"] = request.head.prompt.tokens_in
+            fields["affinity"] = request.head.prompt.affinity_key
         fields["candidates"] = trail.candidates
         fields["fetched_parts"] = trail.fetched
         fields["saved_parts"] = trail.saved
--- a/libs/serving/ruddersaddle_serving/kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/kept_parts.py
@@ -9,13 +9,11 @@
 """
 
 import logging
-import math
 import time
-from hashlib import blake2b
 
 import eventlet
 from ruddersaddle_base.failures import Failure
-from ruddersaddle_base.ids import ModelId, StoreId, WorkspaceId
+from ruddersaddle_base.ids import HallId, ModelId, StoreId, WorkspaceId
 
 from ruddersaddle_serving.ports import Engines, StoreChange, Transfer
 from ruddersaddle_serving.prompts import Part, PartId, Prompt
@@ -34,9 +32,17 @@
 trusted for `TRUST_S` at most, and a fetch begun at its end may take `FETCH_S`."""
 SAVING_S = 5.0
 """A part that was sent to be saved is not sent again this long."""
+SAVING_MAX = 10_000
+"""Parts that were sent to be saved are looked through for old ones beyond this many."""
 FULL_SHARE = 0.97
 """Above this share of its capacity nothing more is saved to a store."""
 RETRY_S = 0.4
+TOKEN_BYTES = 35_136
+"""Memory of one token, from the sheets; it only weighs moving against reading again."""
+OTHER_HALL_FACTOR = 2.0
+"""A move between halls takes twice as long (the platform's page)."""
+MOVE_WAIT_FACTOR = 1.5
+"""Moves go one after another on both links, so that each waits for some others."""
 BLOCK_TOKENS = 16
 """Memory goes by blocks of this many tokens."""
 
@@ -70,6 +76,15 @@
         """Whether so many tokens fit."""
         return self.used_tokens + tokens + BLOCK_TOKENS <= self.spec.capacity_tokens * FULL_SHARE
 
+    def move_s(self, tokens: int, hall: HallId) -> float:
+        """Return about how long moving so many tokens to or from an engine in a hall takes."""
+        ways = 1.0 if hall == self.spec.hall else OTHER_HALL_FACTOR
+        return self.spec.first_s + MOVE_WAIT_FACTOR * ways * self.link_s(tokens)
+
+    def link_s(self, tokens: int) -> float:
+        """Return how long the store's link is taken by so many tokens, in seconds."""
+        return tokens * TOKEN_BYTES * 8 / (self.spec.link_mbps * 1e6)
+
     def put(self, change: StoreChange) -> None:
         """Take that a part is whole, or gone."""
         key = (change.salt, change.part)
@@ -165,30 +180,36 @@
         kept.used_tokens += sum(_round_up(part.tokens) for part in listing.broken)
         return None
 
-    def plan(self, salt: str, prompt: Prompt) -> Transfer:
-        """Return where the shared parts of a prompt come from, and where they are saved."""
-        now = time.monotonic()
+    def find_holders(self, salt: str, prompt: Prompt) -> list[KeptStore | None]:
+        """Return for each shared part a store that has it whole, or None."""
         trusted = [kept for kept in self.by_id.values() if kept.is_trusted]
+        return [_find_holder(trusted, salt, part) for part in prompt.shared_parts]
+
+    def plan(
+        self, salt: str, prompt: Prompt, holders: list[KeptStore | None], hall: HallId
+    ) -> Transfer:
+        """Return where an engine in a hall gets the shared parts from, and where it saves them."""
         fetch: list[str | None] = []
         save: list[str | None] = []
-        until_ms = 0
+        until_ms: list[int] = []
         chain_is_kept = True
-        for part in prompt.shared_parts:
-            holder = _find_holder(trusted, salt, part)
+        for part, holder in zip(prompt.shared_parts, holders, strict=True):
             chain_is_kept = chain_is_kept and holder is not None
-            fetch.append(holder.spec.address if holder is not None and chain_is_kept else None)
-            if holder is not None:
-                limit = holder.fetch_until_ms
-                until_ms = limit if not until_ms else min(until_ms, limit)
-            save.append(None if holder is not None else self._place(salt, part, now))
-        fetch.append(None)
-        save.append(None)
+            if holder is None:
+                fetch.append(None)
+                save.append(self._place(salt, part, hall))
+                continue
+            fetch.append(holder.spec.address if chain_is_kept else None)
+            save.append(None)
+            until_ms.append(holder.fetch_until_ms)
         self.counts["fetches"] += any(fetch)
         self.counts["saves"] += any(save)
-        return Transfer(salt, tuple(fetch), tuple(save), until_ms)
+        # The last part is the request's own; it is neither fetched nor saved.
+        return Transfer(salt, (*fetch, None), (*save, None), min(until_ms, default=0))
 
-    def _place(self, salt: str, part: Part, now: float) -> str | None:
-        """Return the store that a part is saved to, or None."""
+    def _place(self, salt: str, part: Part, hall: HallId) -> str | None:
+        """Return the store that an engine in a hall saves a part to, or None."""
+        now = time.monotonic()
         key = (salt, part.id)
         if self._saving_until.get(key, 0.0) > now:
             return None
@@ -196,9 +217,21 @@
         fitting = [kept for kept in open_stores if kept.has_room(part.tokens)]
         if not fitting:
             return None
-        chosen = max(fitting, key=lambda kept: _weight(part.id, kept))
+        slowest = max(open_stores, key=lambda kept: kept.spec.first_s)
+        # A slow store costs a wait for each move. It hardly counts for a part whose transfer takes
+        # longer than that, and the room of fast stores is left to parts for which it does.
+        is_large = slowest.link_s(part.tokens) > slowest.spec.first_s
+        tier = -1.0 if is_large else 1.0
+        chosen = min(
+            fitting,
+            key=lambda kept: (
+                tier * kept.spec.first_s,
+                kept.move_s(part.tokens, hall),
+                kept.spec.id,
+            ),
+        )
         self._saving_until[key] = now + SAVING_S
-        if len(self._saving_until) > 10_000:
+        if len(self._saving_until) > SAVING_MAX:
             live = {each: until for each, until in self._saving_until.items() if until > now}
             self._saving_until = live
         return chosen.spec.address
@@ -226,12 +259,5 @@
     return None
 
 
-def _weight(part: PartId, kept: KeptStore) -> float:
-    """Rank a store for a part: weighted rendezvous hashing by capacity, alike on all hosts."""
-    digest = blake2b(f"{part}\x00{kept.spec.id}".encode(), digest_size=8).digest()
-    uniform = (int.from_bytes(digest) + 1) / (2**64 + 2)
-    return max(1, kept.spec.capacity_tokens) / -math.log(uniform)
-
-
 def _round_up(tokens: int) -> int:
     return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -13,7 +13,7 @@
 from ruddersaddle_serving.ports import MetadataStore, ModelVersion, Topic
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Published
-from ruddersaddle_serving.trackers import Trackers
+from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
 
 logger = logging.getLogger(__name__)
@@ -25,6 +25,9 @@
 OLD_S = 1.6
 """A belief that is older is asked of peers: the store's long reads confirm it about each second."""
 LOOK_S = 0.25
+NOTICES_S = 0.01
+"""Pause between messages about requests at engines. A prompt takes 5 to 200 ms to read, so that what
+others sent has to be known within some ten milliseconds."""
 HOSTS_READ_S = 8.0
 """Pause between reads of the list of hosts; a new host makes itself known by asking as well."""
 SILENT_S = 4.0
@@ -65,11 +68,18 @@
     version: int
 
 
+class Notices(msgspec.Struct, frozen=True, tag="notices"):
+    """Tells how far the sender's requests are at engines; it is not answered."""
+
+    address: str
+    notices: tuple[Notice, ...]
+
+
 class Noted(msgspec.Struct, frozen=True, tag="noted"):
     """Answers a message that asks nothing."""
 
 
-NeighbourMessage = AskNews | News | Emptying | Loaded | Noted
+NeighbourMessage = AskNews | News | Emptying | Loaded | Notices | Noted
 
 
 class Neighbours:
@@ -96,6 +106,7 @@
         self.heard_at: dict[str, float] = {}
         self.news_at = 0.0
         """When the last word of an engine being emptied or loaded came."""
+        self._unsent: list[Notice] = []
         self._seeds = [seed for seed in seeds if seed and seed != address]
 
     def start(self) -> None:
@@ -103,6 +114,7 @@
         self.peers.start()
         eventlet.spawn(self._follow_hosts)
         eventlet.spawn(self._keep_young)
+        eventlet.spawn(self._tell_notices)
 
     def addresses(self) -> list[str]:
         """Return the addresses of all other hosts that are known."""
@@ -191,6 +203,8 @@
                 self.note_emptying(message)
             case Loaded():
                 self.note_loaded(message)
+            case Notices():
+                self._take_notices(message)
         return Noted()
 
     def _tell(self, question: AskNews) -> News:
@@ -235,3 +249,29 @@
     def _tell_one(self, address: str, message: Emptying | Loaded) -> None:
         if not isinstance(self.peers.ask(address, message, ASK_S), Failure):
             self.heard_at[address] = time.monotonic()
+
+    # Requests at engines
+
+    def tell_notice(self, notice: Notice) -> None:
+        """Take a step of an own request, and tell the other hosts with the next message."""
+        tracker = self.trackers.by_id.get(notice.upstream)
+        if tracker is not None:
+            tracker.take_notice(self.address, notice)
+        self._unsent.append(notice)
+
+    def _tell_notices(self) -> None:
+        while True:
+            eventlet.sleep(NOTICES_S)
+            if not self._unsent:
+                continue
+            message = Notices(self.address, tuple(self._unsent))
+            self._unsent = []
+            for address in self.addresses():
+                self.peers.tell(address, message)
+
+    def _take_notices(self, message: Notices) -> None:
+        self.heard_at[message.address] = time.monotonic()
+        for notice in message.notices:
+            tracker = self.trackers.by_id.get(notice.upstream)
+            if tracker is not None:
+                tracker.take_notice(message.address, notice)
--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -26,6 +26,8 @@
 QUEUE_MESSAGES = 256
 """Messages that wait for a slow peer before it counts as gone."""
 MESSAGE_MAX = 16 * 1024 * 1024
+NO_ANSWER = 0
+"""Number of exchanges that expect no answer; others count from 1."""
 TASK_THREADS = 2
 """Threads of the library; it would start about 30."""
 
@@ -108,6 +110,8 @@
 
     def _serve(self, envelope: Envelope, message: Message) -> None:
         answer = self.handler(message)
+        if envelope.exchange == NO_ANSWER:
+            return
         self._send(envelope.sender, self._wrap(envelope.exchange, True, answer))
 
     def _wrap(self, exchange: int, is_answer: bool, message: Message) -> Envelope:
@@ -127,6 +131,14 @@
         finally:
             del self._signal_by_exchange[exchange]
 
+    def tell(self, address: str, message: Message) -> None:
+        """Send a message that needs no answer; it is dropped where no connection stands yet."""
+        socket = self._push_by_address.get(address)
+        if socket is None:
+            socket = self._dial(address)
+        if socket.pipes:
+            self._send(address, self._wrap(NO_ANSWER, False, message))
+
     def _send(self, address: str, envelope: Envelope) -> bool:
         socket = self._push_by_address.get(address)
         if socket is None:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -8,19 +8,35 @@
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.kept_parts import KeptParts, make_salt
+from ruddersaddle_serving.kept_parts import KeptParts, KeptStore, make_salt
 from ruddersaddle_serving.ports import Transfer
 from ruddersaddle_serving.prompts import CallerRequest, Prompt
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Route
-from ruddersaddle_serving.trackers import Tracker, Trackers
+from ruddersaddle_serving.trackers import Assignment, Tracker, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
-CROWD_FACTOR = 1.5
-"""An engine with more than this times the mean of this host's requests is passed over (consistent
-hashing with bounded loads; Mirrokni, Thorup and Zadimoghaddam, 2016, use 1.25 to 2)."""
-CROWD_SLACK = 4
-"""Requests beyond that which are no crowd yet, since one host sees only few."""
+PREFILL_TOKENS_S = 100_000.0
+"""Prompt tokens that an idle engine reads in a second (112 a millisecond on the sheets, less what
+decoding takes). It weighs reading against waiting and moving; errors are corrected as first events
+come."""
+HOME_S = 0.02
+"""Requests that share most of their prompt go to one engine, unless another one is this much sooner:
+what they share is then in its memory more often than by chance."""
+FULL_SHARE = 1.35
+"""An engine is full when its requests' tokens are this much of its memory: what requests share is
+counted for each of them here and once there (230,000 stood for 175,000 in a trial)."""
+RESERVED_SHARE = 0.1
+"""Share of an engine's memory that each step of urgency has for itself. An engine that runs out of
+memory preempts the least urgent run and reads its prompt again."""
+RESERVED_STEPS = 3
+REQUEST_S = 0.004
+"""Work of a request beside reading: the steps that decode it, shared with others at the engine."""
+OLD_WEIGHTS_S = 0.1
+"""Engines with replaced weights are taken if they are this much sooner: their answers lose a fifth of
+their benefit, engines with new ones have everything to read again."""
+OLD_WEIGHTS_FREE_S = 0.5
+"""Answers on replaced weights lose nothing for the first 1.5 s, of which hosts hear late."""
 VERSION_MARGIN_S = 2.5
 """Old weights are left this long before the bound on them: it counts from the operator's write,
 of which this host hears up to a second later, and the request has to get there."""
@@ -36,8 +52,38 @@
     version: int | None
     transfer: Transfer | None
     candidates: int
-    rank: int
-    """Place of the chosen upstream in the order of the request's affinity; 0 is its own."""
+    assignment: Assignment | None = None
+    wait_s: float = 0.0
+    """Predicted wait at the upstream before it begins to read."""
+    covered_tokens: int = 0
+    """Tokens of the prompt that the engine is believed to keep."""
+    missing_tokens: int = 0
+    """Tokens that it has to read."""
+
+
+class Full(msgspec.Struct, frozen=True):
+    """No engine has memory for the request now; it may have in `wait_s` seconds."""
+
+    wait_s: float
+
+
+class Estimate(msgspec.Struct, frozen=True):
+    """What a prompt would cost at one engine, in seconds."""
+
+    tracker: Tracker
+    version: int | None
+    salt: str
+    wait_s: float
+    fetch_s: float
+    work_s: float
+    covered_tokens: int
+    missing_tokens: int
+    penalty_s: float
+
+    @property
+    def total_s(self) -> float:
+        """Predicted time until the prompt is read, and what speaks against the engine."""
+        return self.wait_s + self.fetch_s + self.work_s + self.penalty_s
 
 
 class Placement:
@@ -69,9 +115,16 @@
         return random.choices(route.targets, weights)[0].pool
 
     def choose(
-        self, request: CallerRequest, pool: PoolId, excluded: set[UpstreamId]
-    ) -> Choice | Failure:
-        """Return the upstream for the next try, or why there is none."""
+        self,
+        request: CallerRequest,
+        pool: PoolId,
+        excluded: set[UpstreamId],
+        may_wait: bool = False,
+    ) -> Choice | Full | Failure:
+        """Return the upstream for the next try, or why there is none.
+
+        Where the request may wait, `Full` says that every engine's memory is taken.
+        """
         trackers = [self.trackers.at(entry) for entry in self.upstreams.of_pool(pool)]
         left = [tracker for tracker in trackers if tracker.id not in excluded]
         if not left:
@@ -80,20 +133,20 @@
         prompt = request.head.prompt
         if prompt is None:
             return self._choose_plain(left)
-        return self._choose_engine(request, prompt, left)
+        return self._choose_engine(request, prompt, left, may_wait)
 
     def _choose_plain(self, trackers: list[Tracker]) -> Choice:
         usable = [tracker for tracker in trackers if tracker.is_sound] or trackers
         chosen = min(usable, key=self._plain_order)
-        return Choice(chosen, None, None, len(usable), 0)
+        return Choice(chosen, None, None, len(usable))
 
     def _plain_order(self, tracker: Tracker) -> tuple[float, bool, float]:
         share = tracker.in_flight / max(1, tracker.entry.slots)
         return share, tracker.entry.hall != self.hall, random.random()
 
     def _choose_engine(
-        self, request: CallerRequest, prompt: Prompt, trackers: list[Tracker]
-    ) -> Choice | Failure:
+        self, request: CallerRequest, prompt: Prompt, trackers: list[Tracker], may_wait: bool
+    ) -> Choice | Full | Failure:
         allowed = self._of_allowed_weights(prompt.model, trackers)
         if not allowed:
             detail = f"no engine has the newest weights of {prompt.model}"
@@ -101,15 +154,70 @@
             return Failure(Code.OTHER_VERSION, Step.ADMIT, peer, detail, retry_after_s=RETRY_SOON_S)
         sound = [tracker for tracker in allowed if tracker.is_sound] or allowed
         usable = [tracker for tracker in sound if not tracker.is_avoided] or sound
-        by_id = {tracker.id: tracker for tracker in usable}
-        ranked = [by_id[UpstreamId(name)] for name in rank_names(prompt.affinity_key, by_id)]
-        mean = sum(tracker.in_flight for tracker in ranked) / len(ranked)
-        bound = mean * CROWD_FACTOR + CROWD_SLACK
-        rank = next((i for i, each in enumerate(ranked) if each.in_flight <= bound), 0)
-        chosen = ranked[rank]
-        version = chosen.version_by_model.get(prompt.model) or None
-        transfer = self.kept.plan(self._salt(request, prompt.model, version), prompt)
-        return Choice(chosen, version, transfer, len(usable), rank)
+        home = rank_names(prompt.affinity_key, [tracker.id for tracker in usable])[0]
+        holders_by_salt: dict[str, list[KeptStore | None]] = {}
+        estimates = [self._estimate(request, prompt, each, holders_by_salt) for each in usable]
+        best = min(estimates, key=lambda each: each.total_s - HOME_S * (each.tracker.id == home))
+        if may_wait and self._is_full(best.tracker, request, prompt):
+            return Full(best.wait_s)
+        hall = best.tracker.entry.hall
+        transfer = self.kept.plan(best.salt, prompt, holders_by_salt[best.salt], hall)
+        tokens = prompt.tokens_in + prompt.tokens_out
+        assignment = Assignment(best.salt, prompt.shared_parts, best.work_s, tokens)
+        return Choice(
+            best.tracker,
+            best.version,
+            transfer,
+            len(usable),
+            assignment,
+            best.wait_s,
+            best.covered_tokens,
+            best.missing_tokens,
+        )
+
+    def _estimate(
+        self,
+        request: CallerRequest,
+        prompt: Prompt,
+        tracker: Tracker,
+        holders_by_salt: dict[str, list[KeptStore | None]],
+    ) -> Estimate:
+        version = tracker.version_by_model.get(prompt.model) or None
+        salt = self._salt(request, prompt.model, version)
+        if salt not in holders_by_salt:
+            holders_by_salt[salt] = self.kept.find_holders(salt, prompt)
+        covered = tracker.memory.leading_tokens(salt, prompt.shared_parts)
+        fetched, fetch_s = _add_fetched(prompt, covered, holders_by_salt[salt], tracker.entry.hall)
+        missing = max(0, prompt.tokens_in - covered - fetched)
+        return Estimate(
+            tracker=tracker,
+            version=version,
+            salt=salt,
+            wait_s=max(tracker.load.wait_s, self._memory_wait_s(tracker, prompt)),
+            fetch_s=fetch_s,
+            work_s=REQUEST_S + missing / PREFILL_TOKENS_S,
+            covered_tokens=covered,
+            missing_tokens=missing,
+            penalty_s=self._penalty_s(prompt.model, version),
+        )
+
+    def _is_full(self, tracker: Tracker, request: CallerRequest, prompt: Prompt) -> bool:
+        """Return whether the request would crowd out runs; the urgent ones may fill it up."""
+        tokens = prompt.tokens_in + prompt.tokens_out
+        share = FULL_SHARE - RESERVED_SHARE * min(request.priority, RESERVED_STEPS)
+        room = tracker.memory.capacity_tokens * share - tracker.load.tokens
+        return tokens > room and tracker.load.tokens > 0 < tracker.memory.capacity_tokens
+
+    def _memory_wait_s(self, tracker: Tracker, prompt: Prompt) -> float:
+        tokens = prompt.tokens_in + prompt.tokens_out
+        return tracker.load.memory_wait_s(tokens, tracker.memory.capacity_tokens)
+
+    def _penalty_s(self, model: ModelId, version: int | None) -> float:
+        newest = self.publications.version_by_model.get(model, 0)
+        if (version or 0) >= newest:
+            return 0.0
+        known_s = time.monotonic() - self.publications.named_at_by_model[model]
+        return OLD_WEIGHTS_S if known_s > OLD_WEIGHTS_FREE_S else 0.0
 
     def _of_allowed_weights(self, model: ModelId, trackers: list[Tracker]) -> list[Tracker]:
         newest = self.publications.version_by_model.get(model)
@@ -125,3 +233,21 @@
         workspace = request.workspace
         wall = workspace.id if workspace is not None and workspace.dedicated else None
         return make_salt(model, version or 0, wall)
+
+
+def _add_fetched(
+    prompt: Prompt, covered: int, holders: list[KeptStore | None], hall: HallId
+) -> tuple[int, float]:
+    """Return the tokens of the parts after the covered ones that can be fetched, and the time."""
+    fetched = 0
+    fetch_s = 0.0
+    passed = 0
+    for part, holder in zip(prompt.shared_parts, holders, strict=True):
+        passed += part.tokens
+        if passed <= covered:
+            continue
+        if holder is None:
+            break
+        fetched += part.tokens
+        fetch_s += holder.move_s(part.tokens, hall)
+    return fetched, fetch_s
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -4,7 +4,6 @@
 import random
 import time
 
-
 import eventlet
 from ruddersaddle_base.failures import Code, Failure
 from ruddersaddle_base.ids import UpstreamId
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -1,9 +1,13 @@
 """What this host knows of each upstream from its own requests."""
 
 import time
+from enum import Enum
 
+import msgspec
 from ruddersaddle_base.ids import UpstreamId
 
+from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
+from ruddersaddle_serving.prompts import Part
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_lists import UpstreamEntry
 
@@ -19,6 +23,34 @@
 OFF_MAX_S = 4.0
 
 
+class Progress(Enum):
+    """How far a request is at its engine."""
+
+    SENT = 0
+    FIRST = 1
+    """Its first event came, so its prompt was read."""
+    ENDED = 2
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """What a prompt means to the engine that it is sent to."""
+
+    salt: str
+    parts: tuple[Part, ...]
+    work_s: float
+    tokens: int
+
+
+class Notice(msgspec.Struct, frozen=True, array_like=True):
+    """One step of one request at an engine, as hosts tell one another."""
+
+    upstream: UpstreamId
+    number: int
+    """The host's own number of the request."""
+    progress: Progress
+    assignment: Assignment | None = None
+
+
 class Tracker:
     """One upstream as this host's own requests show it."""
 
@@ -26,8 +58,8 @@
         self.entry = entry
         self.connections = UpstreamConnections(entry.address)
         self.in_flight = 0
-        self.waiting_tokens = 0
-        """Tokens of prompts that were sent and whose first event has not come."""
+        self.load = EngineLoad()
+        self.memory = EngineMemory(0)
         self.version_by_model = dict(entry.version_by_model)
         self.avoided_until = 0.0
         """The holder of the lease empties this upstream until then, on the steady clock."""
@@ -71,6 +103,19 @@
         self._refusals += 1
         self._off_until = time.monotonic() + off_s
 
+    def take_notice(self, host: str, notice: Notice) -> None:
+        """Take how far a request of this host or another one is."""
+        number = (host, notice.number)
+        match notice.progress:
+            case Progress.SENT if notice.assignment is not None:
+                assignment = notice.assignment
+                self.memory.use(assignment.salt, assignment.parts)
+                self.load.add(number, assignment.work_s, assignment.tokens)
+            case Progress.FIRST:
+                self.load.note_first(number)
+            case Progress.ENDED:
+                self.load.end(number)
+
     def take_entry(self, entry: UpstreamEntry) -> None:
         """Take a newer entry; versions of weights never go back within one start."""
         self.entry = entry
@@ -79,7 +124,10 @@
 
     def take_version(self, model: str, version: int) -> None:
         """Take that the upstream has these weights of a model now."""
-        self.version_by_model[model] = max(version, self.version_by_model.get(model, 0))
+        known = self.version_by_model.get(model, 0)
+        if version > known:
+            self.version_by_model[model] = version
+            self.memory.clear()
 
 
 class Trackers:
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -7,7 +7,6 @@
 import socket
 import time
 from collections.abc import Mapping
-
 from http.client import HTTPException
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
@@ -62,7 +61,9 @@
         self, method: str, target: str, body: bytes, headers: Mapping[str, str]
     ) -> Failure | None:
         """Send the request; after a failure it may have run."""
-        sent = {name: value for name, value in SKIPPED.items() if name.lower() not in _names(headers)}
+        sent = {
+            name: value for name, value in SKIPPED.items() if name.lower() not in _names(headers)
+        }
         sent.update(headers)
         data = body if body or method not in ("GET", "HEAD", "DELETE") else None
         try:
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 import time
 
 import eventlet
@@ -26,8 +27,18 @@
 AT_ONCE_SHARE = 0.4
 """Share of a pool's engines that load at once. The weight store serves about this share before each
 load takes longer (2 of 5, 18 of 45, 22 of 56 on the sheets), and the rest carries the traffic."""
-EMPTY_S = 0.9
-"""Longest wait for an engine to become empty before its order; most runs take less than a second."""
+LOAD_S = 2.5
+"""How long an engine is out of rotation: until it is empty, 1.3 s to load when few do at once, and
+the lag of its report."""
+TIME_SHARE = 0.75
+"""Share of the bound on old weights within which all engines are to be brought over; the rest is
+left for orders that are lost and engines that come late."""
+EMPTY_S = 1.2
+"""Longest wait for an engine to become empty before its order; most runs take less than a second, and
+what a run makes after its weights were changed under it is worth nothing."""
+TELL_S = 0.05
+"""Until all hosts have heard that an engine is being emptied, and this one of what they sent before."""
+EMPTY_LOOK_S = 0.02
 REPORT_S = 0.25
 """Pause between looks at an engine's report, which is some hundred milliseconds old itself."""
 LOAD_MAX_S = 6.0
@@ -52,6 +63,7 @@
     def __init__(
         self,
         lease: FenceLease,
+        weights_s: float,
         publications: Publications,
         upstreams: UpstreamList,
         trackers: Trackers,
@@ -60,6 +72,7 @@
         kept: KeptParts,
     ) -> None:
         self.lease = lease
+        self.weights_s = weights_s
         self.publications = publications
         self.upstreams = upstreams
         self.trackers = trackers
@@ -68,7 +81,7 @@
         self.kept = kept
         self.counts = {"orders": 0, "orders_fenced": 0, "loads": 0, "parts_freed": 0}
         self.stopping = False
-        self._loading: set[UpstreamId] = set()
+        self._begun: set[UpstreamId] = set()
         self._left: dict[ModelId, int] = {}
         self._moved_at = time.monotonic()
         self._settled_at: dict[ModelId, float] = {}
@@ -92,14 +105,14 @@
             self._free_replaced(model, version, bool(engines))
             return
         self._settled_at.pop(model, None)
-        room = self._room(engines)
-        waiting = [each for each in outdated if each.id not in self._loading]
+        room = self._room(model, engines, len(outdated))
+        waiting = [each for each in outdated if each.id not in self._begun]
         if room <= 0 or not waiting or not self._is_in_turn(model):
             return
         if not self.lease.take():
             return
         for tracker in sorted(waiting, key=lambda each: each.in_flight)[:room]:
-            self._loading.add(tracker.id)
+            self._begun.add(tracker.id)
             eventlet.spawn(self._bring, tracker, model, version)
 
     def _engines_of(self, model: ModelId) -> list[Tracker]:
@@ -108,9 +121,14 @@
         found = [each for each in entries if model in each.version_by_model and not each.leaving]
         return [self.trackers.at(entry) for entry in found]
 
-    def _room(self, engines: list[Tracker]) -> int:
-        busy = sum(each.is_avoided or each.id in self._loading for each in engines)
-        return max(1, int(len(engines) * AT_ONCE_SHARE)) - busy
+    def _room(self, model: ModelId, engines: list[Tracker], outdated: int) -> int:
+        """Return how many engines more may begin: no more at once than the time asks for."""
+        known_s = time.monotonic() - self.publications.named_at_by_model[model]
+        left_s = max(LOAD_S, self.weights_s * TIME_SHARE - known_s)
+        needed = math.ceil(outdated * LOAD_S / left_s)
+        most = max(1, int(len(engines) * AT_ONCE_SHARE))
+        busy = sum(each.is_avoided or each.id in self._begun for each in engines)
+        return min(most, needed) - busy
 
     def _note_progress(self, model: ModelId, left: int) -> None:
         if self._left.get(model, 0) != left:
@@ -147,16 +165,13 @@
             held = tracker.version_by_model.get(model, 0)
             self.neighbours.tell_all(Loaded(tracker.id, model, held))
         finally:
-            self._loading.discard(tracker.id)
+            self._begun.discard(tracker.id)
 
     def _await_empty(self, tracker: Tracker) -> None:
         until = time.monotonic() + EMPTY_S
-        eventlet.sleep(REPORT_S * 2)
-        while time.monotonic() < until:
-            report = self.engines.report(tracker.entry.address)
-            if isinstance(report, Failure) or report.active + report.queued == 0:
-                return
-            eventlet.sleep(min(REPORT_S, max(0.0, until - time.monotonic())))
+        eventlet.sleep(TELL_S)
+        while tracker.load.by_number and time.monotonic() < until:
+            eventlet.sleep(EMPTY_LOOK_S)
 
     def _order(self, tracker: Tracker, model: ModelId, version: int) -> bool:
         """Give the order; return whether the engine has taken it or may have."""
--- a/libs/standins/ruddersaddle_standins/suites.py
+++ b/libs/standins/ruddersaddle_standins/suites.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-LIBRARIES = ("base", "state", "upstreams", "routing", "daemon", "standins")
+LIBRARIES = ("base", "state", "upstreams", "routing", "serving", "daemon", "standins")
 KNOWN_RED_FILE = "KNOWN-RED.txt"
 KNOWN_RED_MAX = 3
 AT_ONCE = 3
