--- a/libs/base/ruddersaddle_base/bounded_outputs.py
+++ b/libs/base/ruddersaddle_base/bounded_outputs.py
@@ -5,8 +5,8 @@
 import time
 
 LINES_S = 150.0
-"""Lines a second for each process, over time. A host of today's installations ends up to 40 requests
-a second with a line each."""
+"""Lines a second for each process, over time. A host of today's installations ends up to 40
+requests a second with a line each."""
 LINES_BURST = 600.0
 """Lines that may come at once after a quiet time."""
 REPORT_S = 5.0
--- a/libs/daemon/ruddersaddle/service_routes.py
+++ b/libs/daemon/ruddersaddle/service_routes.py
@@ -9,6 +9,7 @@
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import CallKey, Incarnation, incarnation_host
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_serving.peers import Peers
 from ruddersaddle_state.entries import Workspace
 from ruddersaddle_upstreams.connections import Reply
 from ruddersaddle_upstreams.host_lists import HostList
@@ -25,7 +26,6 @@
     Message,
     ServiceCall,
 )
-from ruddersaddle_serving.peers import Peers
 from ruddersaddle.pools import Pools, PoolView
 from ruddersaddle.responses import Responder
 from ruddersaddle.service_calls import ServiceCaller
--- a/libs/daemon/ruddersaddle/tests/test_callers.py
+++ b/libs/daemon/ruddersaddle/tests/test_callers.py
@@ -7,6 +7,7 @@
 from ruddersaddle_base.codecs import decode_packed
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import START, RecordId, WorkspaceId
+from ruddersaddle_serving.peers import Envelope
 from ruddersaddle_state.configurations import Configuration
 from ruddersaddle_state.entries import Template, Value, Workspace, entry_key
 from ruddersaddle_state.records import Entry, Snapshot
@@ -23,7 +24,6 @@
     read_retry_token,
     render_prompt,
 )
-from ruddersaddle_serving.peers import Envelope
 from ruddersaddle.tickets import Ticket, is_ticket, parse_ticket
 
 DETERMINISTIC = settings(derandomize=True, max_examples=200, deadline=None)
--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -4,16 +4,26 @@
 import time
 
 import eventlet
+from eventlet import wsgi
 from eventlet.wsgi import HttpProtocol
 
 from ruddersaddle_serving.routes import CallerLimits
 
+HEAD_MAX = 1 << 20
+"""Longest head that is read at all, in bytes; the configuration's limit is checked on what was
+read. The library's own limits (8 KB a line) are below what configurations allow."""
+wsgi.MAX_HEADER_LINE = HEAD_MAX
+wsgi.MAX_TOTAL_HEADER_SIZE = HEAD_MAX
+
 DIGITS = re.compile(r"[0-9]{1,18}\Z")
 NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 """A header's name (RFC 9110, 5.6.2)."""
 BAD_REQUEST = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-TOO_LARGE = b"HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class HeadTimeout(eventlet.Timeout):
--- a/libs/serving/ruddersaddle_serving/caller_watches.py
+++ b/libs/serving/ruddersaddle_serving/caller_watches.py
@@ -6,7 +6,7 @@
 from eventlet.hubs import get_hub, trampoline
 
 
-class CallerLeft(Exception):
+class CallerLeftError(Exception):
     """Raised into the task of a request whose caller has closed the connection."""
 
 
@@ -38,7 +38,7 @@
     def _raise(self) -> None:
         if self._active:
             self._active = False
-            self._handler.throw(CallerLeft())
+            self._handler.throw(CallerLeftError())
 
     def stop(self) -> None:
         """End the watch; nothing is raised any more."""
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -14,7 +14,7 @@
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.retries import RetryBudget
 
-from ruddersaddle_serving.caller_protocols import CallerProtocol
+from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
 from ruddersaddle_serving.fronts import Front
@@ -172,6 +172,7 @@
             log_output=False,
             minimum_chunk_size=0,
             max_size=CONNECTIONS_MAX,
+            url_length_limit=HEAD_MAX,
             debug=False,
         )
         return listener, server
--- a/libs/serving/ruddersaddle_serving/fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/fence_leases.py
@@ -1,9 +1,10 @@
 """The lease to give orders: the last record of a topic, appended only if nothing came between.
 
-A record's offset is its holder's fence, so fences rise with each turn. A holder gives orders only for
-`ORDER_S` after it sent the append that made or renewed its lease, by its own steady clock; another
-host waits for the whole lease and a margin after it read the record. Between the last order of one
-holder and the first of the next there is more than the lease's length, and no clocks are compared.
+A record's offset is its holder's fence, so fences rise with each turn. A holder gives orders only
+for `ORDER_S` after it sent the append that made or renewed its lease, by its own steady clock;
+another host waits for the whole lease and a margin after it read the record. Between the last order
+of one holder and the first of the next there is more than the lease's length, and no clocks are
+compared.
 """
 
 import logging
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -12,7 +12,7 @@
 from ruddersaddle_base.histograms import Histograms, Measure
 
 from ruddersaddle_serving.caller_bodies import read_body
-from ruddersaddle_serving.caller_watches import CallerLeft, CallerWatch
+from ruddersaddle_serving.caller_watches import CallerLeftError, CallerWatch
 from ruddersaddle_serving.forwarders import Forwarder, Forwarding, Whole
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
@@ -100,7 +100,7 @@
                 return self._end_with(self._refuse(request))
             self.request = request
             return self._forward(request)
-        except CallerLeft:
+        except CallerLeftError:
             self._end("caller left")
             raise
         except RouteTimeout as timeout:
@@ -184,10 +184,10 @@
                     word = f"stream broke: {data.detail}"
                     # Raising ends the connection without the stream's end, so that what the
                     # caller has cannot pass for a whole answer.
-                    raise StreamBroken(data.detail)
+                    raise StreamBrokenError(data.detail)
                 yield data
             word = "answered"
-        except CallerLeft:
+        except CallerLeftError:
             word = "caller left"
             raise
         except RouteTimeout:
@@ -290,7 +290,7 @@
         self.front.histograms.record(measure, workspace, request.route.name, elapsed_s * 1000)
 
 
-class StreamBroken(Exception):
+class StreamBrokenError(Exception):
     """Raised to end a caller's connection when its stream can't be finished."""
 
 
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -1,4 +1,4 @@
-"""What hosts tell one another: published items with their age, entries, and engines being emptied."""
+"""What hosts tell one another: published items and entries with their age, requests at engines."""
 
 import logging
 import random
@@ -26,8 +26,8 @@
 """A belief that is older is asked of peers: the store's long reads confirm it about each second."""
 LOOK_S = 0.25
 NOTICES_S = 0.01
-"""Pause between messages about requests at engines. A prompt takes 5 to 200 ms to read, so that what
-others sent has to be known within some ten milliseconds."""
+"""Pause between messages about requests at engines. A prompt takes 5 to 200 ms to read, so that
+what others sent has to be known within some ten milliseconds."""
 HOSTS_READ_S = 8.0
 """Pause between reads of the list of hosts; a new host makes itself known by asking as well."""
 SILENT_S = 4.0
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -21,8 +21,8 @@
 decoding takes). It weighs reading against waiting and moving; errors are corrected as first events
 come."""
 HOME_S = 0.02
-"""Requests that share most of their prompt go to one engine, unless another one is this much sooner:
-what they share is then in its memory more often than by chance."""
+"""Requests that share most of their prompt go to one engine, unless another one is this much
+sooner: what they share is then in its memory more often than by chance."""
 FULL_SHARE = 1.35
 """An engine is full when its requests' tokens are this much of its memory: what requests share is
 counted for each of them here and once there (230,000 stood for 175,000 in a trial)."""
@@ -33,8 +33,8 @@
 REQUEST_S = 0.004
 """Work of a request beside reading: the steps that decode it, shared with others at the engine."""
 OLD_WEIGHTS_S = 0.1
-"""Engines with replaced weights are taken if they are this much sooner: their answers lose a fifth of
-their benefit, engines with new ones have everything to read again."""
+"""Engines with replaced weights are taken if they are this much sooner: their answers lose a fifth
+of their benefit, engines with new ones have everything to read again."""
 OLD_WEIGHTS_FREE_S = 0.5
 """Answers on replaced weights lose nothing for the first 1.5 s, of which hosts hear late."""
 VERSION_MARGIN_S = 2.5
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -16,7 +16,7 @@
 
 OPERATOR_WAIT_S = 1.0
 """How long one question for news of operators waits at the store. An answer confirms the
-configuration, whose age has to stay well under the shortest bound on it (`config_apply_ms`, 2 s)."""
+configuration, whose age has to stay well under the shortest bound on it (2 s)."""
 UPSTREAM_PAUSE_S = 0.8
 """Pause between reads of upstreams' entries. Each upstream writes every 1.2 s, so a waiting read
 would return at once; a leave has to be known within `drain_ms` (2 s)."""
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -1,7 +1,7 @@
 """Brings engines to newly named weights, a share of them at a time.
 
-Any host may do this; the holder of the lease does. An engine first gets no new work for a moment, so
-that few runs have to end before it loads and few requests are refused meanwhile.
+Any host may do this; the holder of the lease does. An engine first gets no new work for a moment,
+so that few runs are left when it loads and few requests are refused meanwhile.
 """
 
 import logging
@@ -25,8 +25,8 @@
 
 LOOK_S = 0.2
 AT_ONCE_SHARE = 0.4
-"""Share of a pool's engines that load at once. The weight store serves about this share before each
-load takes longer (2 of 5, 18 of 45, 22 of 56 on the sheets), and the rest carries the traffic."""
+"""Share of a pool's engines that load at once. The weight store serves about this share before
+each load takes longer (2 of 5, 18 of 45, 22 of 56 on the sheets); the rest carries the traffic."""
 LOAD_S = 2.5
 """How long an engine is out of rotation: until it is empty, 1.3 s to load when few do at once, and
 the lag of its report."""
@@ -34,10 +34,10 @@
 """Share of the bound on old weights within which all engines are to be brought over; the rest is
 left for orders that are lost and engines that come late."""
 EMPTY_S = 1.2
-"""Longest wait for an engine to become empty before its order; most runs take less than a second, and
-what a run makes after its weights were changed under it is worth nothing."""
+"""Longest wait for an engine to become empty before its order; most runs take less than a second,
+and what a run makes after its weights were changed under it is worth nothing."""
 TELL_S = 0.05
-"""Until all hosts have heard that an engine is being emptied, and this one of what they sent before."""
+"""Until all hosts have heard that an engine is being emptied, and this one of what they sent."""
 EMPTY_LOOK_S = 0.02
 REPORT_S = 0.25
 """Pause between looks at an engine's report, which is some hundred milliseconds old itself."""
@@ -51,8 +51,8 @@
 `RANK_S` longer for each host before it."""
 RANK_S = 1.2
 FREE_AFTER_S = 6.0
-"""Parts of replaced weights are freed this long after the last engine has newer ones: a request that
-was sent to an engine before may fetch for `FETCH_S`, and hosts differ in what they know by two
+"""Parts of replaced weights are freed this long after the last engine has newer ones: a request
+that was sent to an engine before may fetch for `FETCH_S`, and hosts differ in what they know by two
 seconds."""
 FREE_BATCH = 400
 
--- a/libs/standins/ruddersaddle_standins/suites.py
+++ b/libs/standins/ruddersaddle_standins/suites.py
@@ -50,7 +50,8 @@
 
 def find_modules(root: Path) -> list[str]:
     """Return the names of all test modules; the longest files first."""
-    paths = sorted((root / "libs").glob("*/*/tests/test_*.py"), key=_size, reverse=True)
+    found = [*root.glob("libs/*/*/tests/test_*.py"), *root.glob("platform/*/tests/test_*.py")]
+    paths = sorted(found, key=_size, reverse=True)
     return [".".join(path.parts[-3:]).removesuffix(".py") for path in paths]
 
 
