Two hosts read the platform's store for all; refusals' headers are the adapter's

Change: the first two hosts by rendezvous read; the others ask a reader each 0.6 s, at once when it says that something changed, and read themselves when what they know is older than 1.6 s. Ages count from when a question was sent.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -180,8 +180,9 @@
     def _start_tasks(self) -> None:
         operator = OperatorFollower(self.store, self.link, self.publications)
         entries = UpstreamFollower(self.store, self.link, self.upstreams)
-        eventlet.spawn(operator.run, OPERATOR_WAIT_S, 0.0)
-        eventlet.spawn(entries.run, 0.0, UPSTREAM_PAUSE_S)
+        is_reader = self.neighbours.is_reader
+        eventlet.spawn(operator.run, OPERATOR_WAIT_S, 0.0, is_reader)
+        eventlet.spawn(entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
         self.neighbours.start()
         self.rollouts.start()
         eventlet.spawn(self._keep_house)
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -32,7 +32,9 @@
     Code.UPSTREAM_FAILED: 502,
     Code.INTERNAL: 502,
 }
-"""Statuses of failures; all others are 503, which promises that the request has not run."""
+"""Statuses of failures; all others get `NOT_RUN_STATUS`."""
+NOT_RUN_STATUS = 503
+"""Promises that the request has not run and never will."""
 UNKNOWN_YET_S = 0.5
 """When to come back to a host that knows no configuration yet; it reads it every 0.3 to 0.6 s."""
 PUBLIC = "public"
@@ -84,12 +86,13 @@
         self.environ = environ
         self.start = start
         self.began: float = environ["caller.began"]
+        self.head: CallerHead | None = None
+        self.failure: Failure | None = None
         self.request: CallerRequest | None = None
         self.forwarding: Forwarding | None = None
         self.watch: CallerWatch | None = None
         self.timer: eventlet.Timeout | None = None
         self.status = 0
-        self._answered = False
 
     def run(self) -> Iterable[bytes]:
         """Return the answer; a stream goes on after this has returned."""
@@ -201,20 +204,17 @@
         if self.front.closing:
             self.environ["caller.protocol"].close_connection = 1
         self.start(f"{status} {responses.get(status, 'Unknown')}", headers)
-        self._answered = True
 
     def _time_over(self) -> Failure:
         return Failure(Code.DEADLINE, Step.READ, "upstream", "the time for the request is over")
 
     def _refuse(self, failure: Failure) -> list[bytes]:
-        status = STATUS_BY_CODE.get(failure.code, 503)
+        status = STATUS_BY_CODE.get(failure.code, NOT_RUN_STATUS)
         body = msgspec.json.encode({"error": failure.code.value, "detail": failure.detail})
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-        request = getattr(self, "head", None)
-        if request is not None and request.id:
-            headers.append(("Request-Id", request.id))
-        if status == 503:
-            headers.append(self.front.wire.retry_after(failure.retry_after_s))
+        request = None if self.head is None else self.head.id
+        retry_after_s = failure.retry_after_s if status == NOT_RUN_STATUS else None
+        headers += self.front.wire.write_refusal(request, retry_after_s)
         if failure.code is Code.TOO_LARGE or failure.step is Step.PARSE:
             # What is left of the body can't be told from a next request.
             self.environ["caller.protocol"].close_connection = 1
@@ -246,9 +246,8 @@
             "configuration": front.publications.version,
             "configuration_age_ms": _milliseconds(front.publications.age_s),
         }
-        head = getattr(self, "head", None)
-        fields["request"] = None if head is None else head.id
-        failure = getattr(self, "failure", None)
+        fields["request"] = None if self.head is None else self.head.id
+        failure = self.failure
         if failure is not None:
             fields["reason"] = f"{failure.step.value} at {failure.peer}: {failure.detail}"
         if self.request is not None:
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -8,6 +8,7 @@
 import msgspec
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HostId, ModelId, UpstreamId
+from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import MetadataStore, ModelVersion, Topic
@@ -20,26 +21,32 @@
 
 ASK_S = 0.4
 """Longest wait for a peer's answer; one way between halls takes about a millisecond."""
-ASKED = 3
-"""Peers that are asked at a time."""
-OLD_S = 1.6
-"""A belief that is older is asked of peers: the store's long reads confirm it about each second."""
-LOOK_S = 0.25
+OLD_S = 1.3
+"""Beliefs older than this are asked of readers also by a reader: its own reads confirm them about
+each second, unless the store does not answer it."""
+READERS = 2
+"""Hosts that read the store for all others; the second one serves while the first is replaced."""
+ASK_PAUSE_S = 0.6
+"""Pause between a host's questions to a reader. With the reader's own reads (a second) the answer
+confirms beliefs well within the shortest bound on them (2 s)."""
+SILENT_S = 4.0
+"""A peer that did not answer is left alone this long."""
+LOOK_S = 0.1
 NOTICES_S = 0.01
 """Pause between messages about requests at engines. A prompt takes 5 to 200 ms to read, so that
 what others sent has to be known within some ten milliseconds."""
-HOSTS_READ_S = 8.0
+HOSTS_READ_S = 12.0
 """Pause between reads of the list of hosts; a new host makes itself known by asking as well."""
-SILENT_S = 4.0
-"""A peer that was not heard of for this long does not count as live."""
 
 
 class AskNews(msgspec.Struct, frozen=True, tag="ask_news"):
-    """Asks for what the peer believes."""
+    """Asks for what the peer believes and the asker may not have yet."""
 
     host: HostId
     address: str
     version: int
+    entries_revision: int
+    """Revision of the peer's own entries that the asker has; -1 for none."""
 
 
 class News(msgspec.Struct, frozen=True, tag="news"):
@@ -49,10 +56,18 @@
     end: int
     named: tuple[ModelVersion, ...]
     published: Published | None
-    entries: tuple[UpstreamEntry, ...]
+    entries: tuple[UpstreamEntry, ...] | None
+    """None if the asker has them."""
+    entries_revision: int
     entries_age_s: float
 
 
+class Changed(msgspec.Struct, frozen=True, tag="changed"):
+    """Tells that the sender knows something new, so that it is worth asking; it is not answered."""
+
+    address: str
+
+
 class Emptying(msgspec.Struct, frozen=True, tag="emptying"):
     """Tells that an engine gets no new work for some seconds, because it is to load weights."""
 
@@ -79,7 +94,7 @@
     """Answers a message that asks nothing."""
 
 
-NeighbourMessage = AskNews | News | Emptying | Loaded | Notices | Noted
+NeighbourMessage = AskNews | News | Changed | Emptying | Loaded | Notices | Noted
 
 
 class Neighbours:
@@ -103,7 +118,10 @@
         self.trackers = trackers
         self.peers = Peers(address, self._answer, NeighbourMessage)
         self.address_by_host: dict[HostId, str] = {}
-        self.heard_at: dict[str, float] = {}
+        self._silent_until: dict[str, float] = {}
+        self._revision_by_address: dict[str, int] = {}
+        self._asked_at = float("-inf")
+        self._seen = (0, 0)
         self.news_at = 0.0
         """When the last word of an engine being emptied or loaded came."""
         self._unsent: list[Notice] = []
@@ -122,10 +140,18 @@
 
     @property
     def live_hosts(self) -> list[str]:
-        """Addresses of the hosts that were heard of lately, this one among them."""
+        """Addresses of the hosts that are not known to be silent, this one among them."""
         now = time.monotonic()
-        live = [peer for peer, heard in self.heard_at.items() if now - heard < SILENT_S]
-        return sorted([*live, self.address])
+        silent = {peer for peer, until in self._silent_until.items() if now < until}
+        return [self.address, *(each for each in self.addresses() if each not in silent)]
+
+    def readers(self) -> list[str]:
+        """Return the hosts that read the store for all, as far as this one knows."""
+        return rank_names("readers", self.live_hosts)[:READERS]
+
+    def is_reader(self) -> bool:
+        """Return whether this host reads the store for others."""
+        return self.address in self.readers()
 
     @property
     def hosts_count(self) -> int:
@@ -149,7 +175,7 @@
             if found != self.address_by_host:
                 logger.info("Hosts: %s.", ", ".join(sorted(found)))
             self.address_by_host = found
-            self.peers.keep_only(set(self.addresses()) | set(self.heard_at))
+            self.peers.keep_only(set(self.addresses()))
             eventlet.sleep(HOSTS_READ_S * (0.75 + 0.5 * random.random()))
 
     def leave(self) -> None:
@@ -161,27 +187,49 @@
     # Beliefs
 
     def _keep_young(self) -> None:
+        for address in self.addresses():
+            self._ask(address)
         while True:
             eventlet.sleep(LOOK_S)
-            entries_s = time.monotonic() - self.upstreams.confirmed_at
-            if self.publications.age_s > OLD_S or entries_s > OLD_S:
-                self._ask_some()
-
-    def _ask_some(self) -> None:
-        addresses = self.addresses()
-        random.shuffle(addresses)
-        tasks = [eventlet.spawn(self._ask, address) for address in addresses[:ASKED]]
-        for task in tasks:
-            task.wait()
-
-    def _ask(self, address: str) -> None:
+            self._tell_changes()
+            age_s = max(self.publications.age_s, self.upstreams.age_s)
+            since_s = time.monotonic() - self._asked_at
+            if since_s > ASK_PAUSE_S and (age_s > OLD_S or not self.is_reader()):
+                self._ask_reader()
+
+    def _tell_changes(self) -> None:
+        """Let the others ask at once for what this reader has learnt."""
+        seen = (self.publications.end, self.upstreams.revision)
+        if seen == self._seen:
+            return
+        self._seen = seen
+        if self.is_reader():
+            for address in self.addresses():
+                self.peers.tell(address, Changed(self.address))
+
+    def _ask_reader(self) -> None:
+        """Ask the readers in turn until one has something young to tell."""
+        self._asked_at = time.monotonic()
+        others = [each for each in self.readers() if each != self.address]
+        if not others and self.addresses():
+            others = [random.choice(self.addresses())]
+        for address in others:
+            if self._ask(address) and self.publications.age_s < OLD_S:
+                return
+
+    def _ask(self, address: str) -> bool:
+        """Ask one peer; return whether it answered."""
         asked_at = time.monotonic()
-        question = AskNews(self.host, self.address, self.publications.version)
+        revision = self._revision_by_address.get(address, -1)
+        question = AskNews(self.host, self.address, self.publications.version, revision)
         answer = self.peers.ask(address, question, ASK_S)
         if not isinstance(answer, News):
-            return
-        self.heard_at[address] = time.monotonic()
+            self._silent_until[address] = time.monotonic() + SILENT_S
+            return False
+        self._silent_until.pop(address, None)
         self._take(answer, asked_at)
+        self._revision_by_address[address] = answer.entries_revision
+        return True
 
     def _take(self, news: News, asked_at: float) -> None:
         """Take a peer's beliefs, dated from when the question left."""
@@ -192,7 +240,11 @@
         if news.end >= self.publications.end:
             self.publications.confirm(asked_at - news.age_s, news.end)
         entries_at = asked_at - news.entries_age_s
-        if news.entries and entries_at > self.upstreams.confirmed_at:
+        if entries_at <= self.upstreams.confirmed_at:
+            return
+        if news.entries is None:
+            self.upstreams.confirm(entries_at)
+        else:
             self.upstreams.replace(news.entries, entries_at)
 
     def _answer(self, message: NeighbourMessage) -> NeighbourMessage:
@@ -203,26 +255,35 @@
                 self.note_emptying(message)
             case Loaded():
                 self.note_loaded(message)
+            case Changed():
+                self._note_changed(message)
             case Notices():
                 self._take_notices(message)
         return Noted()
 
     def _tell(self, question: AskNews) -> News:
-        self.heard_at[question.address] = time.monotonic()
+        self._silent_until.pop(question.address, None)
         self.address_by_host.setdefault(question.host, question.address)
         publications = self.publications
+        upstreams = self.upstreams
         table = publications.table
         is_newer = table is not None and publications.version > question.version
+        has_entries = question.entries_revision == upstreams.revision or not upstreams.complete
         versions = publications.version_by_model
         return News(
             age_s=publications.age_s,
             end=publications.end,
             named=tuple(ModelVersion(model, each) for model, each in versions.items()),
             published=table.published if is_newer else None,
-            entries=tuple(self.upstreams.by_id.values()) if self.upstreams.complete else (),
-            entries_age_s=time.monotonic() - self.upstreams.confirmed_at,
+            entries=None if has_entries else tuple(upstreams.by_id.values()),
+            entries_revision=upstreams.revision if upstreams.complete else -1,
+            entries_age_s=upstreams.age_s,
         )
 
+    def _note_changed(self, message: Changed) -> None:
+        if message.address in self.addresses():
+            self._ask(message.address)
+
     # Engines that are to load weights
 
     def note_emptying(self, message: Emptying) -> None:
@@ -247,8 +308,8 @@
             eventlet.spawn(self._tell_one, address, message)
 
     def _tell_one(self, address: str, message: Emptying | Loaded) -> None:
-        if not isinstance(self.peers.ask(address, message, ASK_S), Failure):
-            self.heard_at[address] = time.monotonic()
+        if isinstance(self.peers.ask(address, message, ASK_S), Failure):
+            self._silent_until[address] = time.monotonic() + SILENT_S
 
     # Requests at engines
 
@@ -270,7 +331,6 @@
                 self.peers.tell(address, message)
 
     def _take_notices(self, message: Notices) -> None:
-        self.heard_at[message.address] = time.monotonic()
         for notice in message.notices:
             tracker = self.trackers.by_id.get(notice.upstream)
             if tracker is not None:
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -134,8 +134,8 @@
     def read_answer(self, status: int, headers: Headers) -> AnswerHead:
         """Return what the headers of an answer say."""
 
-    def retry_after(self, seconds: float) -> tuple[str, str]:
-        """Return the header that tells a caller when to come back."""
+    def write_refusal(self, request: RequestId | None, retry_after_s: float | None) -> Headers:
+        """Return the headers of an answer of this system: whose it is, when to come back."""
 
 
 class EngineReport(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 import eventlet
 from ruddersaddle_base.failures import Code, Failure
@@ -20,6 +21,9 @@
 UPSTREAM_PAUSE_S = 0.8
 """Pause between reads of upstreams' entries. Each upstream writes every 1.2 s, so a waiting read
 would return at once; a leave has to be known within `drain_ms` (2 s)."""
+FALLBACK_S = 1.6
+"""A host that is no reader asks the store by itself when what others told it is older than this."""
+LOOK_S = 0.1
 RETRY_S = 0.3
 """Pause after a failed read, with as much again drawn at random, so that hosts spread out."""
 
@@ -54,9 +58,12 @@
         self.link = link
         self.position: int | None = None
 
-    def run(self, wait_s: float, pause_s: float) -> None:
-        """Follow the topic for good."""
+    def run(self, wait_s: float, pause_s: float, is_reader: Callable[[], bool]) -> None:
+        """Follow the topic for good, while this host is a reader or knows nothing newer."""
         while True:
+            if not is_reader() and self.age_s < FALLBACK_S:
+                eventlet.sleep(LOOK_S)
+                continue
             page = self._read(wait_s)
             self.link.note(page)
             if isinstance(page, Failure):
@@ -89,6 +96,11 @@
         """Take a page; return whether it is not older than what is known."""
         raise NotImplementedError
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since what this host knows of the topic was last confirmed."""
+        raise NotImplementedError
+
     def note_outage(self) -> None:
         """Take that the store did not answer."""
 
@@ -110,6 +122,11 @@
                 self.publications.take(item)
         return self.publications.confirm(asked_at, page.end)
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the configuration was last confirmed."""
+        return self.publications.age_s
+
 
 class UpstreamFollower(TopicFollower):
     """Follows the entries of upstreams."""
@@ -141,6 +158,11 @@
             return None
         return entry
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the entries were last confirmed."""
+        return self.upstreams.age_s
+
     def note_outage(self) -> None:
         """Entries may lapse while the store is away."""
         self.upstreams.note_outage()
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_engine_loads.py
@@ -0,0 +1,62 @@
+"""Tests of what hosts know of the requests at an engine."""
+
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
+from ruddersaddle_serving.prompts import Part, PartId
+
+
+class EngineLoadTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.load = EngineLoad()
+
+    def test_reading_counts_until_the_first_event_and_memory_until_the_end(self) -> None:
+        self.load.add(("a", 1), 0.1, 1000)
+        self.load.add(("b", 1), 0.2, 500)
+        self.assertAlmostEqual(self.load.wait_s, 0.3)
+        self.load.note_first(("a", 1))
+        self.load.note_first(("a", 1))
+        self.assertAlmostEqual(self.load.wait_s, 0.2)
+        self.assertEqual(self.load.tokens, 1500)
+        self.load.end(("a", 1))
+        self.load.end(("a", 1))
+        self.assertEqual(self.load.tokens, 500)
+
+    def test_requests_of_a_host_that_is_gone_are_forgotten(self) -> None:
+        self.load.add(("gone", 1), 0.1, 1000)
+        self.now += 9.0
+        self.load.add(("here", 1), 0.1, 10)
+        self.assertEqual(self.load.tokens, 10)
+
+    def test_wait_for_memory_is_what_runs_must_leave(self) -> None:
+        self.load.run_s = 2.0
+        self.load.add(("a", 1), 0.1, 900)
+        self.assertEqual(self.load.memory_wait_s(100, 1000), 0.0)
+        self.assertAlmostEqual(self.load.memory_wait_s(600, 1000), 1.0)
+
+
+class EngineMemoryTest(unittest.TestCase):
+    def test_least_recently_used_parts_give_way(self) -> None:
+        a, b, c = (Part(PartId(name), 40) for name in "abc")
+        memory = EngineMemory(100)
+        for part in (a, b, a, c):
+            memory.use("s", (part,))
+        kept = [memory.leading_tokens("s", (part,)) for part in (a, b, c)]
+        self.assertEqual(kept, [40, 0, 40])
+        self.assertEqual(memory.leading_tokens("other", (a,)), 0)
+
+    def test_only_leading_parts_count(self) -> None:
+        a, b = Part(PartId("a"), 10), Part(PartId("b"), 10)
+        memory = EngineMemory(100)
+        memory.use("s", (b,))
+        self.assertEqual(memory.leading_tokens("s", (a, b)), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_kept_parts.py
@@ -0,0 +1,101 @@
+"""Tests of what is fetched from context stores and saved to them."""
+
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_base.ids import HallId, ModelId, StoreId, WorkspaceId
+
+from ruddersaddle_serving.kept_parts import KeptParts, KeptStore, is_older_salt, make_salt
+from ruddersaddle_serving.ports import StoreChange, Transfer
+from ruddersaddle_serving.prompts import Part, PartId, Prompt
+from ruddersaddle_serving.routes import ContextStore
+
+HALL = HallId("h")
+MODEL = ModelId("m")
+SMALL, LARGE, OWN = Part(PartId("s"), 500), Part(PartId("l"), 9000), Part(PartId("o"), 100)
+PROMPT = Prompt(MODEL, (SMALL, LARGE, OWN), 9600, 10)
+FAST = ContextStore(StoreId("fast"), "10.0.0.1:1", HALL, 20_000, 310_000.0, 0.0005, 8)
+SLOW = ContextStore(StoreId("slow"), "10.0.0.2:1", HALL, 90_000, 130_000.0, 0.006, 8)
+
+
+class KeptPartsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.kept = KeptParts(mock.Mock())
+        for spec in (FAST, SLOW):
+            store = self.kept.by_id[spec.id] = KeptStore(spec)
+            store.reset(1, 0)
+            store.note_clock(5_000)
+        self.now += 10.0
+        self.confirm()
+
+    def confirm(self) -> None:
+        for store in self.kept.by_id.values():
+            store.confirmed_at = self.now
+
+    def plan(self) -> Transfer:
+        holders = self.kept.find_holders("m/1", PROMPT)
+        return self.kept.plan("m/1", PROMPT, holders, HALL)
+
+    def put(self, store: ContextStore, part: Part) -> None:
+        self.kept.by_id[store.id].put(StoreChange("m/1", part.id, part.tokens))
+
+    def test_small_parts_go_to_fast_stores_and_large_ones_to_slow_ones(self) -> None:
+        expected = Transfer("m/1", (None,) * 3, (FAST.address, SLOW.address, None), 0)
+        self.assertEqual(self.plan(), expected)
+
+    def test_part_is_not_saved_twice_at_once(self) -> None:
+        self.plan()
+        self.assertEqual(self.plan().save_to, (None, None, None))
+
+    def test_whole_parts_are_fetched_with_a_bound_on_the_engines_clock(self) -> None:
+        self.put(FAST, SMALL)
+        self.put(SLOW, LARGE)
+        plan = self.plan()
+        self.assertEqual(plan.fetch_from, (FAST.address, SLOW.address, None))
+        self.assertEqual(plan.save_to, (None, None, None))
+        self.assertEqual(plan.fetch_until_ms, 5_000 + 10_000 + 1_400)
+
+    def test_part_behind_a_missing_one_is_not_fetched(self) -> None:
+        self.put(SLOW, LARGE)
+        self.assertEqual(self.plan().fetch_from, (None, None, None))
+
+    def test_part_of_a_shorter_length_is_not_whole(self) -> None:
+        self.kept.by_id[FAST.id].put(StoreChange("m/1", SMALL.id, SMALL.tokens - 1))
+        self.assertEqual(self.kept.find_holders("m/1", PROMPT), [None, None])
+
+    def test_listing_that_is_not_confirmed_is_not_trusted(self) -> None:
+        self.put(FAST, SMALL)
+        self.now += 1.7
+        self.assertEqual(self.plan(), Transfer("m/1", (None,) * 3, (None,) * 3, 0))
+
+    def test_nothing_is_saved_to_a_store_that_was_restarted_until_all_hosts_know(self) -> None:
+        for store in self.kept.by_id.values():
+            store.reset(2, 0)
+        self.assertEqual(self.plan().save_to, (None, None, None))
+        self.now += 4.1
+        self.confirm()
+        self.assertEqual(self.plan().save_to, (FAST.address, SLOW.address, None))
+
+    def test_full_store_takes_nothing(self) -> None:
+        self.kept.by_id[FAST.id].used_tokens = FAST.capacity_tokens
+        self.assertEqual(self.plan().save_to, (SLOW.address, SLOW.address, None))
+
+
+class SaltsTest(unittest.TestCase):
+    def test_salts_part_weights_and_dedicated_workspaces(self) -> None:
+        self.assertEqual(make_salt(MODEL, 3, None), "m/3")
+        self.assertEqual(make_salt(MODEL, 3, WorkspaceId("w")), "m/3/w")
+
+    def test_only_older_weights_of_the_model_are_older(self) -> None:
+        salts = ("m/2", "m/2/w", "m/3", "m/10", "mm/1", "m", "m/x")
+        older = [salt for salt in salts if is_older_salt(salt, MODEL, 3)]
+        self.assertEqual(older, ["m/2", "m/2/w"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -1,6 +1,7 @@
 """Which upstreams there are, as their own entries in the platform's store say."""
 
 import logging
+import random
 import time
 from collections.abc import Iterable
 
@@ -12,6 +13,7 @@
 LAPSE_GRACE_S = 1.6
 """An entry that is gone right after an outage of the store is kept this long: entries that lapsed
 meanwhile are back within about two seconds, and a planned leave binds after `drain_ms` (2 s)."""
+REVISION_BITS = 40
 OUTAGE_MEMORY_S = 4.0
 """How long after the store's return a missing entry may be one that lapsed: two seconds until
 upstreams write again, and two for this host to read it."""
@@ -35,11 +37,18 @@
     def __init__(self) -> None:
         self.by_id: dict[UpstreamId, UpstreamEntry] = {}
         self.complete = False
-        self.confirmed_at = 0.0
+        self.revision = random.getrandbits(REVISION_BITS)
+        """Grows with each change of an entry; begins anywhere, so that two processes differ."""
+        self.confirmed_at = float("-inf")
         """When the question was sent whose answer was last taken."""
         self._lapse_by_id: dict[UpstreamId, float] = {}
         self._outage_until = 0.0
 
+    @property
+    def age_s(self) -> float:
+        """Seconds since the list was last known to be the newest."""
+        return time.monotonic() - self.confirmed_at
+
     def note_outage(self) -> None:
         """Remember that the store does not answer; entries may lapse meanwhile."""
         self._outage_until = time.monotonic() + OUTAGE_MEMORY_S
@@ -63,6 +72,7 @@
             entry = msgspec.structs.replace(entry, leaving=True)
         self.by_id[entry.id] = entry
         if known != entry:
+            self.revision += 1
             logger.info(
                 "Upstream %s of %s at %s: leaving %s, versions %s.",
                 entry.id,
@@ -96,6 +106,7 @@
     def _drop(self, upstream: UpstreamId) -> None:
         entry = self.by_id.pop(upstream, None)
         if entry is not None:
+            self.revision += 1
             logger.info("Upstream %s of %s at %s is gone.", upstream, entry.pool, entry.address)
 
     def of_pool(self, pool: PoolId) -> list[UpstreamEntry]:
