Free replaced weights' parts by time, refuse by predicted wait, wait by urgency

Change: hosts fetch parts of replaced weights for a bounded time after the naming, and any host may free them after all such fetches have ended; nothing is saved for replaced weights; requests whose predicted wait is over a share of the target by urgency are refused at once; a part behind one that the engine keeps is fetched.

--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -22,9 +22,14 @@
 """Weight of the newest run in the mean: about the last twenty count, a second or two of them."""
 
 
+PRIORITIES = 10
+"""Steps of urgency that engines know; 0 goes first."""
+
+
 class Sent(msgspec.Struct):
     """A request that was sent to the engine. `work_s` is the time that reading it takes."""
 
+    priority: int
     work_s: float
     tokens: int
     at: float
@@ -32,30 +37,38 @@
 
 
 class EngineLoad:
-    """The requests at one engine, by the number that their host gave them."""
+    """The requests at one engine, by the number that their host gave them.
+
+    An engine lets the more urgent in first, so what a request waits for is what is as urgent as it.
+    """
 
     def __init__(self) -> None:
         self.by_number: OrderedDict[tuple[str, int], Sent] = OrderedDict()
-        self.wait_s = 0.0
-        """Seconds of reading that were sent and not seen to be done."""
-        self.tokens = 0
-        """Tokens of the requests at the engine."""
         self.run_s = RUN_START_S
         """Mean length of a run from its first event, in seconds."""
+        self._work_by_priority = [0.0] * PRIORITIES
+        self._tokens_by_priority = [0] * PRIORITIES
 
-    def add(self, number: tuple[str, int], work_s: float, tokens: int) -> None:
+    @property
+    def tokens(self) -> int:
+        """Tokens of the requests at the engine."""
+        return sum(self._tokens_by_priority)
+
+    def add(self, number: tuple[str, int], priority: int, work_s: float, tokens: int) -> None:
         """Take that a request was sent."""
         self._forget_old()
-        self.by_number[number] = Sent(work_s, tokens, time.monotonic())
-        self.wait_s += work_s
-        self.tokens += tokens
+        priority = min(PRIORITIES - 1, max(0, priority))
+        self.by_number[number] = Sent(priority, work_s, tokens, time.monotonic())
+        self._work_by_priority[priority] += work_s
+        self._tokens_by_priority[priority] += tokens
 
     def note_first(self, number: tuple[str, int]) -> None:
         """Take that the first event of a request came, so that its prompt was read."""
         sent = self.by_number.get(number)
         if sent is not None and sent.first_at is None:
             sent.first_at = time.monotonic()
-            self.wait_s = max(0.0, self.wait_s - sent.work_s)
+            left_s = self._work_by_priority[sent.priority] - sent.work_s
+            self._work_by_priority[sent.priority] = max(0.0, left_s)
 
     def end(self, number: tuple[str, int]) -> None:
         """Take that a request ended."""
@@ -67,14 +80,19 @@
             self.run_s += RUN_WEIGHT * (run_s - self.run_s)
         self.note_first(number)
         del self.by_number[number]
-        self.tokens -= sent.tokens
+        self._tokens_by_priority[sent.priority] -= sent.tokens
+
+    def wait_s(self, priority: int, tokens: int, capacity_tokens: int) -> float:
+        """Return how long a request waits for what is as urgent: for reading, or for memory.
 
-    def memory_wait_s(self, tokens: int, capacity_tokens: int) -> float:
-        """Return how long a request of so many tokens waits until runs have left it room."""
-        over = self.tokens + tokens - capacity_tokens
+        `tokens` is what it needs itself, `capacity_tokens` the engine's memory.
+        """
+        reading_s = sum(self._work_by_priority[: priority + 1])
+        taken = sum(self._tokens_by_priority[: priority + 1])
+        over = taken + tokens - capacity_tokens
         if over <= 0 or capacity_tokens <= 0:
-            return 0.0
-        return self.run_s * over / capacity_tokens
+            return reading_s
+        return max(reading_s, self.run_s * over / capacity_tokens)
 
     def _forget_old(self) -> None:
         oldest_at = time.monotonic() - FORGET_S
--- a/libs/serving/ruddersaddle_serving/kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/kept_parts.py
@@ -4,8 +4,10 @@
 is fetched while it is not whole, and a part is freed while it is fetched. The first is kept by
 fetching only what the store itself said is whole, in a listing confirmed within `TRUST_S`, and by
 saving nothing for `QUIET_S` after a store's restart, until no host can believe the earlier listing
-any more. The second is kept by freeing only what no engine's weights can ask for any more
-(`weight_rollouts`).
+any more. The second is kept by a rule about replaced weights: a host fetches only while what it
+knows of published items is younger than `FRESH_S`, and parts of replaced weights only for
+`REPLACED_FETCH_S` after newer ones may have been named. A host may free them `REPLACED_FREE_S`
+after it heard of the newer ones: every fetch of any host has ended by then.
 """
 
 import logging
@@ -30,6 +32,16 @@
 QUIET_S = 4.0
 """Nothing is saved this long after a new epoch of a store was first seen: the earlier listing is
 trusted for `TRUST_S` at most, and a fetch begun at its end may take `FETCH_S`."""
+FRESH_S = 2.0
+"""What a host knows of published items has to be younger than this for it to fetch parts; readers
+confirm it about each second."""
+REPLACED_FETCH_S = 7.0
+"""Parts of replaced weights are fetched this long, while engines are brought to the newer ones
+(in about 9 s); their room is needed for the parts that the newer ones make."""
+REPLACED_FREE_S = REPLACED_FETCH_S + FRESH_S + FETCH_S + 0.6
+"""Parts of replaced weights are freed after this: the host that heard last heard `FRESH_S` after
+the operator's write, fetched for `REPLACED_FETCH_S`, its last fetch took `FETCH_S`; the rest is for
+requests on their way."""
 SAVING_S = 5.0
 """A part that was sent to be saved is not sent again this long."""
 SAVING_MAX = 10_000
@@ -180,24 +192,38 @@
         kept.used_tokens += sum(_round_up(part.tokens) for part in listing.broken)
         return None
 
-    def find_holders(self, salt: str, prompt: Prompt) -> list[KeptStore | None]:
+    def find_holders(self, salt: str, prompt: Prompt, may_fetch: bool) -> list[KeptStore | None]:
         """Return for each shared part a store that has it whole, or None."""
+        if not may_fetch:
+            return [None] * len(prompt.shared_parts)
         trusted = [kept for kept in self.by_id.values() if kept.is_trusted]
         return [_find_holder(trusted, salt, part) for part in prompt.shared_parts]
 
     def plan(
-        self, salt: str, prompt: Prompt, holders: list[KeptStore | None], hall: HallId
+        self,
+        salt: str,
+        prompt: Prompt,
+        holders: list[KeptStore | None],
+        hall: HallId,
+        covered_tokens: int = 0,
+        may_save: bool = True,
     ) -> Transfer:
-        """Return where an engine in a hall gets the shared parts from, and where it saves them."""
+        """Return where an engine in a hall gets the shared parts from, and where it saves them.
+
+        It is believed to keep the first `covered_tokens` of the prompt itself.
+        """
         fetch: list[str | None] = []
         save: list[str | None] = []
         until_ms: list[int] = []
         chain_is_kept = True
+        passed_tokens = 0
         for part, holder in zip(prompt.shared_parts, holders, strict=True):
-            chain_is_kept = chain_is_kept and holder is not None
+            passed_tokens += part.tokens
+            is_covered = passed_tokens <= covered_tokens
+            chain_is_kept = chain_is_kept and (holder is not None or is_covered)
             if holder is None:
                 fetch.append(None)
-                save.append(self._place(salt, part, hall))
+                save.append(self._place(salt, part, hall) if may_save else None)
                 continue
             fetch.append(holder.spec.address if chain_is_kept else None)
             save.append(None)
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -8,7 +8,14 @@
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.kept_parts import KeptParts, KeptStore, make_salt
+from ruddersaddle_serving.engine_loads import PRIORITIES
+from ruddersaddle_serving.kept_parts import (
+    FRESH_S,
+    REPLACED_FETCH_S,
+    KeptParts,
+    KeptStore,
+    make_salt,
+)
 from ruddersaddle_serving.ports import Transfer
 from ruddersaddle_serving.prompts import CallerRequest, Prompt
 from ruddersaddle_serving.publications import Publications
@@ -23,6 +30,8 @@
 HOME_S = 0.02
 """Requests that share most of their prompt go to one engine, unless another one is this much
 sooner: what they share is then in its memory more often than by chance."""
+CROWD_SHARE = 0.5
+"""What is less urgent at an engine counts this much: it gives way, but is read again then."""
 FULL_SHARE = 1.35
 """An engine is full when its requests' tokens are this much of its memory: what requests share is
 counted for each of them here and once there (230,000 stood for 175,000 in a trial)."""
@@ -30,6 +39,10 @@
 """Share of an engine's memory that each step of urgency has for itself. An engine that runs out of
 memory preempts the least urgent run and reads its prompt again."""
 RESERVED_STEPS = 3
+WAIT_SHARES = (1.4, 1.1, 0.8)
+"""Share of the latency target that the predicted wait may take, by urgency. Beyond it a request is
+refused at once: late answers are worth a fifth, and what is not sent lets others be in time. The
+most urgent are refused last."""
 REQUEST_S = 0.004
 """Work of a request beside reading: the steps that decode it, shared with others at the engine."""
 OLD_WEIGHTS_S = 0.1
@@ -74,6 +87,9 @@
     version: int | None
     salt: str
     wait_s: float
+    """Wait for what is as urgent as the request."""
+    crowd_s: float
+    """Wait for all that is at the engine."""
     fetch_s: float
     work_s: float
     covered_tokens: int
@@ -83,7 +99,8 @@
     @property
     def total_s(self) -> float:
         """Predicted time until the prompt is read, and what speaks against the engine."""
-        return self.wait_s + self.fetch_s + self.work_s + self.penalty_s
+        crowd_s = CROWD_SHARE * (self.crowd_s - self.wait_s)
+        return self.wait_s + crowd_s + self.fetch_s + self.work_s + self.penalty_s
 
 
 class Placement:
@@ -160,10 +177,22 @@
         best = min(estimates, key=lambda each: each.total_s - HOME_S * (each.tracker.id == home))
         if may_wait and self._is_full(best.tracker, request, prompt):
             return Full(best.wait_s)
+        if best.wait_s > self._wait_max_s(request):
+            return self._refuse(request, best)
         hall = best.tracker.entry.hall
-        transfer = self.kept.plan(best.salt, prompt, holders_by_salt[best.salt], hall)
+        is_newest = not self.publications.replaced_at_least_s(prompt.model, best.version or 0)
+        transfer = self.kept.plan(
+            best.salt,
+            prompt,
+            holders_by_salt[best.salt],
+            hall,
+            best.covered_tokens,
+            is_newest,
+        )
         tokens = prompt.tokens_in + prompt.tokens_out
-        assignment = Assignment(best.salt, prompt.shared_parts, best.work_s, tokens)
+        assignment = Assignment(
+            best.salt, prompt.shared_parts, best.work_s, tokens, request.priority
+        )
         return Choice(
             best.tracker,
             best.version,
@@ -185,15 +214,19 @@
         version = tracker.version_by_model.get(prompt.model) or None
         salt = self._salt(request, prompt.model, version)
         if salt not in holders_by_salt:
-            holders_by_salt[salt] = self.kept.find_holders(salt, prompt)
+            may_fetch = self._may_fetch(prompt.model, version or 0)
+            holders_by_salt[salt] = self.kept.find_holders(salt, prompt, may_fetch)
         covered = tracker.memory.leading_tokens(salt, prompt.shared_parts)
         fetched, fetch_s = _add_fetched(prompt, covered, holders_by_salt[salt], tracker.entry.hall)
         missing = max(0, prompt.tokens_in - covered - fetched)
+        tokens = prompt.tokens_in + prompt.tokens_out
+        capacity = tracker.memory.capacity_tokens
         return Estimate(
             tracker=tracker,
             version=version,
             salt=salt,
-            wait_s=max(tracker.load.wait_s, self._memory_wait_s(tracker, prompt)),
+            wait_s=tracker.load.wait_s(request.priority, tokens, capacity),
+            crowd_s=tracker.load.wait_s(PRIORITIES - 1, tokens, capacity),
             fetch_s=fetch_s,
             work_s=REQUEST_S + missing / PREFILL_TOKENS_S,
             covered_tokens=covered,
@@ -201,6 +234,17 @@
             penalty_s=self._penalty_s(prompt.model, version),
         )
 
+    def _wait_max_s(self, request: CallerRequest) -> float:
+        """Return the longest predicted wait with which a request is still sent to an engine."""
+        step = min(request.priority, len(WAIT_SHARES) - 1)
+        return request.route.target_latency_s * WAIT_SHARES[step]
+
+    def _refuse(self, request: CallerRequest, best: Estimate) -> Failure:
+        detail = f"the wait is {best.wait_s:.2f} s, the target {request.route.target_latency_s} s"
+        retry_after_s = max(RETRY_SOON_S, best.wait_s)
+        pool = best.tracker.entry.pool
+        return Failure(Code.OVERLOADED, Step.ADMIT, pool, detail, retry_after_s=retry_after_s)
+
     def _is_full(self, tracker: Tracker, request: CallerRequest, prompt: Prompt) -> bool:
         """Return whether the request would crowd out runs; the urgent ones may fill it up."""
         tokens = prompt.tokens_in + prompt.tokens_out
@@ -208,9 +252,11 @@
         room = tracker.memory.capacity_tokens * share - tracker.load.tokens
         return tokens > room and tracker.load.tokens > 0 < tracker.memory.capacity_tokens
 
-    def _memory_wait_s(self, tracker: Tracker, prompt: Prompt) -> float:
-        tokens = prompt.tokens_in + prompt.tokens_out
-        return tracker.load.memory_wait_s(tokens, tracker.memory.capacity_tokens)
+    def _may_fetch(self, model: ModelId, version: int) -> bool:
+        """Return whether parts that these weights made may be fetched; see `kept_parts`."""
+        if self.publications.age_s > FRESH_S:
+            return False
+        return self.publications.replaced_at_most_s(model, version) < REPLACED_FETCH_S
 
     def _penalty_s(self, model: ModelId, version: int | None) -> float:
         newest = self.publications.version_by_model.get(model, 0)
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -3,6 +3,7 @@
 import logging
 import time
 
+import msgspec
 from ruddersaddle_base.ids import ModelId
 
 from ruddersaddle_serving.ports import ModelVersion
@@ -11,6 +12,17 @@
 logger = logging.getLogger(__name__)
 
 
+class Naming(msgspec.Struct, frozen=True):
+    """Weights that were named; times are of the steady clock.
+
+    They were not named yet at `not_before`, when this host's belief was last confirmed before.
+    """
+
+    version: int
+    not_before: float
+    heard_at: float
+
+
 class Publications:
     """The newest configuration and the newest named weights.
 
@@ -24,6 +36,7 @@
         self.version_by_model: dict[ModelId, int] = {}
         self.named_at_by_model: dict[ModelId, float] = {}
         """When this host first heard of the newest weights of a model."""
+        self.namings_by_model: dict[ModelId, list[Naming]] = {}
         self.end = 0
         """Offset that follows the newest record that was taken into account."""
 
@@ -57,8 +70,24 @@
             return
         logger.info("Weights %d of %s are named, after %d.", named.version, named.model, known)
         self.version_by_model[named.model] = named.version
+        naming = Naming(named.version, self.confirmed_at, time.monotonic())
+        self.namings_by_model.setdefault(named.model, []).append(naming)
         self.named_at_by_model[named.model] = time.monotonic()
 
+    def replaced_at_most_s(self, model: ModelId, version: int) -> float:
+        """Return the longest time for which newer weights may have been named; 0 if none are."""
+        naming = self._first_after(model, version)
+        return 0.0 if naming is None else time.monotonic() - naming.not_before
+
+    def replaced_at_least_s(self, model: ModelId, version: int) -> float:
+        """Return the time for which this host has known that newer weights are named."""
+        naming = self._first_after(model, version)
+        return 0.0 if naming is None else time.monotonic() - naming.heard_at
+
+    def _first_after(self, model: ModelId, version: int) -> "Naming | None":
+        namings = self.namings_by_model.get(model, ())
+        return next((each for each in namings if each.version > version), None)
+
     def confirm(self, asked_at: float, end: int) -> bool:
         """Note an answer to a question sent at `asked_at`; refuse one that lags behind."""
         if end < self.end:
--- a/libs/serving/ruddersaddle_serving/tests/test_engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_engine_loads.py
@@ -17,28 +17,35 @@
         self.load = EngineLoad()
 
     def test_reading_counts_until_the_first_event_and_memory_until_the_end(self) -> None:
-        self.load.add(("a", 1), 0.1, 1000)
-        self.load.add(("b", 1), 0.2, 500)
-        self.assertAlmostEqual(self.load.wait_s, 0.3)
+        self.load.add(("a", 1), 1, 0.1, 1000)
+        self.load.add(("b", 1), 1, 0.2, 500)
+        self.assertAlmostEqual(self.load.wait_s(1, 10, 9000), 0.3)
         self.load.note_first(("a", 1))
         self.load.note_first(("a", 1))
-        self.assertAlmostEqual(self.load.wait_s, 0.2)
+        self.assertAlmostEqual(self.load.wait_s(1, 10, 9000), 0.2)
         self.assertEqual(self.load.tokens, 1500)
         self.load.end(("a", 1))
         self.load.end(("a", 1))
         self.assertEqual(self.load.tokens, 500)
 
     def test_requests_of_a_host_that_is_gone_are_forgotten(self) -> None:
-        self.load.add(("gone", 1), 0.1, 1000)
+        self.load.add(("gone", 1), 0, 0.1, 1000)
         self.now += 9.0
-        self.load.add(("here", 1), 0.1, 10)
+        self.load.add(("here", 1), 0, 0.1, 10)
         self.assertEqual(self.load.tokens, 10)
 
     def test_wait_for_memory_is_what_runs_must_leave(self) -> None:
         self.load.run_s = 2.0
-        self.load.add(("a", 1), 0.1, 900)
-        self.assertEqual(self.load.memory_wait_s(100, 1000), 0.0)
-        self.assertAlmostEqual(self.load.memory_wait_s(600, 1000), 1.0)
+        self.load.add(("a", 1), 1, 0.1, 900)
+        self.load.note_first(("a", 1))
+        self.assertEqual(self.load.wait_s(1, 100, 1000), 0.0)
+        self.assertAlmostEqual(self.load.wait_s(1, 600, 1000), 1.0)
+
+    def test_what_is_less_urgent_is_not_waited_for(self) -> None:
+        self.load.add(("a", 1), 2, 0.3, 5000)
+        self.load.add(("a", 2), 0, 0.1, 10)
+        waits = [self.load.wait_s(priority, 10, 1000) for priority in (0, 1, 9)]
+        self.assertEqual([round(wait, 2) for wait in waits], [0.1, 0.1, 4.02])
 
 
 class EngineMemoryTest(unittest.TestCase):
--- a/libs/serving/ruddersaddle_serving/tests/test_kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_kept_parts.py
@@ -38,7 +38,7 @@
             store.confirmed_at = self.now
 
     def plan(self) -> Transfer:
-        holders = self.kept.find_holders("m/1", PROMPT)
+        holders = self.kept.find_holders("m/1", PROMPT, True)
         return self.kept.plan("m/1", PROMPT, holders, HALL)
 
     def put(self, store: ContextStore, part: Part) -> None:
@@ -64,9 +64,19 @@
         self.put(SLOW, LARGE)
         self.assertEqual(self.plan().fetch_from, (None, None, None))
 
+    def test_part_behind_one_that_the_engine_keeps_is_fetched(self) -> None:
+        self.put(SLOW, LARGE)
+        holders = self.kept.find_holders("m/1", PROMPT, True)
+        plan = self.kept.plan("m/1", PROMPT, holders, HALL, covered_tokens=SMALL.tokens)
+        self.assertEqual(plan.fetch_from, (None, SLOW.address, None))
+
+    def test_nothing_is_saved_for_replaced_weights(self) -> None:
+        plan = self.kept.plan("m/1", PROMPT, [None, None], HALL, may_save=False)
+        self.assertEqual(plan, Transfer("m/1", (None,) * 3, (None,) * 3, 0))
+
     def test_part_of_a_shorter_length_is_not_whole(self) -> None:
         self.kept.by_id[FAST.id].put(StoreChange("m/1", SMALL.id, SMALL.tokens - 1))
-        self.assertEqual(self.kept.find_holders("m/1", PROMPT), [None, None])
+        self.assertEqual(self.kept.find_holders("m/1", PROMPT, True), [None, None])
 
     def test_listing_that_is_not_confirmed_is_not_trusted(self) -> None:
         self.put(FAST, SMALL)
--- a/libs/serving/ruddersaddle_serving/tests/test_publications.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_publications.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 from ruddersaddle_base.ids import ModelId
 
@@ -40,6 +41,37 @@
         self.assertGreater(publications.age_s, 8.0)
 
 
+class NamingsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.publications = Publications()
+
+    def bounds(self, version: int) -> tuple[float, float]:
+        at_least_s = self.publications.replaced_at_least_s(MODEL, version)
+        return at_least_s, self.publications.replaced_at_most_s(MODEL, version)
+
+    def test_weights_were_replaced_between_the_last_confirmation_and_the_news(self) -> None:
+        self.publications.confirm(99.0, 1)
+        self.publications.take(ModelVersion(MODEL, 2))
+        self.now += 3.0
+        self.assertEqual((self.bounds(1), self.bounds(2)), ((3.0, 4.0), (0.0, 0.0)))
+
+    def test_host_that_has_just_started_does_not_know_for_how_long(self) -> None:
+        self.publications.take(ModelVersion(MODEL, 2))
+        self.now += 3.0
+        self.assertEqual(self.bounds(1), (3.0, float("inf")))
+
+    def test_the_first_newer_weights_count(self) -> None:
+        for version in (2, 3):
+            self.publications.confirm(self.now, version)
+            self.publications.take(ModelVersion(MODEL, version))
+            self.now += 5.0
+        self.assertEqual((self.bounds(1)[0], self.bounds(2)[0]), (10.0, 5.0))
+
+
 class RouteTableTest(unittest.TestCase):
     def test_longest_prefix_of_the_host_wins(self) -> None:
         routes = (
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -39,6 +39,7 @@
     parts: tuple[Part, ...]
     work_s: float
     tokens: int
+    priority: int
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True):
@@ -110,7 +111,7 @@
             case Progress.SENT if notice.assignment is not None:
                 assignment = notice.assignment
                 self.memory.use(assignment.salt, assignment.parts)
-                self.load.add(number, assignment.work_s, assignment.tokens)
+                self.load.add(number, assignment.priority, assignment.work_s, assignment.tokens)
             case Progress.FIRST:
                 self.load.note_first(number)
             case Progress.ENDED:
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -14,7 +14,7 @@
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.fence_leases import FenceLease
-from ruddersaddle_serving.kept_parts import KeptParts, KeptStore
+from ruddersaddle_serving.kept_parts import REPLACED_FREE_S, KeptParts, KeptStore
 from ruddersaddle_serving.neighbours import Emptying, Loaded, Neighbours
 from ruddersaddle_serving.ports import Engines, Order, OrderOutcome
 from ruddersaddle_serving.publications import Publications
@@ -50,10 +50,6 @@
 """A host that is not first in line for the lease acts when nothing has moved for this long, and for
 `RANK_S` longer for each host before it."""
 RANK_S = 1.2
-FREE_AFTER_S = 6.0
-"""Parts of replaced weights are freed this long after the last engine has newer ones: a request
-that was sent to an engine before may fetch for `FETCH_S`, and hosts differ in what they know by two
-seconds."""
 FREE_BATCH = 400
 
 
@@ -84,7 +80,6 @@
         self._begun: set[UpstreamId] = set()
         self._left: dict[ModelId, int] = {}
         self._moved_at = time.monotonic()
-        self._settled_at: dict[ModelId, float] = {}
         self._fenced_until = float("-inf")
 
     def start(self) -> None:
@@ -101,17 +96,18 @@
         engines = self._engines_of(model)
         outdated = [each for each in engines if each.version_by_model.get(model, 0) < version]
         self._note_progress(model, len(outdated))
+        self._free_replaced(model, version)
         if not outdated:
-            self._free_replaced(model, version, bool(engines))
             return
-        self._settled_at.pop(model, None)
         room = self._room(model, engines, len(outdated))
         waiting = [each for each in outdated if each.id not in self._begun]
         if room <= 0 or not waiting or not self._is_in_turn(model):
             return
         if not self.lease.take():
             return
-        for tracker in sorted(waiting, key=lambda each: each.in_flight)[:room]:
+        # The oldest weights first: their bound ends first.
+        waiting.sort(key=lambda each: (each.version_by_model.get(model, 0), each.load.tokens))
+        for tracker in waiting[:room]:
             self._begun.add(tracker.id)
             eventlet.spawn(self._bring, tracker, model, version)
 
@@ -231,18 +227,20 @@
 
     # Parts of replaced weights
 
-    def _free_replaced(self, model: ModelId, version: int, any_engine: bool) -> None:
-        """Free what was kept for older weights, once no engine can ask for it any more."""
-        now = time.monotonic()
-        settled_at = self._settled_at.setdefault(model, now)
-        if not any_engine or now - settled_at < FREE_AFTER_S:
-            return
+    def _free_replaced(self, model: ModelId, version: int) -> None:
+        """Free what replaced weights made, once no fetch of any host can be under way."""
         line = rank_names(f"free/{model}", self.neighbours.live_hosts)
         if line[0] != self.neighbours.address or self.stopping:
             return
+        oldest = version
+        replaced_s = self.publications.replaced_at_least_s
+        while oldest > 0 and replaced_s(model, oldest - 1) < REPLACED_FREE_S:
+            oldest -= 1
+        if oldest <= 0:
+            return
         for kept in self.kept.by_id.values():
             if kept.is_trusted:
-                self._free_at(kept, model, version)
+                self._free_at(kept, model, oldest)
 
     def _free_at(self, kept: KeptStore, model: ModelId, version: int) -> None:
         parts = kept.parts_before(model, version)[:FREE_BATCH]
