Tell a reset from an orderly end on connections to upstreams

Ruled out: the HTTP library, which passes errors on. Change: connections to upstreams use sockets whose reads raise.

--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -0,0 +1,32 @@
+"""Sockets that tell a reset from an orderly end.
+
+eventlet's green sockets return an empty read for both. An answer without a length ends with its
+connection, so that one which was reset on the way would pass for whole.
+"""
+
+from typing import Any
+
+from eventlet.greenio import GreenSocket
+from eventlet.hubs import trampoline
+from urllib3.connection import HTTPConnection
+
+
+class ResetAwareSocket(GreenSocket):
+    """A green socket whose reads raise `ConnectionResetError`."""
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Read into a buffer; wait until something has arrived."""
+        while True:
+            try:
+                return self.fd.recv_into(buffer, nbytes, flags)
+            except BlockingIOError:
+                timeout_s = self.gettimeout()
+                trampoline(self.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+
+
+class UpstreamConnection(HTTPConnection):
+    """A connection of the HTTP library on such a socket."""
+
+    def _new_conn(self) -> ResetAwareSocket:
+        """Connect; the library calls this for its socket."""
+        return ResetAwareSocket(super()._new_conn().fd)
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -10,12 +10,12 @@
 from http.client import HTTPException
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import SKIP_HEADER
 
 from ruddersaddle_serving.ports import AnswerHead, Wire
+from ruddersaddle_serving.reset_sockets import UpstreamConnection
 
 CONNECT_S = 0.35
 """Longest wait for a connection. Upstreams take one in a few milliseconds; the bound leaves time to
@@ -37,7 +37,7 @@
 class IdleConnection:
     """A connection that waits for its next request."""
 
-    def __init__(self, connection: HTTPConnection, until: float) -> None:
+    def __init__(self, connection: UpstreamConnection, until: float) -> None:
         self.connection = connection
         self.until = until
 
@@ -50,7 +50,7 @@
 class Exchange:
     """One request on one connection, and its answer."""
 
-    def __init__(self, pool: "UpstreamConnections", connection: HTTPConnection) -> None:
+    def __init__(self, pool: "UpstreamConnections", connection: UpstreamConnection) -> None:
         self.pool = pool
         self.connection = connection
         self.raw: BaseHTTPResponse | None = None
@@ -147,7 +147,7 @@
             if idle.is_usable:
                 return Exchange(self, idle.connection)
             idle.connection.close()
-        connection = HTTPConnection(
+        connection = UpstreamConnection(
             self._host, self._port, timeout=CONNECT_S, socket_options=_socket_options()
         )
         try:
@@ -161,7 +161,7 @@
         connection.timeout = None
         return Exchange(self, connection)
 
-    def keep(self, connection: HTTPConnection, idle_s: float | None) -> None:
+    def keep(self, connection: UpstreamConnection, idle_s: float | None) -> None:
         """Keep a connection for the next request."""
         kept_s = IDLE_S if idle_s is None else idle_s
         if kept_s <= IDLE_MARGIN_S or len(self._idle) >= IDLE_MAX:
