--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -110,9 +110,13 @@
             if timeout is not self.timer:
                 raise
             return self._end_with(self._refuse(self._time_over()))
-        except BaseException:
+        except Exception:
+            logger.exception("Request failed for a fault of this program.")
             self._end("failed")
             raise
+        except BaseException:
+            self._end("ended with its task")
+            raise
 
     def _end_with(self, body: list[bytes]) -> list[bytes]:
         self._end("answered")
--- a/libs/serving/ruddersaddle_serving/reset_sockets.py
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -29,4 +29,8 @@
 
     def _new_conn(self) -> ResetAwareSocket:
         """Connect; the library calls this for its socket."""
-        return ResetAwareSocket(super()._new_conn().fd)
+        plain = super()._new_conn()
+        aware = ResetAwareSocket(plain.fd)
+        # A green socket closes its descriptor when it is collected, so the plain one has to stay.
+        aware.plain = plain
+        return aware
