Refuse large prompts before short ones

Cause: the short prompts were refused most (77 and 48 of a thousand, lanes 3): their targets are shorter while all wait for the same memory, which lane quotes take ten times as much of for a benefit of two to one. Change: the longest predicted wait falls with the share of an engine's memory that a request needs.

--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -39,10 +39,13 @@
 """Share of an engine's memory that each step of urgency has for itself. An engine that runs out of
 memory preempts the least urgent run and reads its prompt again."""
 RESERVED_STEPS = 3
-WAIT_SHARES = (1.4, 1.1, 0.8)
-"""Share of the latency target that the predicted wait may take, by urgency. Beyond it a request is
-refused at once: late answers are worth a fifth, and what is not sent lets others be in time. The
-most urgent are refused last."""
+WAIT_SHARE_MOST = 1.5
+WAIT_SHARE_LEAST = 0.7
+WAIT_SHARE_SLOPE = 12.0
+"""Share of the latency target that the predicted wait may take; beyond it a request is refused at
+once. Late answers are worth a fifth, and what is not sent lets others be in time. The share falls
+with the part of an engine's memory that a request needs: one that needs 12,000 of 180,000 tokens
+keeps out a dozen short ones."""
 REQUEST_S = 0.004
 """Work of a request beside reading: the steps that decode it, shared with others at the engine."""
 OLD_WEIGHTS_S = 0.1
@@ -92,6 +95,8 @@
     """Wait for all that is at the engine."""
     fetch_s: float
     work_s: float
+    tokens: int
+    """Memory that the request needs at the engine."""
     covered_tokens: int
     missing_tokens: int
     penalty_s: float
@@ -175,9 +180,9 @@
         holders_by_salt: dict[str, list[KeptStore | None]] = {}
         estimates = [self._estimate(request, prompt, each, holders_by_salt) for each in usable]
         best = min(estimates, key=lambda each: each.total_s - HOME_S * (each.tracker.id == home))
-        if may_wait and self._is_full(best.tracker, request, prompt):
+        if may_wait and self._is_full(best, request):
             return Full(best.wait_s)
-        if best.wait_s > self._wait_max_s(request):
+        if best.wait_s > self._wait_max_s(request, best):
             return self._refuse(request, best)
         hall = best.tracker.entry.hall
         is_newest = not self.publications.replaced_at_least_s(prompt.model, best.version or 0)
@@ -189,9 +194,8 @@
             best.covered_tokens,
             is_newest,
         )
-        tokens = prompt.tokens_in + prompt.tokens_out
         assignment = Assignment(
-            best.salt, prompt.shared_parts, best.work_s, tokens, request.priority
+            best.salt, prompt.shared_parts, best.work_s, best.tokens, request.priority
         )
         return Choice(
             best.tracker,
@@ -229,15 +233,17 @@
             crowd_s=tracker.load.wait_s(PRIORITIES - 1, tokens, capacity),
             fetch_s=fetch_s,
             work_s=REQUEST_S + missing / PREFILL_TOKENS_S,
+            tokens=tokens,
             covered_tokens=covered,
             missing_tokens=missing,
             penalty_s=self._penalty_s(prompt.model, version),
         )
 
-    def _wait_max_s(self, request: CallerRequest) -> float:
+    def _wait_max_s(self, request: CallerRequest, best: Estimate) -> float:
         """Return the longest predicted wait with which a request is still sent to an engine."""
-        step = min(request.priority, len(WAIT_SHARES) - 1)
-        return request.route.target_latency_s * WAIT_SHARES[step]
+        needed = best.tokens / max(1, best.tracker.memory.capacity_tokens)
+        share = WAIT_SHARE_MOST - WAIT_SHARE_SLOPE * needed
+        return request.route.target_latency_s * max(WAIT_SHARE_LEAST, share)
 
     def _refuse(self, request: CallerRequest, best: Estimate) -> Failure:
         detail = f"the wait is {best.wait_s:.2f} s, the target {request.route.target_latency_s} s"
@@ -245,12 +251,12 @@
         pool = best.tracker.entry.pool
         return Failure(Code.OVERLOADED, Step.ADMIT, pool, detail, retry_after_s=retry_after_s)
 
-    def _is_full(self, tracker: Tracker, request: CallerRequest, prompt: Prompt) -> bool:
+    def _is_full(self, best: Estimate, request: CallerRequest) -> bool:
         """Return whether the request would crowd out runs; the urgent ones may fill it up."""
-        tokens = prompt.tokens_in + prompt.tokens_out
+        capacity = best.tracker.memory.capacity_tokens
+        taken = best.tracker.load.tokens
         share = FULL_SHARE - RESERVED_SHARE * min(request.priority, RESERVED_STEPS)
-        room = tracker.memory.capacity_tokens * share - tracker.load.tokens
-        return tokens > room and tracker.load.tokens > 0 < tracker.memory.capacity_tokens
+        return taken > 0 and capacity > 0 and taken + best.tokens > capacity * share
 
     def _may_fetch(self, model: ModelId, version: int) -> bool:
         """Return whether parts that these weights made may be fetched; see `kept_parts`."""
