Read the settings again on SIGHUP and when their file changes

Change: SettingsWatch; wrong settings are refused with a line each, the ones in force stay; bounds apply at once. Test: signal, change without one, wrong file (failed first: the process was gone).

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -97,12 +97,30 @@
         incarnation = new_incarnation(HostId(settings.text("host.id")))
         return cls(settings, store, wire, engines, incarnation)
 
+    def apply(self, settings: Settings) -> None:
+        """Take new settings; addresses and ids stay until the next start."""
+        self.settings = settings
+        self.forwarder.key_age_max_s = self.key_age_max_s
+        self.forwarder.placement.version_bound_s = self.weights_s
+        self.rollouts.weights_s = self.weights_s
+        self.rollouts.lease.lease_s = settings.number("bounds.lease_ms") / MS_PER_S
+        self.budget.share = settings.number("bounds.retry_share") * BUDGET_SHARE
+
+    @property
+    def key_age_max_s(self) -> float:
+        """Oldest confirmation of the configuration that lets a caller's key in, in seconds."""
+        return self.settings.number("bounds.key_end_ms") / MS_PER_S - KEY_AGE_MARGIN_S
+
+    @property
+    def weights_s(self) -> float:
+        """Bound on replaced weights, in seconds."""
+        return self.settings.number("bounds.weights_ms") / MS_PER_S
+
     def _build_request_path(self, wire: Wire) -> None:
         settings = self.settings
-        self.key_age_max_s = settings.number("bounds.key_end_ms") / MS_PER_S - KEY_AGE_MARGIN_S
         placement = Placement(
             HallId(settings.text("host.hall")),
-            settings.number("bounds.weights_ms") / MS_PER_S,
+            self.weights_s,
             self.publications,
             self.upstreams,
             self.trackers,
@@ -133,7 +151,7 @@
         lease = FenceLease(self.store, self.incarnation, lease_s)
         self.rollouts = WeightRollouts(
             lease,
-            settings.number("bounds.weights_ms") / MS_PER_S,
+            self.weights_s,
             self.publications,
             self.upstreams,
             self.trackers,
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/settings_watches.py
@@ -0,0 +1,65 @@
+"""Reads the settings again on SIGHUP, and when their file has changed without any signal."""
+
+import logging
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+import eventlet
+from ruddersaddle_base.settings import Problem, Settings
+
+logger = logging.getLogger(__name__)
+
+LOOK_S = 1.0
+"""Pause between looks at the file's time of change."""
+
+Read = Callable[[], Settings | list[Problem]]
+
+
+class SettingsWatch:
+    """Keeps the settings in force; `apply` gets new ones that were checked."""
+
+    def __init__(self, path: str, read: Read, settings: Settings) -> None:
+        self.path = Path(path)
+        self.read = read
+        self.settings = settings
+        self.signalled = False
+        self._seen = self._stamp()
+
+    def start(self, apply: Callable[[Settings], None]) -> None:
+        """Take SIGHUP, and start to look at the file."""
+        signal.signal(signal.SIGHUP, self._note_signal)
+        eventlet.spawn(self._run, apply)
+
+    def _note_signal(self, *_: object) -> None:
+        self.signalled = True
+
+    def _stamp(self) -> tuple[int, int] | None:
+        try:
+            status = self.path.stat()
+        except OSError:
+            # The file may be away for a moment while it is replaced.
+            return None
+        return status.st_mtime_ns, status.st_size
+
+    def _run(self, apply: Callable[[Settings], None]) -> None:
+        while True:
+            eventlet.sleep(LOOK_S)
+            stamp = self._stamp()
+            if stamp is None or (stamp == self._seen and not self.signalled):
+                continue
+            self._seen = stamp
+            self.signalled = False
+            self._reload(apply)
+
+    def _reload(self, apply: Callable[[Settings], None]) -> None:
+        found = self.read()
+        if isinstance(found, list):
+            for problem in found:
+                logger.error("New settings are not taken. %s", problem)
+            return
+        before = self.settings.by_name
+        changed = sorted(name for name, value in found.by_name.items() if value != before[name])
+        logger.info("Settings were read again. Changed: %s.", ", ".join(changed) or "nothing")
+        self.settings = found
+        apply(found)
