--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 demo: setup
 	$(BIN)/ruddersaddle-standin demo --topology $(TOPOLOGY)
+	$(BIN)/python -m ruddersaddle_platform.tests.demos
 
 lint: setup
 	$(BIN)/ruff format --check libs platform
--- /dev/null
+++ b/libs/base/ruddersaddle_base/tests/test_bounded_outputs.py
@@ -0,0 +1,54 @@
+"""Tests of the log handler that neither blocks nor floods."""
+
+import logging
+import os
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_base.bounded_outputs import LINES_BURST, LINES_S, BoundedHandler
+
+
+def make_record(text: str) -> logging.LogRecord:
+    return logging.makeLogRecord({"msg": text})
+
+
+class BoundedHandlerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.handler = BoundedHandler(writer)
+
+    def test_flood_is_bounded_and_told(self) -> None:
+        for number in range(2000):
+            self.handler.emit(make_record(f"line {number}"))
+        self.assertEqual(self.handler.dropped, 2000 - LINES_BURST)
+        self.now += 10.0
+        self.handler.emit(make_record("after"))
+        lines = os.read(self.reader, 1 << 20).decode().splitlines()
+        dropped = int(2000 - LINES_BURST)
+        self.assertEqual(lines[-2:], ["after", f"log: {dropped} lines were dropped."])
+
+    def test_lines_come_back_with_time(self) -> None:
+        for _ in range(2000):
+            self.handler.emit(make_record("x"))
+        self.handler.dropped = 0
+        self.now += 1.0
+        for _ in range(1000):
+            self.handler.emit(make_record("x"))
+        self.assertEqual(self.handler.dropped, 1000 - LINES_S)
+
+    def test_reader_that_stops_blocks_nobody(self) -> None:
+        self.now += 1.0
+        for _ in range(20):
+            self.handler.emit(make_record("x" * 10_000))
+        self.assertGreater(self.handler.dropped, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -12,7 +12,7 @@
 
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.event_streams import EventSplitter
-from ruddersaddle_serving.placements import Choice, Full, Placement
+from ruddersaddle_serving.placements import Choice, Full, Patience, Placement
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers
 from ruddersaddle_serving.publications import Publications
@@ -152,15 +152,14 @@
         """Return the upstream for the next try; wait a little while all engines are full."""
         placement = self.forwarder.placement
         began = time.monotonic()
+        patience = Patience.REFUSE if self._sent_count == 0 else Patience.SEND
         while True:
-            waited_s = time.monotonic() - began
-            may_wait = (
-                self.trail.held_s + waited_s < self.request.route.target_latency_s * HELD_SHARE
-            )
-            choice = placement.choose(self.request, self.pool, self._excluded, may_wait)
+            choice = placement.choose(self.request, self.pool, self._excluded, patience)
+            self.trail.held_s = time.monotonic() - began
             if not isinstance(choice, Full):
-                self.trail.held_s += waited_s
                 return choice
+            held_too_long = self.trail.held_s > self.request.route.target_latency_s * HELD_SHARE
+            patience = Patience.SEND if held_too_long else Patience.HOLD
             eventlet.sleep(HELD_LOOK_S)
 
     def _send(self) -> AnswerHead | Failure:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from enum import Enum
 
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Step
@@ -61,6 +62,17 @@
 is back, or another one found, within some hundred milliseconds."""
 
 
+class Patience(Enum):
+    """What may be done with a request while engines are full."""
+
+    REFUSE = "refuse"
+    """It has just come: it may be refused, or held."""
+    HOLD = "hold"
+    """It was held, so that a refusal would come late: it may be held on."""
+    SEND = "send"
+    """It has to be sent now."""
+
+
 class Choice(msgspec.Struct, frozen=True):
     """An upstream for one try of a request, and what decided it."""
 
@@ -141,11 +153,11 @@
         request: CallerRequest,
         pool: PoolId,
         excluded: set[UpstreamId],
-        may_wait: bool = False,
+        patience: Patience = Patience.SEND,
     ) -> Choice | Full | Failure:
         """Return the upstream for the next try, or why there is none.
 
-        Where the request may wait, `Full` says that every engine's memory is taken.
+        `patience` says what may be done with the request while every engine's memory is taken.
         """
         trackers = [self.trackers.at(entry) for entry in self.upstreams.of_pool(pool)]
         left = [tracker for tracker in trackers if tracker.id not in excluded]
@@ -155,7 +167,7 @@
         prompt = request.head.prompt
         if prompt is None:
             return self._choose_plain(left)
-        return self._choose_engine(request, prompt, left, may_wait)
+        return self._choose_engine(request, prompt, left, patience)
 
     def _choose_plain(self, trackers: list[Tracker]) -> Choice:
         usable = [tracker for tracker in trackers if tracker.is_sound] or trackers
@@ -167,7 +179,7 @@
         return share, tracker.entry.hall != self.hall, random.random()
 
     def _choose_engine(
-        self, request: CallerRequest, prompt: Prompt, trackers: list[Tracker], may_wait: bool
+        self, request: CallerRequest, prompt: Prompt, trackers: list[Tracker], patience: Patience
     ) -> Choice | Full | Failure:
         allowed = self._of_allowed_weights(prompt.model, trackers)
         if not allowed:
@@ -180,10 +192,10 @@
         holders_by_salt: dict[str, list[KeptStore | None]] = {}
         estimates = [self._estimate(request, prompt, each, holders_by_salt) for each in usable]
         best = min(estimates, key=lambda each: each.total_s - HOME_S * (each.tracker.id == home))
-        if may_wait and self._is_full(best, request):
-            return Full(best.wait_s)
-        if best.wait_s > self._wait_max_s(request, best):
+        if patience is Patience.REFUSE and best.wait_s > self._wait_max_s(request, best):
             return self._refuse(request, best)
+        if patience is not Patience.SEND and self._is_full(best, request):
+            return Full(best.wait_s)
         hall = best.tracker.entry.hall
         is_newest = not self.publications.replaced_at_least_s(prompt.model, best.version or 0)
         transfer = self.kept.plan(
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -0,0 +1,117 @@
+"""Tests of the choice of an upstream."""
+
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_base.failures import Code, Failure
+from ruddersaddle_base.ids import HallId, ModelId, PoolId, RequestId, UpstreamId
+
+from ruddersaddle_serving.kept_parts import KeptParts
+from ruddersaddle_serving.placements import Choice, Full, Patience, Placement
+from ruddersaddle_serving.ports import ModelVersion
+from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Part, PartId, Prompt
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
+from ruddersaddle_serving.trackers import Tracker, Trackers
+from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+
+POOL = PoolId("p")
+MODEL = ModelId("m")
+CAPACITY = 10_000
+ROUTE = Route(RouteName("r"), "h", "/", RouteKind.STREAM, 9.0, 0.4, (Target(POOL),), priority=1)
+
+
+def make_request(tokens: int) -> CallerRequest:
+    parts = (Part(PartId("shared"), tokens - 10), Part(PartId("own"), 10))
+    head = CallerHead(RequestId("q"), None, None, Prompt(MODEL, parts, tokens, 0), None, ())
+    return CallerRequest(head, "POST", "/", b"", ROUTE, None, time.monotonic())
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.publications = Publications()
+        self.upstreams = UpstreamList()
+        self.trackers = Trackers()
+        kept = KeptParts(mock.Mock())
+        self.placement = Placement(
+            HallId("h"), 12.0, self.publications, self.upstreams, self.trackers, kept
+        )
+        self.first, self.second = (self.add(name) for name in ("e-1", "e-2"))
+
+    def add(self, name: str) -> Tracker:
+        entry = UpstreamEntry(
+            UpstreamId(name), POOL, "10.0.0.1:80", HallId("h"), 8, False, {MODEL: 1}
+        )
+        self.upstreams.put(entry)
+        tracker = self.trackers.at(entry)
+        tracker.memory.capacity_tokens = CAPACITY
+        return tracker
+
+    def fill(self, tracker: Tracker, tokens: int) -> None:
+        tracker.load.add(("host", len(tracker.load.by_number)), 1, 0.0, tokens)
+
+    def choose(
+        self, tokens: int = 1000, patience: Patience = Patience.SEND
+    ) -> Choice | Full | Failure:
+        return self.placement.choose(make_request(tokens), POOL, set(), patience)
+
+    def test_the_emptier_engine_is_taken(self) -> None:
+        self.fill(self.first, CAPACITY)
+        self.assertIs(self.choose().tracker, self.second)
+        self.first.load.end(("host", 0))
+        self.fill(self.second, CAPACITY)
+        self.assertIs(self.choose().tracker, self.first)
+
+    def test_engine_that_keeps_the_prompt_is_taken(self) -> None:
+        for tracker in (self.first, self.second):
+            parts = make_request(9000).head.prompt.shared_parts
+            tracker.memory.use("m/1", parts)
+            self.assertIs(self.choose(9000).tracker, tracker)
+            tracker.memory.clear()
+
+    def test_large_request_is_refused_before_a_small_one(self) -> None:
+        for tracker in (self.first, self.second):
+            self.fill(tracker, int(CAPACITY * 1.35))
+        large = self.choose(2000, Patience.REFUSE)
+        self.assertIsInstance(large, Failure)
+        self.assertEqual(large.code, Code.OVERLOADED)
+        self.assertGreater(large.retry_after_s, 0)
+        self.assertNotIsInstance(self.choose(50, Patience.REFUSE), Failure)
+
+    def test_held_request_is_not_refused_and_is_sent_in_the_end(self) -> None:
+        for tracker in (self.first, self.second):
+            self.fill(tracker, CAPACITY * 2)
+        self.assertIsInstance(self.choose(2000, Patience.HOLD), Full)
+        self.assertIsInstance(self.choose(2000, Patience.SEND), Choice)
+
+    def test_old_weights_are_left_before_their_bound(self) -> None:
+        self.publications.confirm(self.now, 1)
+        self.publications.take(ModelVersion(MODEL, 2))
+        self.first.take_version(MODEL, 2)
+        self.now += 9.0
+        self.assertIsInstance(self.choose(), Choice)
+        self.now += 1.0
+        for _ in range(3):
+            self.assertEqual((self.choose().tracker, self.choose().version), (self.first, 2))
+
+    def test_engine_that_is_emptied_is_taken_only_if_no_other_is_left(self) -> None:
+        self.first.avoided_until = self.now + 1.0
+        self.assertIs(self.choose().tracker, self.second)
+        self.second.avoided_until = self.now + 1.0
+        self.assertIsInstance(self.choose(), Choice)
+
+    def test_engine_that_takes_no_connection_is_left_out(self) -> None:
+        self.first.note_no_connection()
+        self.assertIs(self.choose().tracker, self.second)
+        self.now += 0.6
+        self.fill(self.second, CAPACITY)
+        self.assertIs(self.choose().tracker, self.first)
+
+
+if __name__ == "__main__":
+    unittest.main()
