--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -40,8 +40,8 @@
 """Share of an engine's memory that each step of urgency has for itself. An engine that runs out of
 memory preempts the least urgent run and reads its prompt again."""
 RESERVED_STEPS = 3
-WAIT_SHARE_MOST = 1.3
-WAIT_SHARE_LEAST = 0.5
+WAIT_SHARE_MOST = 1.1
+WAIT_SHARE_LEAST = 0.3
 WAIT_SHARE_SLOPE = 12.0
 """Share of the latency target that the predicted wait may take; beyond it a request is refused at
 once. Late answers are worth a fifth, and what is not sent lets others be in time. The share falls
