Take the lease after its records are gone; tasks that outlive a fault; one line for a lost context store

Cause, found by reading: the store keeps 20 s of history; a host that read the lease's topic after that got 410, kept asking for offset 0, and could never append, so that no successor could give orders. Change: a plain topic is read on from what it still has. Long tasks are begun again after a fault, with its traceback in the log (before, eventlet ended them). Context stores tell once that they are lost (three lines a second before).

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -37,6 +37,7 @@
     StoreLink,
     UpstreamFollower,
 )
+from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.weight_rollouts import WeightRollouts
@@ -199,11 +200,11 @@
         operator = OperatorFollower(self.store, self.link, self.publications)
         entries = UpstreamFollower(self.store, self.link, self.upstreams)
         is_reader = self.neighbours.is_reader
-        eventlet.spawn(operator.run, OPERATOR_WAIT_S, 0.0, is_reader)
-        eventlet.spawn(entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
+        spawn_forever("operator", operator.run, OPERATOR_WAIT_S, 0.0, is_reader)
+        spawn_forever("entries", entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
         self.neighbours.start()
         self.rollouts.start()
-        eventlet.spawn(self._keep_house)
+        spawn_forever("housekeeping", self._keep_house)
 
     def _keep_house(self) -> None:
         while True:
--- a/libs/serving/ruddersaddle_serving/fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/fence_leases.py
@@ -13,7 +13,7 @@
 
 import msgspec
 from ruddersaddle_base.codecs import decode_json
-from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.failures import Failure, Step
 from ruddersaddle_base.ids import Incarnation
 
 from ruddersaddle_serving.ports import AppendOutcome, MetadataStore, Topic
@@ -77,8 +77,6 @@
         """Read what other holders appended; return whether the store answered."""
         page = self.store.changes(Topic.LEASE, self._end, 0.0)
         if isinstance(page, Failure):
-            if page.code is Code.GAP:
-                return True
             logger.info("Lease can't be read. %s", page.detail)
             return False
         for record in page.records:
@@ -87,6 +85,8 @@
                 logger.error("Lease record %d is unreadable. %s", record.offset, found.detail)
                 found = LeaseRecord(Incarnation("unknown"), "")
             self._note(found, record.offset + 1)
+        # Records that are no longer kept are far older than any lease.
+        self._end = max(self._end, page.end)
         return True
 
     def _note(self, record: LeaseRecord, end: int) -> None:
--- a/libs/serving/ruddersaddle_serving/kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/kept_parts.py
@@ -20,6 +20,7 @@
 from ruddersaddle_serving.ports import Engines, StoreChange, Transfer
 from ruddersaddle_serving.prompts import Part, PartId, Prompt
 from ruddersaddle_serving.routes import ContextStore
+from ruddersaddle_serving.tasks import spawn_forever
 
 logger = logging.getLogger(__name__)
 
@@ -72,12 +73,23 @@
         self.tokens_by_part: dict[tuple[str, PartId], int] = {}
         self.clock_offset_ms = 0.0
         self.knows_clock = False
+        self.is_lost = False
 
     @property
     def is_trusted(self) -> bool:
         """Whether the listing is young enough to fetch by it."""
         return time.monotonic() - self.confirmed_at < TRUST_S and self.knows_clock
 
+    def note_answer(self, failure: Failure | None) -> None:
+        """Tell once that the store is lost or regained."""
+        if (failure is not None) == self.is_lost:
+            return
+        self.is_lost = failure is not None
+        if failure is None:
+            logger.info("Store %s answers.", self.spec.id)
+        else:
+            logger.warning("Store %s is lost. %s", self.spec.id, failure.detail)
+
     @property
     def takes_saves(self) -> bool:
         """Whether parts may be saved here now."""
@@ -154,16 +166,16 @@
             known = self.by_id.get(spec.id)
             if known is None or known.spec.address != spec.address:
                 kept = self.by_id[spec.id] = KeptStore(spec)
-                eventlet.spawn(self._follow, kept)
+                spawn_forever(f"store {spec.id}", self._follow, kept)
 
     def _follow(self, kept: KeptStore) -> None:
         while self.by_id.get(kept.spec.id) is kept:
             asked_at = time.monotonic()
             failure = self._read(kept)
+            kept.note_answer(failure)
             if failure is None:
                 kept.confirmed_at = asked_at
             else:
-                logger.info("Store %s did not answer. %s", kept.spec.id, failure.detail)
                 eventlet.sleep(RETRY_S)
 
     def _read(self, kept: KeptStore) -> Failure | None:
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -14,6 +14,7 @@
 from ruddersaddle_serving.ports import MetadataStore, ModelVersion, Topic
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Published
+from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
 
@@ -130,9 +131,9 @@
     def start(self) -> None:
         """Listen, make this host known, and keep beliefs young."""
         self.peers.start()
-        eventlet.spawn(self._follow_hosts)
-        eventlet.spawn(self._keep_young)
-        eventlet.spawn(self._tell_notices)
+        spawn_forever("hosts", self._follow_hosts)
+        spawn_forever("beliefs", self._keep_young)
+        spawn_forever("notices", self._tell_notices)
 
     def addresses(self) -> list[str]:
         """Return the addresses of all other hosts that are known."""
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -67,7 +67,8 @@
     def changes(self, topic: Topic, since: int, wait_s: float) -> Page | Failure:
         """Return the records from offset `since`; wait for one if there is none yet.
 
-        A failure with code `GAP` says that they are no longer kept.
+        Where some of them are no longer kept, a keyed topic gives a failure with code `GAP`; a
+        plain one gives what it still has.
         """
 
     def append(self, topic: Topic, value: bytes, at: int) -> Appended | Failure:
--- a/libs/serving/ruddersaddle_serving/settings_watches.py
+++ b/libs/serving/ruddersaddle_serving/settings_watches.py
@@ -8,6 +8,8 @@
 import eventlet
 from ruddersaddle_base.settings import Problem, Settings
 
+from ruddersaddle_serving.tasks import spawn_forever
+
 logger = logging.getLogger(__name__)
 
 LOOK_S = 1.0
@@ -29,7 +31,7 @@
     def start(self, apply: Callable[[Settings], None]) -> None:
         """Take SIGHUP, and start to look at the file."""
         signal.signal(signal.SIGHUP, self._note_signal)
-        eventlet.spawn(self._run, apply)
+        spawn_forever("settings", self._run, apply)
 
     def _note_signal(self, *_: object) -> None:
         self.signalled = True
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_tasks.py
@@ -0,0 +1,32 @@
+"""Tests of tasks that run as long as the process."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+from eventlet.event import Event
+
+from ruddersaddle_serving import tasks
+
+
+class SpawnForeverTest(unittest.TestCase):
+    def test_fault_is_logged_and_the_task_goes_on(self) -> None:
+        done = Event()
+        calls = []
+
+        def work(word: str) -> None:
+            calls.append(word)
+            if len(calls) == 1:
+                raise KeyError("first")
+            done.send(True)
+
+        with mock.patch.object(tasks, "AGAIN_S", 0.0), self.assertLogs(tasks.logger) as logs:
+            tasks.spawn_forever("work", work, "x")
+            with eventlet.Timeout(5):
+                done.wait()
+        self.assertEqual(calls, ["x", "x"])
+        self.assertIn("Task work failed for a fault of this program.", logs.output[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -18,6 +18,7 @@
 from ruddersaddle_serving.neighbours import Emptying, Loaded, Neighbours
 from ruddersaddle_serving.ports import Engines, Order, OrderOutcome
 from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Tracker, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
@@ -84,7 +85,7 @@
 
     def start(self) -> None:
         """Start the task."""
-        eventlet.spawn(self._run)
+        spawn_forever("rollouts", self._run)
 
     def _run(self) -> None:
         while True:
