Promise "not run" only where no earlier try may have run

Cause, found by reading: a request that may be repeated was sent, its connection broke (it may have run), and the second upstream refused or none was left: the caller got 503, which promises that it has not run. Two tests failed first (503, now 502). Ruled out: requests that may run once; they are never sent again after such a break.

--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -107,6 +107,8 @@
         self.pool: PoolId | None = None
         self._excluded: set[UpstreamId] = set()
         self._sent_count = 0
+        self._may_have_run = False
+        self._first = b""
 
     def begin(self) -> Whole | AnswerHead | Failure:
         """Return a whole answer, the head of a stream whose first event is here, or a failure."""
@@ -118,8 +120,14 @@
             result = self._try_once(self.request.head.last_event)
             if not isinstance(result, Failure):
                 return result
+            self._may_have_run = self._may_have_run or result.ran is not Ran.NOT_RUN
             if not self._may_try_again(result):
-                return result
+                return self._without_promise(result) if self._may_have_run else result
+
+    def _without_promise(self, failure: Failure) -> Failure:
+        """Return a failure that doesn't say "not run": an earlier try may have run."""
+        code = Code.DEADLINE if failure.code is Code.DEADLINE else Code.UPSTREAM_FAILED
+        return msgspec.structs.replace(failure, code=code, ran=Ran.UNKNOWN)
 
     def _try_once(self, last_event: str | None) -> Whole | AnswerHead | Failure:
         opened = self._open(last_event)
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -26,8 +26,8 @@
 
 PREFILL_TOKENS_S = 100_000.0
 """Prompt tokens that an idle engine reads in a second (112 a millisecond on the sheets, less what
-decoding takes). It weighs reading against waiting and moving; errors are corrected as first events
-come."""
+decoding takes). It weighs reading against waiting and moving; a prompt whose first event has come
+counts no more, so that errors don't add up."""
 HOME_S = 0.02
 """Requests that share most of their prompt go to one engine, unless another one is this much
 sooner: what they share is then in its memory more often than by chance."""
