A silent engine holds up no other when weights are brought in

Cause, found by reading: engines with the oldest weights go first, one at a time; one that gives no report was chosen again in each round, and no other got its order (test: no order at all in twelve rounds). The bound on old weights would be broken. Change: an engine that was tried in vain goes to the end of the line. Tests: rollouts (4), the one for the silent engine failed first.

--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -0,0 +1,111 @@
+"""Tests of bringing engines to new weights."""
+
+import unittest
+from unittest import mock
+
+import eventlet
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
+
+from ruddersaddle_serving import weight_rollouts
+from ruddersaddle_serving.ports import EngineReport, ModelVersion, Order, OrderOutcome
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.trackers import Trackers
+from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.weight_rollouts import WeightRollouts
+
+MODEL = ModelId("m")
+
+
+class FakeEngines:
+    """Engines by address; silent ones answer nothing."""
+
+    def __init__(self, silent: set[str]) -> None:
+        self.silent = silent
+        self.version_by_address: dict[str, int] = {}
+        self.orders: list[Order] = []
+
+    def report(self, address: str) -> EngineReport | Failure:
+        if address in self.silent:
+            eventlet.sleep(0.01)
+            return Failure(Code.UPSTREAM_FAILED, Step.READ, address)
+        version = self.version_by_address.get(address, 1)
+        return EngineReport({MODEL: version}, False, 0, 0, 0)
+
+    def order(self, address: str, order: Order) -> OrderOutcome | Failure:
+        self.orders.append(order)
+        self.version_by_address[address] = order.version
+        return OrderOutcome.TAKEN
+
+
+class WeightRolloutsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        for name, value in (("EMPTY_S", 0.0), ("TELL_S", 0.0), ("REPORT_S", 0.01)):
+            patch = mock.patch.object(weight_rollouts, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.publications = Publications()
+        self.upstreams = UpstreamList()
+        self.trackers = Trackers()
+        self.lease = mock.Mock(is_holder=True, may_order=True, fence=7, holder="host", lease_s=3.0)
+        self.lease.take.return_value = True
+        self.neighbours = mock.Mock(news_at=0.0, live_hosts=["a"], address="a")
+        self.kept = mock.Mock(by_id={})
+
+    def make(self, count: int, silent: set[str]) -> WeightRollouts:
+        for number in range(count):
+            entry = UpstreamEntry(
+                UpstreamId(f"e-{number}"),
+                PoolId("p"),
+                f"10.0.0.{number}:1",
+                HallId("h"),
+                8,
+                False,
+                {MODEL: 1},
+            )
+            self.upstreams.put(entry)
+        self.engines = FakeEngines(silent)
+        self.publications.take(ModelVersion(MODEL, 2))
+        return WeightRollouts(
+            self.lease,
+            100.0,
+            self.publications,
+            self.upstreams,
+            self.trackers,
+            self.neighbours,
+            self.engines,
+            self.kept,
+        )
+
+    def run_for(self, rollouts: WeightRollouts, looks: int) -> None:
+        for _ in range(looks):
+            rollouts._look(MODEL, 2)
+            eventlet.sleep(0.03)
+
+    def test_all_engines_get_one_fenced_order(self) -> None:
+        self.run_for(self.make(3, set()), 8)
+        found = sorted(
+            (order.upstream, order.version, order.fence) for order in self.engines.orders
+        )
+        self.assertEqual(found, [("e-0", 2, 7), ("e-1", 2, 7), ("e-2", 2, 7)])
+
+    def test_silent_engine_holds_up_no_other(self) -> None:
+        self.run_for(self.make(4, {"10.0.0.0:1"}), 12)
+        self.assertEqual(
+            sorted(order.upstream for order in self.engines.orders), ["e-1", "e-2", "e-3"]
+        )
+
+    def test_nothing_is_ordered_without_the_lease(self) -> None:
+        self.lease.take.return_value = False
+        self.run_for(self.make(2, set()), 4)
+        self.assertEqual(self.engines.orders, [])
+
+    def test_host_that_stops_gives_no_orders(self) -> None:
+        rollouts = self.make(2, set())
+        rollouts.stopping = True
+        self.run_for(rollouts, 4)
+        self.assertEqual(self.engines.orders, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -79,6 +79,8 @@
         self.counts = {"orders": 0, "orders_fenced": 0, "loads": 0, "parts_freed": 0}
         self.stopping = False
         self._begun: set[UpstreamId] = set()
+        self._failed_at: dict[UpstreamId, float] = {}
+        """When an engine was last tried in vain."""
         self._left: dict[ModelId, int] = {}
         self._moved_at = time.monotonic()
         self._fenced_until = float("-inf")
@@ -106,12 +108,19 @@
             return
         if not self.lease.take():
             return
-        # The oldest weights first: their bound ends first.
-        waiting.sort(key=lambda each: (each.version_by_model.get(model, 0), each.load.tokens))
+        waiting.sort(key=lambda each: self._turn(each, model))
         for tracker in waiting[:room]:
             self._begun.add(tracker.id)
             eventlet.spawn(self._bring, tracker, model, version)
 
+    def _turn(self, tracker: Tracker, model: ModelId) -> tuple[float, int, int]:
+        """Order engines: those that were not tried in vain, then the oldest weights, the emptiest.
+
+        The bound on the oldest weights ends first; a silent engine must not hold up the others.
+        """
+        failed_at = self._failed_at.get(tracker.id, float("-inf"))
+        return failed_at, tracker.version_by_model.get(model, 0), tracker.load.tokens
+
     def _engines_of(self, model: ModelId) -> list[Tracker]:
         """Return the engines that have a model and stay."""
         entries = self.upstreams.by_id.values()
@@ -158,6 +167,7 @@
                 self.counts["loads"] += 1
                 self.neighbours.tell_all(Loaded(tracker.id, model, version))
                 return
+            self._failed_at[tracker.id] = time.monotonic()
             # It takes work again on the weights that it has, until it is tried again.
             held = tracker.version_by_model.get(model, 0)
             self.neighbours.tell_all(Loaded(tracker.id, model, held))
