Drop three attributes that nothing reads

Cause: the last reading of the diff found FenceLease.fenced_by, CallerRequest.sent_to and Full.wait_s set and never read. Change: the three are gone; no behaviour, bound or test changes.

--- a/libs/serving/ruddersaddle_serving/fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/fence_leases.py
@@ -44,7 +44,6 @@
         self.holder = holder
         self.lease_s = lease_s
         self.fence = -1
-        self.fenced_by: int | None = None
         self._orders_until = float("-inf")
         self._watched_at = float("-inf")
         self._end = 0
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -90,9 +90,7 @@
 
 
 class Full(msgspec.Struct, frozen=True):
-    """No engine has memory for the request now; it may have in `wait_s` seconds."""
-
-    wait_s: float
+    """No engine has memory for the request now."""
 
 
 class Estimate(msgspec.Struct, frozen=True):
@@ -195,7 +193,7 @@
         if patience is Patience.REFUSE and best.wait_s > self._wait_max_s(request, best):
             return self._refuse(request, best)
         if patience is not Patience.SEND and self._is_full(best, request):
-            return Full(best.wait_s)
+            return Full()
         hall = best.tracker.entry.hall
         is_newest = not self.publications.replaced_at_least_s(prompt.model, best.version or 0)
         transfer = self.kept.plan(
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -73,7 +73,6 @@
         self.began = began
         budget_s = route.timeout_s if head.budget_s is None else head.budget_s
         self.budget_s = min(budget_s, route.timeout_s)
-        self.sent_to: list[str] = []
 
     @property
     def id(self) -> RequestId:
