--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -40,6 +40,7 @@
 DEFAULTS = (
     Default("host", "id", "host-1", str, "this host's id, as the host list names it"),
     Default("host", "hall", "hall-1", str, "the hall that this host stands in"),
+    Default("host", "link_mbps", "1000", float, "width of the host's link in Mbit/s", 0),
     Default("host", "address", "127.0.0.1", str, "IP number to listen on"),
     Default("host", "port", "8080", int, "port for callers and operators", 1, 65535),
     Default("host", "peer_port", "8081", int, "port for the other hosts", 1, 65535),
--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import time
 from collections.abc import Callable
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
@@ -41,7 +42,7 @@
         self.choice = choice
         self.wire = wire
         self.last_event = last_event
-        self.sent = False
+        self.sent_at: float | None = None
         self.exchange: Exchange | None = None
         choice.tracker.in_flight += 1
         self._finished = False
@@ -66,7 +67,7 @@
             self.last_event,
         )
         headers = self.wire.write_delivery(delivery, request.remaining_s)
-        self.sent = True
+        self.sent_at = time.monotonic()
         self._note(Progress.SENT, self.choice.assignment)
         failure = self.exchange.send(request.method, request.target, request.body, headers)
         if failure is not None:
@@ -118,11 +119,19 @@
         """Take that the prompt was read."""
         self._note(Progress.FIRST)
 
-    def _note(self, progress: Progress, assignment: Assignment | None = None) -> None:
-        """Tell all hosts, this one among them, how far the request is at an engine."""
-        if self.choice.assignment is not None:
+    def _note(
+        self,
+        progress: Progress,
+        assignment: Assignment | None = None,
+        failed: bool | None = None,
+    ) -> None:
+        """Tell all hosts, this one among them, how far the request is at its upstream.
+
+        Of requests at plain services only the outcome is told; what they keep is of no interest.
+        """
+        if self.choice.assignment is not None or failed is not None:
             tracker = self.choice.tracker
-            self.tell(Notice(tracker.id, self.number, progress, assignment))
+            self.tell(Notice(tracker.id, self.number, progress, assignment, failed))
 
     def finish(self, failed: bool | None) -> None:
         """End the try; `failed` is None where it says nothing about the upstream."""
@@ -131,9 +140,9 @@
         self._finished = True
         tracker = self.choice.tracker
         tracker.in_flight -= 1
-        if self.sent:
-            self._note(Progress.ENDED)
+        if self.sent_at is not None:
+            self._note(Progress.ENDED, failed=failed)
+        elif failed is not None:
+            tracker.note_outcome(failed)
         if self.exchange is not None:
             self.exchange.finish()
-        if failed is not None:
-            tracker.note_outcome(failed)
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -0,0 +1,178 @@
+"""What one context store holds, as this host knows it."""
+
+import logging
+import random
+import time
+from collections import deque
+from collections.abc import Iterable
+
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import HallId, ModelId
+
+from ruddersaddle_serving.ports import StoreChange
+from ruddersaddle_serving.prompts import PartId
+from ruddersaddle_serving.routes import ContextStore
+
+logger = logging.getLogger(__name__)
+
+TRUST_S = 2.0
+"""A listing counts this long after the question was sent that last confirmed it. A question waits
+up to `FOLLOW_WAIT_S` for changes; hosts that are told by another one ask it each half second."""
+FETCH_S = 1.4
+"""A fetch that takes longer is thrown away by the engine. Reading the longest prompt of the sheets
+anew takes about 0.3 s."""
+QUIET_S = 4.2
+"""Nothing is saved this long after a new epoch of a store was first seen: the earlier listing is
+trusted for `TRUST_S` at most, and a fetch begun at its end may take `FETCH_S`."""
+FULL_SHARE = 0.97
+"""Above this share of its capacity nothing more is saved to a store."""
+TOKEN_BYTES = 35_136
+"""Memory of one token, from the sheets; it only weighs moving against reading again."""
+OTHER_HALL_FACTOR = 2.0
+"""A move between halls takes twice as long (the platform's page)."""
+MOVE_WAIT_FACTOR = 1.5
+"""Moves go one after another on both links, so that each waits for some others."""
+BLOCK_TOKENS = 16
+"""Memory goes by blocks of this many tokens."""
+REVISION_BITS = 40
+RECENT_MAX = 2000
+"""Changes that are remembered to be told to other hosts; at the peak of the sheets some hundred
+parts a second are saved to all stores together."""
+
+
+class KeptStore:
+    """One context store as this host knows it."""
+
+    def __init__(self, spec: ContextStore) -> None:
+        self.spec = spec
+        self.epoch: int | None = None
+        self.next = 0
+        self.confirmed_at = float("-inf")
+        self.epoch_seen_at = float("-inf")
+        self.used_tokens = 0
+        self.tokens_by_part: dict[tuple[str, PartId], int] = {}
+        self.clock_offset_ms = 0.0
+        self.knows_clock = False
+        self.is_lost = False
+        self.is_followed = False
+        """Whether a task of this host asks the store for changes."""
+        self.revision = random.getrandbits(REVISION_BITS)
+        """Grows with each change; begins anywhere, so that two hosts' numbers differ."""
+        self._recent: deque[tuple[int, StoreChange]] = deque(maxlen=RECENT_MAX)
+
+    @property
+    def is_trusted(self) -> bool:
+        """Whether the listing is young enough to fetch by it."""
+        return time.monotonic() - self.confirmed_at < TRUST_S and self.knows_clock
+
+    def note_answer(self, failure: Failure | None) -> None:
+        """Tell once that the store is lost or regained."""
+        if (failure is not None) == self.is_lost:
+            return
+        self.is_lost = failure is not None
+        if failure is None:
+            logger.info("Store %s answers.", self.spec.id)
+        else:
+            logger.warning("Store %s is lost. %s", self.spec.id, failure.detail)
+
+    @property
+    def takes_saves(self) -> bool:
+        """Whether parts may be saved here now."""
+        settled = time.monotonic() - self.epoch_seen_at > QUIET_S
+        return self.is_trusted and settled
+
+    def has_room(self, tokens: int) -> bool:
+        """Whether so many tokens fit."""
+        return self.used_tokens + tokens + BLOCK_TOKENS <= self.spec.capacity_tokens * FULL_SHARE
+
+    def move_s(self, tokens: int, hall: HallId) -> float:
+        """Return about how long moving so many tokens to or from an engine in a hall takes."""
+        ways = 1.0 if hall == self.spec.hall else OTHER_HALL_FACTOR
+        return self.spec.first_s + MOVE_WAIT_FACTOR * ways * self.link_s(tokens)
+
+    def link_s(self, tokens: int) -> float:
+        """Return how long the store's link is taken by so many tokens, in seconds."""
+        return tokens * TOKEN_BYTES * 8 / (self.spec.link_mbps * 1e6)
+
+    def put(self, change: StoreChange) -> None:
+        """Take that a part is whole, or gone."""
+        key = (change.salt, change.part)
+        self.used_tokens -= _round_up(self.tokens_by_part.pop(key, 0))
+        if change.tokens > 0:
+            self.tokens_by_part[key] = change.tokens
+            self.used_tokens += _round_up(change.tokens)
+        self.revision += 1
+        self._recent.append((self.revision, change))
+
+    def note_broken(self, parts: Iterable[StoreChange]) -> None:
+        """Take the parts whose saving broke off: they keep their room and can't be fetched."""
+        self.used_tokens += sum(_round_up(part.tokens) for part in parts)
+
+    def changes_since(self, revision: int) -> tuple[StoreChange, ...] | None:
+        """Return what has changed since a revision, or None if that is not remembered."""
+        if revision == self.revision:
+            return ()
+        oldest = self._recent[0][0] if self._recent else self.revision + 1
+        if not oldest - 1 <= revision < self.revision:
+            return None
+        return tuple(change for number, change in self._recent if number > revision)
+
+    def listing(self) -> tuple[StoreChange, ...]:
+        """Return all parts that are whole."""
+        return tuple(
+            StoreChange(salt, part, tokens) for (salt, part), tokens in self.tokens_by_part.items()
+        )
+
+    def reset(self, epoch: int, next_number: int) -> None:
+        """Begin a listing anew."""
+        if epoch != self.epoch:
+            self.epoch_seen_at = time.monotonic()
+            logger.info("Store %s is at epoch %s, before %s.", self.spec.id, epoch, self.epoch)
+        self.epoch = epoch
+        self.next = next_number
+        self.forget()
+
+    def forget(self) -> None:
+        """Drop what was listed."""
+        self.tokens_by_part.clear()
+        self.used_tokens = 0
+        self._recent.clear()
+        self.revision += 1
+
+    def note_clock(self, clock_ms: int | None) -> None:
+        """Learn the engines' clock; it is never estimated ahead of itself."""
+        if clock_ms is None:
+            return
+        self.clock_offset_ms = clock_ms - time.monotonic() * 1000.0
+        self.knows_clock = True
+
+    def parts_before(self, model: ModelId, version: int) -> tuple[StoreChange, ...]:
+        """Return the parts that were made by older weights of a model, as gone."""
+        return tuple(
+            StoreChange(salt, part, 0)
+            for salt, part in self.tokens_by_part
+            if is_older_salt(salt, model, version)
+        )
+
+    @property
+    def clock_ms(self) -> float:
+        """The engines' clock now, by what was last heard of it."""
+        return time.monotonic() * 1000.0 + self.clock_offset_ms
+
+    @property
+    def fetch_until_ms(self) -> int:
+        """Until when a fetch that begins now may last, on the engines' clock."""
+        return int(self.clock_ms + FETCH_S * 1000.0)
+
+
+def _round_up(tokens: int) -> int:
+    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
+
+
+def is_older_salt(salt: str, model: ModelId, version: int) -> bool:
+    """Return whether a salt names weights of a model from before `version`."""
+    prefix = f"{model}/"
+    if not salt.startswith(prefix):
+        return False
+    number = salt[len(prefix) :].partition("/")[0]
+    return number.isdigit() and int(number) < version
--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -15,16 +15,17 @@
 """A request of which nothing more was heard is forgotten after this long: its host may be gone. The
 longest runs of the sheets take a few seconds."""
 
-
 RUN_START_S = 1.0
 """Length of a run before any was seen."""
 RUN_WEIGHT = 0.05
 """Weight of the newest run in the mean: about the last twenty count, a second or two of them."""
 
-
 PRIORITIES = 10
 """Steps of urgency that engines know; 0 goes first."""
 
+SUM_TRUST_S = 1.0
+"""A sum counts this long; sums are told five times a second, and a run takes about as long."""
+
 
 class Sent(msgspec.Struct):
     """A request that was sent to the engine. `work_s` is the time that reading it takes."""
@@ -36,10 +37,18 @@
     first_at: float | None = None
 
 
+class LoadSum(msgspec.Struct, frozen=True, array_like=True):
+    """What stands at an engine, summed by urgency: reading in milliseconds, memory in tokens."""
+
+    work_ms: tuple[int, ...] = ()
+    tokens: tuple[int, ...] = ()
+
+
 class EngineLoad:
     """The requests at one engine, by the number that their host gave them.
 
     An engine lets the more urgent in first, so what a request waits for is what is as urgent as it.
+    Requests that this host does not hear of one by one come as sums, by whom they were told.
     """
 
     def __init__(self) -> None:
@@ -48,11 +57,51 @@
         """Mean length of a run from its first event, in seconds."""
         self._work_by_priority = [0.0] * PRIORITIES
         self._tokens_by_priority = [0] * PRIORITIES
+        self._others_by_source: dict[str, tuple[LoadSum, float]] = {}
 
     @property
     def tokens(self) -> int:
         """Tokens of the requests at the engine."""
-        return sum(self._tokens_by_priority)
+        return sum(self._tokens_by_priority) + sum(self._others_tokens())
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is known to be at the engine."""
+        return not self.by_number and not any(self._others_tokens())
+
+    def own_sum(self) -> LoadSum:
+        """Return the sum of the requests that this host hears of one by one."""
+        self._forget_old()
+        work_ms = _strip_zeros([round(each * 1000) for each in self._work_by_priority])
+        return LoadSum(work_ms, _strip_zeros(self._tokens_by_priority))
+
+    def total_sum(self) -> LoadSum:
+        """Return the sum of all requests that are known to be at the engine."""
+        work_ms = [
+            round(1000 * (own_s + other_s))
+            for own_s, other_s in zip(self._work_by_priority, self._others_work(), strict=True)
+        ]
+        tokens = [
+            own + other
+            for own, other in zip(self._tokens_by_priority, self._others_tokens(), strict=True)
+        ]
+        return LoadSum(_strip_zeros(work_ms), _strip_zeros(tokens))
+
+    def take_sum(self, source: str, told: LoadSum, includes_own: bool) -> None:
+        """Take a sum of requests that were sent elsewhere; it counts for `SUM_TRUST_S`."""
+        if includes_own and self.by_number:
+            told = _subtract(told, self.own_sum())
+        self._others_by_source[source] = (told, time.monotonic())
+
+    def _others(self) -> list[LoadSum]:
+        oldest_at = time.monotonic() - SUM_TRUST_S
+        return [told for told, at in self._others_by_source.values() if at > oldest_at]
+
+    def _others_tokens(self) -> list[int]:
+        return _sum_rows([told.tokens for told in self._others()])
+
+    def _others_work(self) -> list[float]:
+        return [work_ms / 1000 for work_ms in _sum_rows([told.work_ms for told in self._others()])]
 
     def add(self, number: tuple[str, int], priority: int, work_s: float, tokens: int) -> None:
         """Take that a request was sent."""
@@ -87,8 +136,9 @@
 
         `tokens` is what it needs itself, `capacity_tokens` the engine's memory.
         """
-        reading_s = sum(self._work_by_priority[: priority + 1])
-        taken = sum(self._tokens_by_priority[: priority + 1])
+        steps = priority + 1
+        reading_s = sum(self._work_by_priority[:steps]) + sum(self._others_work()[:steps])
+        taken = sum(self._tokens_by_priority[:steps]) + sum(self._others_tokens()[:steps])
         over = taken + tokens - capacity_tokens
         if over <= 0 or capacity_tokens <= 0:
             return reading_s
@@ -103,6 +153,32 @@
             self.end(number)
 
 
+def _sum_rows(rows: list[tuple[int, ...]]) -> list[int]:
+    """Add rows by urgency, each of which may lack zeros at its end."""
+    total = [0] * PRIORITIES
+    for row in rows:
+        for step, value in enumerate(row[:PRIORITIES]):
+            total[step] += value
+    return total
+
+
+def _strip_zeros(row: list[int]) -> tuple[int, ...]:
+    end = len(row)
+    while end and not row[end - 1]:
+        end -= 1
+    return tuple(row[:end])
+
+
+def _subtract(told: LoadSum, own: LoadSum) -> LoadSum:
+    """Return the rest of a sum that counted the own requests as well."""
+    return LoadSum(_less(told.work_ms, own.work_ms), _less(told.tokens, own.tokens))
+
+
+def _less(row: tuple[int, ...], taken: tuple[int, ...]) -> tuple[int, ...]:
+    padded = (*taken, *(0,) * (len(row) - len(taken)))
+    return tuple(max(0, each - less) for each, less in zip(row, padded, strict=False))
+
+
 class EngineMemory:
     """The parts that an engine probably keeps: those used last, as far as its memory goes."""
 
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -18,6 +18,7 @@
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
 from ruddersaddle_serving.fronts import Front
+from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.metric_pages import (
     TEXT_TYPE,
@@ -26,6 +27,7 @@
     format_histograms,
 )
 from ruddersaddle_serving.neighbours import Neighbours
+from ruddersaddle_serving.part_relays import PartRelay
 from ruddersaddle_serving.peers import limit_threads
 from ruddersaddle_serving.placements import Placement
 from ruddersaddle_serving.ports import Engines, MetadataStore, Wire
@@ -56,6 +58,8 @@
 GRACE_MARGIN_S = 0.7
 """A host ends by itself this long before the platform would kill it."""
 STOP_STEP_S = 0.05
+STOP_LOOK_S = 0.25
+"""Pause between looks for a planned stop; readiness ends at once, with the signal itself."""
 CONNECTIONS_MAX = 3000
 """Connections of callers at once; a host has about 4,000 descriptors."""
 BUDGET_SHARE = 0.75
@@ -86,9 +90,9 @@
         self.trackers = Trackers()
         self.kept = KeptParts(engines)
         self.budget = RetryBudget(settings.number("bounds.retry_share") * BUDGET_SHARE)
+        self.publications.listeners += [self.trackers.take_table, self.kept.take_table]
         self._build_request_path(wire)
         self._build_tasks()
-        self._table = None
 
     @classmethod
     def from_settings(
@@ -139,15 +143,23 @@
 
     def _build_tasks(self) -> None:
         settings = self.settings
-        self.neighbours = Neighbours(
-            HostId(settings.text("host.id")),
+        record = HostRecord(
             settings.text("listen.peers"),
-            settings.text("listen.seeds").split(","),
+            HallId(settings.text("host.hall")),
+            settings.number("host.link_mbps"),
+        )
+        seeds = settings.text("listen.seeds").split(",")
+        self.neighbours = Neighbours(
+            Hosts(HostId(settings.text("host.id")), record, seeds),
             self.store,
             self.publications,
             self.upstreams,
             self.trackers,
+            self.kept,
         )
+        loads = self.neighbours.loads
+        self.forwarder.placement.knows_with_lag = lambda: not loads.is_direct
+        self.parts = PartRelay(self.kept, self.neighbours)
         lease_s = settings.number("bounds.lease_ms") / MS_PER_S
         lease = FenceLease(self.store, self.incarnation, lease_s)
         self.rollouts = WeightRollouts(
@@ -162,7 +174,7 @@
         )
 
     def _tell_notice(self, notice: Notice) -> None:
-        self.neighbours.tell_notice(notice)
+        self.neighbours.loads.tell(notice)
 
     # Running
 
@@ -177,7 +189,7 @@
         self._start_tasks()
         logger.info("Host %s has started.", self.incarnation, extra={"pid": os.getpid()})
         while not self.stopping:
-            eventlet.sleep(STOP_STEP_S)
+            eventlet.sleep(STOP_LOOK_S)
         self._finish(*front)
 
     def _listen(self, name: str, app: Any, protocol: type) -> tuple[Any, Any]:
@@ -199,35 +211,23 @@
     def _start_tasks(self) -> None:
         operator = OperatorFollower(self.store, self.link, self.publications)
         entries = UpstreamFollower(self.store, self.link, self.upstreams)
-        is_reader = self.neighbours.is_reader
+        is_reader = self.neighbours.hosts.is_reader
         spawn_forever("operator", operator.run, OPERATOR_WAIT_S, 0.0, is_reader)
         spawn_forever("entries", entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
         self.neighbours.start()
+        self.parts.start()
+        self.kept.start()
         self.rollouts.start()
         spawn_forever("housekeeping", self._keep_house)
 
     def _keep_house(self) -> None:
         while True:
-            table = self.publications.table
-            if table is not None and table is not self._table:
-                self._table = table
-                self.kept.update(table.published.stores)
-            self._size_memories()
             self.trackers.keep_only(set(self.upstreams.by_id))
             self.trackers.close_expired()
             slack = self.settings.number("bounds.retry_slack") * BUDGET_SHARE
-            self.budget.most = max(1.0, slack / self.neighbours.hosts_count)
+            self.budget.most = max(1.0, slack / self.neighbours.hosts.count)
             eventlet.sleep(HOUSEKEEPING_S)
 
-    def _size_memories(self) -> None:
-        """Take the engines' memory from the configuration."""
-        if self._table is None:
-            return
-        for tracker in self.trackers.by_id.values():
-            pool = self._table.pool_by_id.get(tracker.entry.pool)
-            if pool is not None and pool.engine is not None:
-                tracker.memory.capacity_tokens = pool.engine.cache_tokens
-
     # Readiness, metrics
 
     def is_ready(self) -> bool:
@@ -254,7 +254,7 @@
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
             ("upstream_connections_opened", "connections opened", opened),
             ("ready", "1 if the balancer should send callers here", self.is_ready()),
-            ("hosts_known", "hosts, this one included", self.neighbours.hosts_count),
+            ("hosts_known", "hosts, this one included", self.neighbours.hosts.count),
             ("peer_sent_bytes", "bytes sent to peers", self.neighbours.peers.sent_bytes),
         )
         budget = {"spent": self.budget.spent, "denied": self.budget.denied}
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -30,6 +30,9 @@
 to one within its target in any case."""
 HELD_LOOK_S = 0.02
 """Pause between looks at engines' room; a run ends about each 10 ms at the peak of the sheets."""
+SILENT_FACTOR = 3.0
+"""A request that ends without a first byte after this many latency targets counts against its
+upstream; a caller that leaves earlier says nothing about it."""
 LEAST_REMAINING_S = 0.02
 """With less time than this left nothing is sent any more."""
 
@@ -303,4 +306,12 @@
     def finish(self) -> None:
         """End the request wherever it is; an answer that was not read whole is closed."""
         if self.attempt is not None:
-            self.attempt.finish(None)
+            self.attempt.finish(True if self._was_silent() else None)
+
+    def _was_silent(self) -> bool:
+        """Return whether the upstream gave nothing for far longer than it should have taken."""
+        sent_at = self.attempt.sent_at
+        if sent_at is None or self.trail.first_s is not None:
+            return False
+        silent_s = time.monotonic() - sent_at
+        return silent_s > SILENT_FACTOR * self.request.route.target_latency_s
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -0,0 +1,158 @@
+"""Which entry hosts there are, and which of them read for the others.
+
+What every host needs to know (published items, entries of upstreams, listings of context stores,
+loads of engines) is read by one host in each hall and told to the others of that hall, so that the
+calls to the platform and to upstreams grow with the halls and not with the hosts.
+"""
+
+import time
+from zlib import crc32
+
+import msgspec
+from ruddersaddle_base.ids import HallId, HostId
+from ruddersaddle_routing.rendezvous import rank_names
+
+READERS_MIN = 2
+"""Readers there are at least; the second one serves while the first is replaced."""
+SILENT_S = 4.0
+"""A host that did not answer is left alone this long."""
+READERS_KEY = "readers"
+"""Key under which hosts are ranked as readers."""
+
+
+class HostRecord(msgspec.Struct, frozen=True, array_like=True):
+    """How a host is reached, where it stands, and how wide its link is, in Mbit/s."""
+
+    address: str
+    hall: HallId
+    link_mbps: float = 0.0
+
+
+class Hosts:
+    """The other hosts by id, and this one.
+
+    `seeds` are addresses from the settings; until their records are known they count as hosts of
+    this hall with the narrowest link.
+    """
+
+    def __init__(self, own_id: HostId, own: HostRecord, seeds: list[str]) -> None:
+        self.own_id = own_id
+        self.own = own
+        self.by_id: dict[HostId, HostRecord] = {}
+        self.is_known = False
+        """Whether the list was read, here or by a host that told it."""
+        self._seeds = [seed for seed in seeds if seed and seed != own.address]
+        self._silent_until: dict[str, float] = {}
+        self._others: list[HostRecord] | None = None
+        self._digest: int | None = None
+        self._ranked: list[HostRecord] = []
+        self._ranked_until = float("-inf")
+        """Ranking costs some hundred microseconds and is asked for some hundred times a second, so
+        it is kept until a host comes, goes, falls silent or is heard of again."""
+
+    def replace(self, records: dict[HostId, HostRecord]) -> bool:
+        """Take the whole list; return whether it differs from what was known."""
+        self.is_known = True
+        others = {host: record for host, record in records.items() if host != self.own_id}
+        changed = others != self.by_id
+        self.by_id = others
+        if changed:
+            self._note_change()
+        return changed
+
+    def _note_change(self) -> None:
+        self._others = None
+        self._digest = None
+        self._ranked_until = float("-inf")
+
+    def add(self, host: HostId, record: HostRecord) -> None:
+        """Take the record of a host that made itself known."""
+        if host != self.own_id and self.by_id.get(host) != record:
+            self.by_id[host] = record
+            self._note_change()
+
+    def note_silent(self, address: str) -> None:
+        """Take that a host did not answer."""
+        self._silent_until[address] = time.monotonic() + SILENT_S
+        self._ranked_until = float("-inf")
+
+    def note_heard(self, address: str) -> None:
+        """Take that a host lives."""
+        if self._silent_until.pop(address, None) is not None:
+            self._ranked_until = float("-inf")
+
+    def others(self) -> list[HostRecord]:
+        """Return all other hosts that are known, by address."""
+        if self._others is not None:
+            return self._others
+        by_address = {seed: HostRecord(seed, self.own.hall) for seed in self._seeds}
+        for record in self.by_id.values():
+            by_address[record.address] = record
+        by_address.pop(self.own.address, None)
+        self._others = [by_address[address] for address in sorted(by_address)]
+        return self._others
+
+    def addresses(self) -> list[str]:
+        """Return the addresses of all other hosts."""
+        return [record.address for record in self.others()]
+
+    def hall_addresses(self) -> list[str]:
+        """Return the addresses of the other hosts of this hall."""
+        return [each.address for each in self.others() if each.hall == self.own.hall]
+
+    def live(self) -> list[HostRecord]:
+        """Return the hosts that are not known to be silent, this one first."""
+        now = time.monotonic()
+        silent = {address for address, until in self._silent_until.items() if now < until}
+        return [self.own, *(each for each in self.others() if each.address not in silent)]
+
+    @property
+    def digest(self) -> int:
+        """A number that two hosts share if they know the same hosts."""
+        if self._digest is None:
+            records = {**self.by_id, self.own_id: self.own}
+            names = sorted(f"{host}={record}" for host, record in records.items())
+            self._digest = crc32("\n".join(names).encode())
+        return self._digest
+
+    @property
+    def count(self) -> int:
+        """About how many hosts there are, this one included."""
+        return 1 + len(self.others())
+
+    def reader_by_hall(self) -> dict[HallId, str]:
+        """Return the reader of each hall: hosts with wide links go first, since it answers all."""
+        first_by_hall: dict[HallId, str] = {}
+        for each in self._by_width():
+            first_by_hall.setdefault(each.hall, each.address)
+        return first_by_hall
+
+    def _by_width(self) -> list[HostRecord]:
+        now = time.monotonic()
+        if now >= self._ranked_until:
+            live = self.live()
+            names = rank_names(READERS_KEY, [each.address for each in live])
+            rank = {name: place for place, name in enumerate(names)}
+            self._ranked = sorted(live, key=lambda each: (-each.link_mbps, rank[each.address]))
+            ends = [until for until in self._silent_until.values() if until > now]
+            self._ranked_until = min(ends, default=float("inf"))
+        return self._ranked
+
+    def readers(self) -> list[str]:
+        """Return the hosts that read for others, the one of this hall first."""
+        by_hall = self.reader_by_hall()
+        halls = sorted(by_hall, key=lambda hall: (hall != self.own.hall, hall))
+        readers = [by_hall[hall] for hall in halls]
+        missing = READERS_MIN - len(readers)
+        if missing > 0:
+            spare = [each.address for each in self._by_width() if each.address not in readers]
+            readers += spare[:missing]
+        return readers
+
+    def hall_reader(self) -> str:
+        """Return the reader of this hall."""
+        return self.reader_by_hall()[self.own.hall]
+
+    def is_reader(self) -> bool:
+        """Return whether this host reads for others."""
+        return self.own.address in self.readers()
--- a/libs/serving/ruddersaddle_serving/kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/kept_parts.py
@@ -12,27 +12,21 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 import eventlet
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, ModelId, StoreId, WorkspaceId
+from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.ports import Engines, StoreChange, Transfer
+from ruddersaddle_serving.context_stores import FETCH_S, KeptStore
+from ruddersaddle_serving.ports import Engines, Transfer
 from ruddersaddle_serving.prompts import Part, PartId, Prompt
-from ruddersaddle_serving.routes import ContextStore
+from ruddersaddle_serving.routes import ContextStore, RouteTable
 from ruddersaddle_serving.tasks import spawn_forever
 
 logger = logging.getLogger(__name__)
 
-TRUST_S = 1.6
-"""A listing counts this long after the question was sent that last confirmed it; a question waits
-up to 1 s for changes."""
-FETCH_S = 1.4
-"""A fetch that takes longer is thrown away by the engine. Reading the longest prompt of the sheets
-anew takes about 0.3 s."""
-QUIET_S = 4.0
-"""Nothing is saved this long after a new epoch of a store was first seen: the earlier listing is
-trusted for `TRUST_S` at most, and a fetch begun at its end may take `FETCH_S`."""
 FRESH_S = 2.0
 """What a host knows of published items has to be younger than this for it to fetch parts; readers
 confirm it about each second."""
@@ -47,105 +41,18 @@
 """A part that was sent to be saved is not sent again this long."""
 SAVING_MAX = 10_000
 """Parts that were sent to be saved are looked through for old ones beyond this many."""
-FULL_SHARE = 0.97
-"""Above this share of its capacity nothing more is saved to a store."""
 RETRY_S = 0.4
-TOKEN_BYTES = 35_136
-"""Memory of one token, from the sheets; it only weighs moving against reading again."""
-OTHER_HALL_FACTOR = 2.0
-"""A move between halls takes twice as long (the platform's page)."""
-MOVE_WAIT_FACTOR = 1.5
-"""Moves go one after another on both links, so that each waits for some others."""
-BLOCK_TOKENS = 16
-"""Memory goes by blocks of this many tokens."""
-
-
-class KeptStore:
-    """One context store as this host knows it."""
-
-    def __init__(self, spec: ContextStore) -> None:
-        self.spec = spec
-        self.epoch: int | None = None
-        self.next = 0
-        self.confirmed_at = float("-inf")
-        self.epoch_seen_at = float("-inf")
-        self.used_tokens = 0
-        self.tokens_by_part: dict[tuple[str, PartId], int] = {}
-        self.clock_offset_ms = 0.0
-        self.knows_clock = False
-        self.is_lost = False
-
-    @property
-    def is_trusted(self) -> bool:
-        """Whether the listing is young enough to fetch by it."""
-        return time.monotonic() - self.confirmed_at < TRUST_S and self.knows_clock
-
-    def note_answer(self, failure: Failure | None) -> None:
-        """Tell once that the store is lost or regained."""
-        if (failure is not None) == self.is_lost:
-            return
-        self.is_lost = failure is not None
-        if failure is None:
-            logger.info("Store %s answers.", self.spec.id)
-        else:
-            logger.warning("Store %s is lost. %s", self.spec.id, failure.detail)
-
-    @property
-    def takes_saves(self) -> bool:
-        """Whether parts may be saved here now."""
-        settled = time.monotonic() - self.epoch_seen_at > QUIET_S
-        return self.is_trusted and settled
-
-    def has_room(self, tokens: int) -> bool:
-        """Whether so many tokens fit."""
-        return self.used_tokens + tokens + BLOCK_TOKENS <= self.spec.capacity_tokens * FULL_SHARE
-
-    def move_s(self, tokens: int, hall: HallId) -> float:
-        """Return about how long moving so many tokens to or from an engine in a hall takes."""
-        ways = 1.0 if hall == self.spec.hall else OTHER_HALL_FACTOR
-        return self.spec.first_s + MOVE_WAIT_FACTOR * ways * self.link_s(tokens)
-
-    def link_s(self, tokens: int) -> float:
-        """Return how long the store's link is taken by so many tokens, in seconds."""
-        return tokens * TOKEN_BYTES * 8 / (self.spec.link_mbps * 1e6)
-
-    def put(self, change: StoreChange) -> None:
-        """Take that a part is whole, or gone."""
-        key = (change.salt, change.part)
-        self.used_tokens -= _round_up(self.tokens_by_part.pop(key, 0))
-        if change.tokens > 0:
-            self.tokens_by_part[key] = change.tokens
-            self.used_tokens += _round_up(change.tokens)
-
-    def reset(self, epoch: int, next_number: int) -> None:
-        """Begin a listing anew."""
-        if epoch != self.epoch:
-            self.epoch_seen_at = time.monotonic()
-            logger.info("Store %s is at epoch %s, before %s.", self.spec.id, epoch, self.epoch)
-        self.epoch = epoch
-        self.next = next_number
-        self.tokens_by_part.clear()
-        self.used_tokens = 0
-
-    def note_clock(self, clock_ms: int | None) -> None:
-        """Learn the engines' clock; it is never estimated ahead of itself."""
-        if clock_ms is None:
-            return
-        self.clock_offset_ms = clock_ms - time.monotonic() * 1000.0
-        self.knows_clock = True
-
-    def parts_before(self, model: ModelId, version: int) -> tuple[StoreChange, ...]:
-        """Return the parts that were made by older weights of a model, as gone."""
-        return tuple(
-            StoreChange(salt, part, 0)
-            for salt, part in self.tokens_by_part
-            if is_older_salt(salt, model, version)
-        )
-
-    @property
-    def fetch_until_ms(self) -> int:
-        """Until when a fetch that begins now may last, on the engines' clock."""
-        return int(time.monotonic() * 1000.0 + self.clock_offset_ms + FETCH_S * 1000.0)
+FOLLOW_WAIT_S = 0.5
+"""How long a store may hold the question for changes; it allows twice as much, but what it holds
+has to be known again within 2 s, by way of another host (`context_stores.TRUST_S`)."""
+EVENTS_PAUSE_S = 0.2
+"""Pause after an answer that told changes, so that some of them share the next one: answers in less
+than 200 ms are priced as probes."""
+SPARE_WATCHERS = 4
+"""Waiting questions of the most that a store holds which are left for hosts that start or whose
+reader is being replaced."""
+LOOK_S = 1.0
+"""Pause of a host that is told of stores until it looks again whether it should ask."""
 
 
 class KeptParts:
@@ -156,32 +63,56 @@
         self.by_id: dict[StoreId, KeptStore] = {}
         self._saving_until: dict[tuple[str, PartId], float] = {}
         self.counts = {"fetches": 0, "saves": 0, "listings": 0}
+        self.watches: Callable[[ContextStore], bool] = lambda spec: True
+        """Whether this host asks a store itself, or is told by another host."""
 
-    def update(self, specs: tuple[ContextStore, ...]) -> None:
+    def take_table(self, table: RouteTable) -> None:
         """Take the stores of a configuration."""
-        wanted = {spec.id: spec for spec in specs}
+        wanted = {spec.id: spec for spec in table.published.stores}
         for gone in set(self.by_id) - set(wanted):
             del self.by_id[gone]
         for spec in wanted.values():
             known = self.by_id.get(spec.id)
             if known is None or known.spec.address != spec.address:
-                kept = self.by_id[spec.id] = KeptStore(spec)
-                spawn_forever(f"store {spec.id}", self._follow, kept)
+                self.by_id[spec.id] = KeptStore(spec)
+        self._start_followers()
+
+    def start(self) -> None:
+        """Start the task that begins to follow stores when this host becomes a reader."""
+        spawn_forever("stores", self._supervise)
+
+    def _supervise(self) -> None:
+        while True:
+            self._start_followers()
+            eventlet.sleep(LOOK_S)
+
+    def _start_followers(self) -> None:
+        for kept in self.by_id.values():
+            if not kept.is_followed and self.watches(kept.spec):
+                kept.is_followed = True
+                spawn_forever(f"store {kept.spec.id}", self._follow, kept)
 
     def _follow(self, kept: KeptStore) -> None:
-        while self.by_id.get(kept.spec.id) is kept:
+        """Follow a store as long as it is configured and this host is one that asks it."""
+        while self.by_id.get(kept.spec.id) is kept and self.watches(kept.spec):
             asked_at = time.monotonic()
+            revision = kept.revision
             failure = self._read(kept)
             kept.note_answer(failure)
-            if failure is None:
-                kept.confirmed_at = asked_at
-            else:
+            if failure is not None:
                 eventlet.sleep(RETRY_S)
+                continue
+            kept.confirmed_at = asked_at
+            if kept.revision != revision:
+                eventlet.sleep(EVENTS_PAUSE_S)
+        kept.is_followed = False
 
     def _read(self, kept: KeptStore) -> Failure | None:
         if kept.epoch is None:
             return self._list(kept)
-        page = self.engines.store_changes(kept.spec, kept.next)
+        # The first answer brings the engines' clock, without which nothing is fetched.
+        wait_s = FOLLOW_WAIT_S if kept.knows_clock else 0.0
+        page = self.engines.store_changes(kept.spec, kept.next, wait_s)
         if isinstance(page, Failure):
             return page
         if page.epoch != kept.epoch or page.gap:
@@ -196,12 +127,12 @@
         self.counts["listings"] += 1
         listing = self.engines.store_listing(kept.spec)
         if isinstance(listing, Failure):
-            kept.tokens_by_part.clear()
+            kept.forget()
             return listing
         kept.reset(listing.epoch, listing.next)
         for part in listing.whole:
             kept.put(part)
-        kept.used_tokens += sum(_round_up(part.tokens) for part in listing.broken)
+        kept.note_broken(listing.broken)
         return None
 
     def find_holders(self, salt: str, prompt: Prompt, may_fetch: bool) -> list[KeptStore | None]:
@@ -260,19 +191,28 @@
         # longer than that, and the room of fast stores is left to parts for which it does.
         is_large = slowest.link_s(part.tokens) > slowest.spec.first_s
         tier = -1.0 if is_large else 1.0
-        chosen = min(
-            fitting,
-            key=lambda kept: (
-                tier * kept.spec.first_s,
-                kept.move_s(part.tokens, hall),
-                kept.spec.id,
-            ),
-        )
+        chosen = self._spread(fitting, part, tier, hall)
+        self._note_saving(key, now)
+        return chosen.spec.address
+
+    def _spread(self, fitting: list[KeptStore], part: Part, tier: float, hall: HallId) -> KeptStore:
+        """Return the store for a part among those of the best tier.
+
+        Stores that are alike share the parts by rendezvous hash, so that each of their links and
+        memories carries its share and all hosts choose the same store for a part.
+        """
+        best = min(tier * kept.spec.first_s for kept in fitting)
+        alike = [kept for kept in fitting if tier * kept.spec.first_s == best]
+        quickest_s = min(kept.move_s(part.tokens, hall) for kept in alike)
+        alike = [kept for kept in alike if kept.move_s(part.tokens, hall) <= quickest_s]
+        by_id = {kept.spec.id: kept for kept in alike}
+        return by_id[rank_names(part.id, by_id)[0]]
+
+    def _note_saving(self, key: tuple[str, PartId], now: float) -> None:
         self._saving_until[key] = now + SAVING_S
         if len(self._saving_until) > SAVING_MAX:
             live = {each: until for each, until in self._saving_until.items() if until > now}
             self._saving_until = live
-        return chosen.spec.address
 
 
 def make_salt(model: ModelId, version: int, workspace: WorkspaceId | None) -> str:
@@ -281,21 +221,8 @@
     return salt if workspace is None else f"{salt}/{workspace}"
 
 
-def is_older_salt(salt: str, model: ModelId, version: int) -> bool:
-    """Return whether a salt names weights of a model from before `version`."""
-    prefix = f"{model}/"
-    if not salt.startswith(prefix):
-        return False
-    number = salt[len(prefix) :].partition("/")[0]
-    return number.isdigit() and int(number) < version
-
-
 def _find_holder(stores: list[KeptStore], salt: str, part: Part) -> KeptStore | None:
     for kept in stores:
         if kept.tokens_by_part.get((salt, part.id), 0) >= part.tokens:
             return kept
     return None
-
-
-def _round_up(tokens: int) -> int:
-    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -0,0 +1,153 @@
+"""How hosts share what they know of requests at engines.
+
+Few hosts tell one another of each step of each request. Many hosts tell the reader of their hall,
+which sums them up, exchanges sums with the readers of other halls, and tells its hall the totals:
+messages then grow with the hosts, and not with hosts times requests.
+"""
+
+import eventlet
+import msgspec
+from ruddersaddle_base.ids import UpstreamId
+
+from ruddersaddle_serving.engine_loads import LoadSum
+from ruddersaddle_serving.hosts import Hosts
+from ruddersaddle_serving.peers import Peers
+from ruddersaddle_serving.tasks import spawn_forever
+from ruddersaddle_serving.trackers import Notice, Trackers
+
+DIRECT_HOSTS_MAX = 12
+"""Up to so many hosts tell one another directly; above, 85 hosts would each get 2,000 messages a
+second (docs/CAPACITY.md)."""
+NOTICES_S = 0.01
+"""Pause between messages about requests at engines. A prompt takes 5 to 200 ms to read, so that
+what others sent has to be known within some ten milliseconds."""
+READER_NOTICES_S = 0.1
+"""The same to the reader of a hall, whose totals are older in any case. A message costs both ends
+about 0.2 ms of processor time, system calls included."""
+SUMS_S = 0.2
+"""Pause between totals; 56 engines take about 2 KB, 28 hosts then 2 Mbit/s of their reader."""
+
+
+LOOK_S = 0.5
+"""Pause of a host that sums nothing until it looks again whether it should."""
+
+
+class Notices(msgspec.Struct, frozen=True, tag="notices"):
+    """Tells how far the sender's requests are at engines; it is not answered."""
+
+    address: str
+    notices: tuple[Notice, ...]
+
+
+class EngineSum(msgspec.Struct, frozen=True, array_like=True):
+    """What stands at one engine, and about the share of its recent requests that failed."""
+
+    upstream: UpstreamId
+    load: LoadSum
+    failing_percent: int
+
+
+class LoadSums(msgspec.Struct, frozen=True, tag="load_sums"):
+    """Tells what stands at engines: of the sender's hall, or everything where it is a total."""
+
+    address: str
+    is_total: bool
+    sums: tuple[EngineSum, ...]
+
+
+class LoadShares:
+    """Tells and takes requests at engines."""
+
+    def __init__(self, hosts: Hosts, peers: Peers, trackers: Trackers) -> None:
+        self.hosts = hosts
+        self.peers = peers
+        self.trackers = trackers
+        self._unsent: list[Notice] = []
+        self._is_scheduled = False
+
+    def start(self) -> None:
+        """Start the task that tells totals; notices are told when there are some."""
+        spawn_forever("totals", self._tell_totals)
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether hosts are few enough to tell one another of each request."""
+        return self.hosts.count <= DIRECT_HOSTS_MAX
+
+    @property
+    def lag_s(self) -> float:
+        """How much older than direct notices the knowledge of others' requests is, in seconds."""
+        return 0.0 if self.is_direct else READER_NOTICES_S + 2 * SUMS_S
+
+    def tell(self, notice: Notice) -> None:
+        """Take a step of an own request, and tell it with the next message."""
+        tracker = self.trackers.by_id.get(notice.upstream)
+        if tracker is not None:
+            tracker.take_notice(self.hosts.own.address, notice)
+        self._unsent.append(notice)
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            pause_s = NOTICES_S if self.is_direct else READER_NOTICES_S
+            eventlet.spawn_after(pause_s, self.tell_notices)
+
+    def tell_notices(self) -> None:
+        """Tell what has not been told yet."""
+        self._is_scheduled = False
+        if not self._unsent:
+            return
+        message = Notices(self.hosts.own.address, tuple(self._unsent))
+        self._unsent = []
+        targets = self.hosts.addresses() if self.is_direct else [self.hosts.hall_reader()]
+        self.peers.tell_all([each for each in targets if not self._is_own(each)], message)
+
+    def take_notices(self, message: Notices) -> None:
+        """Take the steps of another host's requests."""
+        for notice in message.notices:
+            tracker = self.trackers.by_id.get(notice.upstream)
+            if tracker is not None:
+                tracker.take_notice(message.address, notice)
+
+    @property
+    def is_summing(self) -> bool:
+        """Whether this host sums up the requests of its hall."""
+        return not self.is_direct and self._is_own(self.hosts.hall_reader())
+
+    def _tell_totals(self) -> None:
+        while True:
+            if not self.is_summing:
+                eventlet.sleep(LOOK_S)
+                continue
+            self.tell_sums(False)
+            self.tell_sums(True)
+            eventlet.sleep(SUMS_S)
+
+    def _is_own(self, address: str) -> bool:
+        return address == self.hosts.own.address
+
+    def tell_sums(self, is_total: bool) -> None:
+        """Tell other readers the sums of this hall, or this hall the totals."""
+        message = LoadSums(self.hosts.own.address, is_total, self._sums(is_total))
+        targets = self.hosts.hall_addresses() if is_total else self._other_readers()
+        self.peers.tell_all(targets, message)
+
+    def _other_readers(self) -> list[str]:
+        own_hall = self.hosts.own.hall
+        by_hall = self.hosts.reader_by_hall()
+        return [address for hall, address in by_hall.items() if hall != own_hall]
+
+    def _sums(self, is_total: bool) -> tuple[EngineSum, ...]:
+        sums = []
+        for tracker in self.trackers.by_id.values():
+            load = tracker.load.total_sum() if is_total else tracker.load.own_sum()
+            failing = tracker.failing_share if is_total else tracker.observed_failing
+            sums.append(EngineSum(tracker.id, load, round(100 * failing)))
+        return tuple(sums)
+
+    def take_sums(self, message: LoadSums) -> None:
+        """Take another reader's sums, or the totals of this hall's reader."""
+        source = "hall" if message.is_total else message.address
+        for told in message.sums:
+            tracker = self.trackers.by_id.get(told.upstream)
+            if tracker is not None:
+                tracker.load.take_sum(source, told.load, message.is_total)
+                tracker.note_told_failing(told.failing_percent / 100)
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -1,4 +1,4 @@
-"""What hosts tell one another: published items and entries with their age, requests at engines."""
+"""What hosts tell one another: published items and entries with their age, orders under way."""
 
 import logging
 import random
@@ -6,16 +6,20 @@
 
 import eventlet
 import msgspec
-from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.codecs import decode_json
+from ruddersaddle_base.failures import Failure, Step
 from ruddersaddle_base.ids import HostId, ModelId, UpstreamId
-from ruddersaddle_routing.rendezvous import rank_names
 
+from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.kept_parts import KeptParts
+from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
+from ruddersaddle_serving.part_news import AskParts, PartsNews, tell_parts
 from ruddersaddle_serving.peers import Peers
-from ruddersaddle_serving.ports import MetadataStore, ModelVersion, Topic
+from ruddersaddle_serving.ports import MetadataStore, ModelVersion, Record, Topic
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Published
 from ruddersaddle_serving.tasks import spawn_forever
-from ruddersaddle_serving.trackers import Notice, Trackers
+from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
 
 logger = logging.getLogger(__name__)
@@ -25,29 +29,31 @@
 OLD_S = 1.3
 """Beliefs older than this are asked of readers also by a reader: its own reads confirm them about
 each second, unless the store does not answer it."""
-READERS = 2
-"""Hosts that read the store for all others; the second one serves while the first is replaced."""
 ASK_PAUSE_S = 0.6
 """Pause between a host's questions to a reader. With the reader's own reads (a second) the answer
 confirms beliefs well within the shortest bound on them (2 s)."""
-SILENT_S = 4.0
-"""A peer that did not answer is left alone this long."""
-LOOK_S = 0.1
-NOTICES_S = 0.01
-"""Pause between messages about requests at engines. A prompt takes 5 to 200 ms to read, so that
-what others sent has to be known within some ten milliseconds."""
+LOOK_S = 0.2
+"""Pause between looks at the age of beliefs; well below `ASK_PAUSE_S`."""
+HOSTS_LOOK_S = 1.0
+"""Pause of a host that does not read the list, or failed to, with as much again drawn at random."""
 HOSTS_READ_S = 12.0
-"""Pause between reads of the list of hosts; a new host makes itself known by asking as well."""
+"""Pause of a reader between reads of the list of hosts; a new host makes itself known by asking as
+well."""
+START_ASKS = 3
+"""Hosts that a starting host asks beside the readers: after a compaction the store's answers may
+lag, and a peer may know a newer configuration."""
 
 
 class AskNews(msgspec.Struct, frozen=True, tag="ask_news"):
     """Asks for what the peer believes and the asker may not have yet."""
 
     host: HostId
-    address: str
+    record: HostRecord
     version: int
     entries_revision: int
     """Revision of the peer's own entries that the asker has; -1 for none."""
+    hosts_digest: int
+    """Digest of the list of hosts that the asker knows."""
 
 
 class News(msgspec.Struct, frozen=True, tag="news"):
@@ -61,6 +67,8 @@
     """None if the asker has them."""
     entries_revision: int
     entries_age_s: float
+    hosts: dict[HostId, HostRecord] | None
+    """None where the asker knows the same hosts, or the peer reads no list."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
@@ -84,18 +92,13 @@
     version: int
 
 
-class Notices(msgspec.Struct, frozen=True, tag="notices"):
-    """Tells how far the sender's requests are at engines; it is not answered."""
-
-    address: str
-    notices: tuple[Notice, ...]
-
-
 class Noted(msgspec.Struct, frozen=True, tag="noted"):
     """Answers a message that asks nothing."""
 
 
-NeighbourMessage = AskNews | News | Changed | Emptying | Loaded | Notices | Noted
+NeighbourMessage = (
+    AskNews | News | Changed | Emptying | Loaded | Notices | LoadSums | AskParts | PartsNews | Noted
+)
 
 
 class Neighbours:
@@ -103,61 +106,39 @@
 
     def __init__(
         self,
-        host: HostId,
-        address: str,
-        seeds: list[str],
+        hosts: Hosts,
         store: MetadataStore,
         publications: Publications,
         upstreams: UpstreamList,
         trackers: Trackers,
+        kept: KeptParts,
     ) -> None:
-        self.host = host
-        self.address = address
+        self.hosts = hosts
+        self.address = hosts.own.address
         self.store = store
         self.publications = publications
         self.upstreams = upstreams
         self.trackers = trackers
-        self.peers = Peers(address, self._answer, NeighbourMessage)
-        self.address_by_host: dict[HostId, str] = {}
-        self._silent_until: dict[str, float] = {}
+        self.kept = kept
+        self.peers = Peers(self.address, self._answer, NeighbourMessage)
+        self.loads = LoadShares(hosts, self.peers, trackers)
         self._revision_by_address: dict[str, int] = {}
         self._asked_at = float("-inf")
         self._seen = (0, 0)
         self.news_at = 0.0
         """When the last word of an engine being emptied or loaded came."""
-        self._unsent: list[Notice] = []
-        self._seeds = [seed for seed in seeds if seed and seed != address]
 
     def start(self) -> None:
         """Listen, make this host known, and keep beliefs young."""
         self.peers.start()
         spawn_forever("hosts", self._follow_hosts)
         spawn_forever("beliefs", self._keep_young)
-        spawn_forever("notices", self._tell_notices)
-
-    def addresses(self) -> list[str]:
-        """Return the addresses of all other hosts that are known."""
-        return sorted({*self.address_by_host.values(), *self._seeds} - {self.address})
+        self.loads.start()
 
     @property
     def live_hosts(self) -> list[str]:
         """Addresses of the hosts that are not known to be silent, this one among them."""
-        now = time.monotonic()
-        silent = {peer for peer, until in self._silent_until.items() if now < until}
-        return [self.address, *(each for each in self.addresses() if each not in silent)]
-
-    def readers(self) -> list[str]:
-        """Return the hosts that read the store for all, as far as this one knows."""
-        return rank_names("readers", self.live_hosts)[:READERS]
-
-    def is_reader(self) -> bool:
-        """Return whether this host reads the store for others."""
-        return self.address in self.readers()
-
-    @property
-    def hosts_count(self) -> int:
-        """About how many hosts there are, this one included."""
-        return 1 + len(self.addresses())
+        return [record.address for record in self.hosts.live()]
 
     # The list of hosts
 
@@ -165,37 +146,44 @@
         registered = False
         while True:
             if not registered:
-                failure = self.store.put(Topic.HOSTS, self.host, self.address.encode())
+                record = msgspec.json.encode(self.hosts.own)
+                failure = self.store.put(Topic.HOSTS, self.hosts.own_id, record)
                 registered = failure is None
+            if self.hosts.by_id and not self.hosts.is_reader():
+                # A reader tells the list with its news.
+                eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
+                continue
             page = self.store.newest(Topic.HOSTS)
             if isinstance(page, Failure):
                 logger.info("List of hosts can't be read. %s", page.detail)
-                eventlet.sleep(1.0 + random.random())
+                eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
                 continue
-            found = {HostId(r.key): r.value.decode() for r in page.records if r.value}
-            if found != self.address_by_host:
-                logger.info("Hosts: %s.", ", ".join(sorted(found)))
-            self.address_by_host = found
-            self.peers.keep_only(set(self.addresses()))
+            self._take_hosts(_decode_hosts(page.records))
             eventlet.sleep(HOSTS_READ_S * (0.75 + 0.5 * random.random()))
 
+    def _take_hosts(self, records: dict[HostId, HostRecord]) -> None:
+        if self.hosts.replace(records):
+            logger.info("Hosts: %s.", ", ".join(sorted(self.hosts.by_id)))
+        self.peers.keep_only(set(self.hosts.addresses()))
+
     def leave(self) -> None:
         """Take this host off the list, at its planned stop."""
-        failure = self.store.put(Topic.HOSTS, self.host, None)
+        failure = self.store.put(Topic.HOSTS, self.hosts.own_id, None)
         if failure is not None:
             logger.info("Host was not taken off the list. %s", failure.detail)
 
     # Beliefs
 
     def _keep_young(self) -> None:
-        for address in self.addresses():
+        others = self.hosts.addresses()
+        for address in random.sample(others, min(START_ASKS, len(others))):
             self._ask(address)
         while True:
             eventlet.sleep(LOOK_S)
             self._tell_changes()
             age_s = max(self.publications.age_s, self.upstreams.age_s)
             since_s = time.monotonic() - self._asked_at
-            if since_s > ASK_PAUSE_S and (age_s > OLD_S or not self.is_reader()):
+            if since_s > ASK_PAUSE_S and (age_s > OLD_S or not self.hosts.is_reader()):
                 self._ask_reader()
 
     def _tell_changes(self) -> None:
@@ -204,16 +192,17 @@
         if seen == self._seen:
             return
         self._seen = seen
-        if self.is_reader():
-            for address in self.addresses():
+        if self.hosts.is_reader():
+            for address in self.hosts.hall_addresses():
                 self.peers.tell(address, Changed(self.address))
 
     def _ask_reader(self) -> None:
         """Ask the readers in turn until one has something young to tell."""
         self._asked_at = time.monotonic()
-        others = [each for each in self.readers() if each != self.address]
-        if not others and self.addresses():
-            others = [random.choice(self.addresses())]
+        others = [each for each in self.hosts.readers() if each != self.address]
+        known = self.hosts.addresses()
+        if not others and known:
+            others = [random.choice(known)]
         for address in others:
             if self._ask(address) and self.publications.age_s < OLD_S:
                 return
@@ -222,12 +211,15 @@
         """Ask one peer; return whether it answered."""
         asked_at = time.monotonic()
         revision = self._revision_by_address.get(address, -1)
-        question = AskNews(self.host, self.address, self.publications.version, revision)
+        hosts = self.hosts
+        question = AskNews(
+            hosts.own_id, hosts.own, self.publications.version, revision, hosts.digest
+        )
         answer = self.peers.ask(address, question, ASK_S)
         if not isinstance(answer, News):
-            self._silent_until[address] = time.monotonic() + SILENT_S
+            hosts.note_silent(address)
             return False
-        self._silent_until.pop(address, None)
+        hosts.note_heard(address)
         self._take(answer, asked_at)
         self._revision_by_address[address] = answer.entries_revision
         return True
@@ -240,6 +232,8 @@
             self.publications.take(news.published)
         if news.end >= self.publications.end:
             self.publications.confirm(asked_at - news.age_s, news.end)
+        if news.hosts is not None:
+            self._take_hosts(news.hosts)
         entries_at = asked_at - news.entries_age_s
         if entries_at <= self.upstreams.confirmed_at:
             return
@@ -259,12 +253,18 @@
             case Changed():
                 self._note_changed(message)
             case Notices():
-                self._take_notices(message)
+                self.loads.take_notices(message)
+            case LoadSums():
+                self.loads.take_sums(message)
+            case AskParts():
+                return tell_parts(self.kept, message)
         return Noted()
 
     def _tell(self, question: AskNews) -> News:
-        self._silent_until.pop(question.address, None)
-        self.address_by_host.setdefault(question.host, question.address)
+        self.hosts.note_heard(question.record.address)
+        self.hosts.add(question.host, question.record)
+        hosts = self.hosts
+        knows_hosts = question.hosts_digest == hosts.digest or not hosts.is_reader()
         publications = self.publications
         upstreams = self.upstreams
         table = publications.table
@@ -279,10 +279,11 @@
             entries=None if has_entries else tuple(upstreams.by_id.values()),
             entries_revision=upstreams.revision if upstreams.complete else -1,
             entries_age_s=upstreams.age_s,
+            hosts=None if knows_hosts else {**hosts.by_id, hosts.own_id: hosts.own},
         )
 
     def _note_changed(self, message: Changed) -> None:
-        if message.address in self.addresses():
+        if message.address in self.hosts.addresses():
             self._ask(message.address)
 
     # Engines that are to load weights
@@ -305,34 +306,23 @@
     def tell_all(self, message: Emptying | Loaded) -> None:
         """Tell this host and all others; whoever misses it learns it from entries later."""
         self._answer(message)
-        for address in self.addresses():
+        for address in self.hosts.addresses():
             eventlet.spawn(self._tell_one, address, message)
 
     def _tell_one(self, address: str, message: Emptying | Loaded) -> None:
         if isinstance(self.peers.ask(address, message, ASK_S), Failure):
-            self._silent_until[address] = time.monotonic() + SILENT_S
-
-    # Requests at engines
-
-    def tell_notice(self, notice: Notice) -> None:
-        """Take a step of an own request, and tell the other hosts with the next message."""
-        tracker = self.trackers.by_id.get(notice.upstream)
-        if tracker is not None:
-            tracker.take_notice(self.address, notice)
-        self._unsent.append(notice)
-
-    def _tell_notices(self) -> None:
-        while True:
-            eventlet.sleep(NOTICES_S)
-            if not self._unsent:
-                continue
-            message = Notices(self.address, tuple(self._unsent))
-            self._unsent = []
-            for address in self.addresses():
-                self.peers.tell(address, message)
-
-    def _take_notices(self, message: Notices) -> None:
-        for notice in message.notices:
-            tracker = self.trackers.by_id.get(notice.upstream)
-            if tracker is not None:
-                tracker.take_notice(message.address, notice)
+            self.hosts.note_silent(address)
+
+
+def _decode_hosts(records: tuple[Record, ...]) -> dict[HostId, HostRecord]:
+    """Return the hosts of the list; a record that can't be read is left out with a line."""
+    found = {}
+    for record in records:
+        if not record.value:
+            continue
+        host = decode_json(record.value, HostRecord, Step.READ, record.key)
+        if isinstance(host, Failure):
+            logger.error("Record of host %s is unreadable. %s", record.key, host.detail)
+            continue
+        found[HostId(record.key)] = host
+    return found
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/part_news.py
@@ -0,0 +1,90 @@
+"""What hosts tell one another of context stores, so that few of them ask each store."""
+
+import time
+
+import msgspec
+from ruddersaddle_base.ids import StoreId
+
+from ruddersaddle_serving.context_stores import KeptStore
+from ruddersaddle_serving.kept_parts import KeptParts
+from ruddersaddle_serving.ports import StoreChange
+
+ROWS_MAX = 3000
+"""Parts in one answer, unless a single store has more: about 120 KB."""
+
+
+class Position(msgspec.Struct, frozen=True, array_like=True):
+    """How far the asker knows a store, by the revision of the host that it asks."""
+
+    store: StoreId
+    revision: int
+
+
+class AskParts(msgspec.Struct, frozen=True, tag="ask_parts"):
+    """Asks what has changed at context stores."""
+
+    positions: tuple[Position, ...]
+
+
+class StoreNews(msgspec.Struct, frozen=True, array_like=True):
+    """What changed at one store. `next` continues the store's own events, `clock_ms` is the
+    engines' clock when this was told, `age_s` the age of the listing's last confirmation."""
+
+    store: StoreId
+    epoch: int
+    next: int
+    revision: int
+    age_s: float
+    clock_ms: float
+    used_tokens: int
+    is_whole: bool
+    changes: tuple[StoreChange, ...]
+
+
+class PartsNews(msgspec.Struct, frozen=True, tag="parts_news"):
+    """Answers with the stores that the peer itself knows well; some may be left for the next."""
+
+    stores: tuple[StoreNews, ...]
+
+
+def tell_parts(kept: KeptParts, question: AskParts) -> PartsNews:
+    """Return what the asker does not know yet."""
+    told: list[StoreNews] = []
+    rows = 0
+    for position in question.positions:
+        store = kept.by_id.get(position.store)
+        if store is None or not store.is_trusted:
+            continue
+        news = _tell_store(store, position.revision)
+        if told and rows + len(news.changes) > ROWS_MAX:
+            continue
+        rows += len(news.changes)
+        told.append(news)
+    return PartsNews(tuple(told))
+
+
+def _tell_store(store: KeptStore, revision: int) -> StoreNews:
+    changes = store.changes_since(revision)
+    return StoreNews(
+        store=store.spec.id,
+        epoch=store.epoch,
+        next=store.next,
+        revision=store.revision,
+        age_s=time.monotonic() - store.confirmed_at,
+        clock_ms=store.clock_ms,
+        used_tokens=store.used_tokens,
+        is_whole=changes is None,
+        changes=store.listing() if changes is None else changes,
+    )
+
+
+def take_store(store: KeptStore, news: StoreNews, asked_at: float) -> None:
+    """Take what a peer told, dated from when the question left."""
+    if news.is_whole or news.epoch != store.epoch:
+        store.reset(news.epoch, news.next)
+    for change in news.changes:
+        store.put(change)
+    store.next = news.next
+    store.used_tokens = news.used_tokens
+    store.note_clock(int(news.clock_ms))
+    store.confirmed_at = max(store.confirmed_at, asked_at - news.age_s)
--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -7,7 +7,7 @@
 
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import eventlet
@@ -133,19 +133,27 @@
 
     def tell(self, address: str, message: Message) -> None:
         """Send a message that needs no answer; it is dropped where no connection stands yet."""
-        socket = self._push_by_address.get(address)
-        if socket is None:
-            socket = self._dial(address)
-        if socket.pipes:
-            self._send(address, self._wrap(NO_ANSWER, False, message))
+        self.tell_all([address], message)
+
+    def tell_all(self, addresses: Iterable[str], message: Message) -> None:
+        """Send one message to many hosts, as `tell` does."""
+        data = encode_packed(self._wrap(NO_ANSWER, False, message))
+        for address in addresses:
+            socket = self._socket_to(address)
+            if socket.pipes:
+                self._send_data(address, socket, data)
 
     def _send(self, address: str, envelope: Envelope) -> bool:
-        socket = self._push_by_address.get(address)
-        if socket is None:
-            socket = self._dial(address)
+        socket = self._socket_to(address)
         if not self._await_connection(socket):
             return False
-        data = encode_packed(envelope)
+        return self._send_data(address, socket, encode_packed(envelope))
+
+    def _socket_to(self, address: str) -> pynng.Push0:
+        socket = self._push_by_address.get(address)
+        return self._dial(address) if socket is None else socket
+
+    def _send_data(self, address: str, socket: pynng.Push0, data: bytes) -> bool:
         try:
             socket.send(data, block=False)
         except pynng.NNGException as error:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 import msgspec
@@ -9,12 +10,12 @@
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
 
+from ruddersaddle_serving.context_stores import KeptStore
 from ruddersaddle_serving.engine_loads import PRIORITIES
 from ruddersaddle_serving.kept_parts import (
     FRESH_S,
     REPLACED_FETCH_S,
     KeptParts,
-    KeptStore,
     make_salt,
 )
 from ruddersaddle_serving.ports import Transfer
@@ -31,6 +32,14 @@
 HOME_S = 0.02
 """Requests that share most of their prompt go to one engine, unless another one is this much
 sooner: what they share is then in its memory more often than by chance."""
+CANDIDATES_MAX = 8
+"""Engines that are weighed for a prompt; choosing costs 9 us an engine. Which ones follows from
+what prompts share, so that few engines keep it."""
+LAGGED_CANDIDATES_MAX = 3
+"""The same where hosts know of one another's requests with a lag: the more engines each of them
+weighs, the more of them send to the same one before any hears of it."""
+OVERFLOW_SAMPLE = 2
+"""Engines that are drawn where all candidates make a request wait too long."""
 CROWD_SHARE = 0.5
 """What is less urgent at an engine counts this much: it gives way, but is read again then."""
 FULL_SHARE = 1.35
@@ -136,6 +145,8 @@
         self.upstreams = upstreams
         self.trackers = trackers
         self.kept = kept
+        self.knows_with_lag: Callable[[], bool] = lambda: False
+        """Whether requests of other hosts are heard of late."""
 
     def pick_pool(self, route: Route) -> PoolId | None:
         """Return the pool of a request, drawn by the route's shares."""
@@ -186,10 +197,15 @@
             return Failure(Code.OTHER_VERSION, Step.ADMIT, peer, detail, retry_after_s=RETRY_SOON_S)
         sound = [tracker for tracker in allowed if tracker.is_sound] or allowed
         usable = [tracker for tracker in sound if not tracker.is_avoided] or sound
-        home = rank_names(prompt.affinity_key, [tracker.id for tracker in usable])[0]
+        by_id = {tracker.id: tracker for tracker in usable}
+        ranked = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
         holders_by_salt: dict[str, list[KeptStore | None]] = {}
-        estimates = [self._estimate(request, prompt, each, holders_by_salt) for each in usable]
-        best = min(estimates, key=lambda each: each.total_s - HOME_S * (each.tracker.id == home))
+        count = LAGGED_CANDIDATES_MAX if self.knows_with_lag() else CANDIDATES_MAX
+        best = self._weigh(request, prompt, ranked[:count], holders_by_salt)
+        for group in self._beyond(ranked[count:]):
+            if best.wait_s <= self._wait_max_s(request, best):
+                break
+            best = self._weigh(request, prompt, [best.tracker, *group], holders_by_salt)
         if patience is Patience.REFUSE and best.wait_s > self._wait_max_s(request, best):
             return self._refuse(request, best)
         if patience is not Patience.SEND and self._is_full(best, request):
@@ -218,6 +234,28 @@
             best.missing_tokens,
         )
 
+    def _beyond(self, others: list[Tracker]) -> Iterator[list[Tracker]]:
+        """Yield the engines to weigh once all candidates make a request wait too long.
+
+        Any engine may take it then, at the price of reading it: first a few that are drawn, so that
+        hosts don't all find the same one, then all, before a request is refused.
+        """
+        if others:
+            yield random.sample(others, min(OVERFLOW_SAMPLE, len(others)))
+            yield others
+
+    def _weigh(
+        self,
+        request: CallerRequest,
+        prompt: Prompt,
+        ranked: list[Tracker],
+        holders_by_salt: dict[str, list[KeptStore | None]],
+    ) -> Estimate:
+        """Return the best estimate; the first of the trackers is the prompt's home."""
+        estimates = [self._estimate(request, prompt, each, holders_by_salt) for each in ranked]
+        home = ranked[0].id
+        return min(estimates, key=lambda each: each.total_s - HOME_S * (each.tracker.id == home))
+
     def _estimate(
         self,
         request: CallerRequest,
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -170,7 +170,7 @@
     REFUSED = "refused"
 
 
-class StoreChange(msgspec.Struct, frozen=True):
+class StoreChange(msgspec.Struct, frozen=True, array_like=True):
     """One part that a context store has whole, or has no longer."""
 
     salt: str
@@ -207,8 +207,10 @@
     def order(self, address: str, order: Order) -> OrderOutcome | Failure:
         """Give an order; a failure says that it may have been taken."""
 
-    def store_changes(self, store: ContextStore, since: int) -> StoreChanges | Failure:
-        """Wait for changes at a context store."""
+    def store_changes(
+        self, store: ContextStore, since: int, wait_s: float
+    ) -> StoreChanges | Failure:
+        """Return changes at a context store; wait for some if there are none yet."""
 
     def store_listing(self, store: ContextStore) -> StoreListing | Failure:
         """Return all that a context store has."""
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -2,6 +2,7 @@
 
 import logging
 import time
+from collections.abc import Callable
 
 import msgspec
 from ruddersaddle_base.ids import ModelId
@@ -37,6 +38,8 @@
         self.named_at_by_model: dict[ModelId, float] = {}
         """When this host first heard of the newest weights of a model."""
         self.namings_by_model: dict[ModelId, list[Naming]] = {}
+        self.listeners: list[Callable[[RouteTable], None]] = []
+        """Called at once with each configuration that comes into force."""
         self.end = 0
         """Offset that follows the newest record that was taken into account."""
 
@@ -63,6 +66,8 @@
             return
         logger.info("Configuration %d is in force, after %d.", published.version, self.version)
         self.table = RouteTable(published)
+        for listener in self.listeners:
+            listener(self.table)
 
     def _take_version(self, named: ModelVersion) -> None:
         known = self.version_by_model.get(named.model, 0)
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -21,9 +21,10 @@
 UPSTREAM_PAUSE_S = 0.8
 """Pause between reads of upstreams' entries. Each upstream writes every 1.2 s, so a waiting read
 would return at once; a leave has to be known within `drain_ms` (2 s)."""
-FALLBACK_S = 1.6
+FALLBACK_S = 2.2
 """A host that is no reader asks the store by itself when what others told it is older than this."""
-LOOK_S = 0.1
+LOOK_S = 0.25
+"""Pause of a host that is no reader until it looks again whether it should ask the store."""
 RETRY_S = 0.3
 """Pause after a failed read, with as much again drawn at random, so that hosts spread out."""
 
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_hosts.py
@@ -0,0 +1,78 @@
+"""Tests of the list of hosts and of who reads for the others."""
+
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_base.ids import HallId, HostId
+
+from ruddersaddle_serving.hosts import HostRecord, Hosts
+
+NORTH, SOUTH = HallId("north"), HallId("south")
+
+
+def record(number: int, hall: HallId, link_mbps: float = 10.0) -> HostRecord:
+    return HostRecord(f"10.0.0.{number}:1", hall, link_mbps)
+
+
+def make_hosts(own: int, records: dict[int, HostRecord]) -> Hosts:
+    hosts = Hosts(HostId(str(own)), records[own], [])
+    hosts.replace({HostId(str(number)): each for number, each in records.items()})
+    return hosts
+
+
+class HostsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_each_hall_has_one_reader_and_all_hosts_agree(self) -> None:
+        records = {n: record(n, NORTH if n < 4 else SOUTH) for n in range(1, 8)}
+        readers = {tuple(sorted(make_hosts(n, records).readers())) for n in records}
+        self.assertEqual(len(readers), 1)
+        halls = {records[int(each.split(":")[0][-1])].hall for each in next(iter(readers))}
+        self.assertEqual(halls, {NORTH, SOUTH})
+
+    def test_own_hall_is_asked_first(self) -> None:
+        records = {n: record(n, NORTH if n < 4 else SOUTH) for n in range(1, 8)}
+        self.assertIn(make_hosts(1, records).hall_reader(), {records[n].address for n in (1, 2, 3)})
+        self.assertIn(
+            make_hosts(7, records).hall_reader(), {records[n].address for n in range(4, 8)}
+        )
+
+    def test_widest_link_reads(self) -> None:
+        records = {n: record(n, NORTH, 100.0 if n == 5 else 10.0) for n in range(1, 8)}
+        self.assertEqual(make_hosts(1, records).hall_reader(), records[5].address)
+
+    def test_one_hall_has_a_second_reader(self) -> None:
+        records = {n: record(n, NORTH) for n in range(1, 5)}
+        self.assertEqual(len(make_hosts(1, records).readers()), 2)
+        self.assertEqual(make_hosts(1, {1: records[1]}).readers(), [records[1].address])
+
+    def test_next_one_reads_while_the_reader_is_silent(self) -> None:
+        records = {n: record(n, NORTH) for n in range(1, 5)}
+        hosts = make_hosts(1, records)
+        first = next(each for each in hosts.readers() if each != records[1].address)
+        hosts.note_silent(first)
+        self.assertNotIn(first, hosts.readers())
+        self.now += 4.1
+        self.assertIn(first, hosts.readers())
+
+    def test_digest_tells_lists_apart(self) -> None:
+        records = {n: record(n, NORTH) for n in range(1, 4)}
+        same = {make_hosts(n, records).digest for n in records}
+        self.assertEqual(len(same), 1)
+        other = {**records, 3: record(9, NORTH)}
+        self.assertNotIn(make_hosts(1, other).digest, same)
+
+    def test_seeds_count_until_their_records_are_known(self) -> None:
+        hosts = Hosts(HostId("1"), record(1, NORTH), ["10.0.0.2:1", "10.0.0.1:1", ""])
+        self.assertEqual(hosts.addresses(), ["10.0.0.2:1"])
+        hosts.add(HostId("2"), record(2, SOUTH))
+        self.assertEqual(hosts.others(), [record(2, SOUTH)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_kept_parts.py
@@ -6,7 +6,14 @@
 
 from ruddersaddle_base.ids import HallId, ModelId, StoreId, WorkspaceId
 
-from ruddersaddle_serving.kept_parts import KeptParts, KeptStore, is_older_salt, make_salt
+from ruddersaddle_serving.context_stores import (
+    FETCH_S,
+    QUIET_S,
+    TRUST_S,
+    KeptStore,
+    is_older_salt,
+)
+from ruddersaddle_serving.kept_parts import KeptParts, make_salt
 from ruddersaddle_serving.ports import StoreChange, Transfer
 from ruddersaddle_serving.prompts import Part, PartId, Prompt
 from ruddersaddle_serving.routes import ContextStore
@@ -80,14 +87,14 @@
 
     def test_listing_that_is_not_confirmed_is_not_trusted(self) -> None:
         self.put(FAST, SMALL)
-        self.now += 1.7
+        self.now += TRUST_S + 0.1
         self.assertEqual(self.plan(), Transfer("m/1", (None,) * 3, (None,) * 3, 0))
 
     def test_nothing_is_saved_to_a_store_that_was_restarted_until_all_hosts_know(self) -> None:
         for store in self.kept.by_id.values():
             store.reset(2, 0)
         self.assertEqual(self.plan().save_to, (None, None, None))
-        self.now += 4.1
+        self.now += QUIET_S + 0.1
         self.confirm()
         self.assertEqual(self.plan().save_to, (FAST.address, SLOW.address, None))
 
@@ -95,6 +102,24 @@
         self.kept.by_id[FAST.id].used_tokens = FAST.capacity_tokens
         self.assertEqual(self.plan().save_to, (SLOW.address, SLOW.address, None))
 
+    def test_quiet_time_outlasts_every_fetch_by_the_earlier_listing(self) -> None:
+        self.assertGreater(QUIET_S, TRUST_S + FETCH_S)
+
+    def test_stores_that_are_alike_share_the_parts(self) -> None:
+        for number in range(6):
+            name = StoreId(f"fast-{number}")
+            spec = ContextStore(name, f"10.1.0.{number}:1", HALL, 20_000, 310_000.0, 0.0005, 8)
+            store = self.kept.by_id[name] = KeptStore(spec)
+            store.reset(1, 0)
+            store.note_clock(5_000)
+        self.now += 10.0
+        self.confirm()
+        places = {
+            self.kept._place("m/1", Part(PartId(f"part-{number}"), 500), HALL)
+            for number in range(60)
+        }
+        self.assertEqual(len(places), 7)
+
 
 class SaltsTest(unittest.TestCase):
     def test_salts_part_weights_and_dedicated_workspaces(self) -> None:
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
@@ -0,0 +1,126 @@
+"""Tests of how hosts share what they know of requests at engines."""
+
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_base.ids import HallId, HostId, PoolId, UpstreamId
+
+from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
+from ruddersaddle_serving.prompts import Part, PartId
+from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Trackers
+from ruddersaddle_serving.upstream_lists import UpstreamEntry
+
+ENGINE = UpstreamId("e-1")
+ASSIGNMENT = Assignment("m/1", (Part(PartId("a"), 100),), 0.05, 120, 1)
+CAPACITY = 1000
+
+
+class FakePeers:
+    """Carries messages between the shares of hosts, by address."""
+
+    def __init__(self) -> None:
+        self.by_address: dict[str, LoadShares] = {}
+        self.sent = 0
+
+    def tell_all(self, addresses: list[str], message: Notices | LoadSums) -> None:
+        for address in addresses:
+            self.sent += 1
+            shares = self.by_address[address]
+            if isinstance(message, Notices):
+                shares.take_notices(message)
+            else:
+                shares.take_sums(message)
+
+
+def make_trackers() -> Trackers:
+    trackers = Trackers()
+    entry = UpstreamEntry(ENGINE, PoolId("p"), "10.1.0.1:80", HallId("a"), 8, False, {})
+    trackers.at(entry)
+    return trackers
+
+
+def make_fleet(halls: int, in_hall: int) -> tuple[FakePeers, list[LoadShares]]:
+    records = {
+        HostId(f"h{hall}-{number}"): HostRecord(f"10.0.{hall}.{number}:1", HallId(f"hall-{hall}"))
+        for hall in range(halls)
+        for number in range(in_hall)
+    }
+    peers = FakePeers()
+    for host, record in records.items():
+        hosts = Hosts(host, record, [])
+        hosts.replace(records)
+        peers.by_address[record.address] = LoadShares(hosts, peers, make_trackers())
+    return peers, list(peers.by_address.values())
+
+
+class LoadSharesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def settle(self, fleet: list[LoadShares]) -> None:
+        """Let every host tell its notices, then every reader its sums and totals."""
+        for shares in fleet:
+            shares.tell_notices()
+        for is_total in (False, True):
+            for shares in fleet:
+                if shares.is_summing:
+                    shares.tell_sums(is_total)
+
+    def send(self, shares: LoadShares, number: int) -> None:
+        shares.tell(Notice(ENGINE, number, Progress.SENT, ASSIGNMENT))
+
+    def waits(self, fleet: list[LoadShares]) -> set[float]:
+        loads = [shares.trackers.by_id[ENGINE].load for shares in fleet]
+        return {round(load.wait_s(1, 10, CAPACITY), 3) for load in loads}
+
+    def test_few_hosts_hear_of_each_request(self) -> None:
+        _, fleet = make_fleet(2, 3)
+        for number, shares in enumerate(fleet):
+            self.send(shares, number)
+        self.settle(fleet)
+        self.assertEqual(self.waits(fleet), {0.3})
+
+    def test_many_hosts_hear_the_totals_of_all_halls(self) -> None:
+        peers, fleet = make_fleet(3, 8)
+        for number, shares in enumerate(fleet[::4]):
+            self.send(shares, number)
+        self.settle(fleet)
+        self.assertEqual(self.waits(fleet), {0.3})
+        self.assertLessEqual(peers.sent, 24 + 3 * 2 + 3 * 7)
+
+    def test_own_requests_are_not_counted_twice(self) -> None:
+        _, fleet = make_fleet(1, 20)
+        for _ in range(3):
+            self.send(fleet[0], self.now)
+            self.now += 0.1
+            self.settle(fleet)
+        self.assertEqual(self.waits(fleet), {0.15})
+
+    def test_totals_of_a_reader_that_fell_silent_are_forgotten(self) -> None:
+        _, fleet = make_fleet(1, 20)
+        self.send(fleet[0], 1)
+        self.settle(fleet)
+        self.now += 1.1
+        self.assertEqual(self.waits(fleet[1:2]), {0.0})
+
+    def test_failures_that_any_host_saw_are_known_to_all_and_fade(self) -> None:
+        _, fleet = make_fleet(2, 10)
+        for number in range(8):
+            fleet[number].tell(Notice(ENGINE, number, Progress.ENDED, failed=True))
+        self.settle(fleet)
+        sound = {shares.trackers.by_id[ENGINE].is_sound for shares in fleet}
+        self.assertEqual(sound, {False})
+        for _ in range(8):
+            self.now += 1.0
+            self.settle(fleet)
+        sound = {shares.trackers.by_id[ENGINE].is_sound for shares in fleet}
+        self.assertEqual(sound, {True})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -8,7 +8,13 @@
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.kept_parts import KeptParts
-from ruddersaddle_serving.placements import Choice, Full, Patience, Placement
+from ruddersaddle_serving.placements import (
+    LAGGED_CANDIDATES_MAX,
+    Choice,
+    Full,
+    Patience,
+    Placement,
+)
 from ruddersaddle_serving.ports import ModelVersion
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Part, PartId, Prompt
 from ruddersaddle_serving.publications import Publications
@@ -112,6 +118,28 @@
         self.fill(self.second, CAPACITY)
         self.assertIs(self.choose().tracker, self.first)
 
+    def test_hosts_that_hear_late_weigh_few_engines(self) -> None:
+        self.placement.knows_with_lag = lambda: True
+        for number in range(3, 30):
+            self.add(f"e-{number}")
+        chosen = set()
+        for _ in range(20):
+            tracker = self.choose().tracker
+            chosen.add(tracker.id)
+            tracker.load.add(("host", len(tracker.load.by_number)), 1, 0.01, 10)
+        self.assertEqual(len(chosen), LAGGED_CANDIDATES_MAX)
+
+    def test_part_that_many_want_goes_beyond_its_candidates(self) -> None:
+        self.placement.knows_with_lag = lambda: True
+        for number in range(3, 30):
+            self.add(f"e-{number}")
+        for _ in range(25):
+            choice = self.choose(patience=Patience.REFUSE)
+            self.assertIsInstance(choice, Choice)
+            self.fill(choice.tracker, CAPACITY * 2)
+        loaded = [each for each in self.trackers.by_id.values() if each.load.by_number]
+        self.assertGreater(len(loaded), 20)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_publications.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_publications.py
@@ -41,6 +41,18 @@
         self.assertGreater(publications.age_s, 8.0)
 
 
+class ListenersTest(unittest.TestCase):
+    """Incidents of December: hosts that came back knew engines' memory and stores a second late."""
+
+    def test_listeners_hear_of_a_configuration_before_anything_is_served_by_it(self) -> None:
+        publications = Publications()
+        heard = []
+        publications.listeners.append(lambda table: heard.append(table.published.version))
+        for version in (3, 3, 2, 4):
+            publications.take(Published(version))
+        self.assertEqual(heard, [3, 4])
+
+
 class NamingsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.now = 100.0
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_trackers.py
@@ -0,0 +1,57 @@
+"""Tests of what a host knows of upstreams."""
+
+import unittest
+
+from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
+
+from ruddersaddle_serving.prompts import Part, PartId
+from ruddersaddle_serving.routes import Engine, Pool, Published, RouteTable
+from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Trackers
+from ruddersaddle_serving.upstream_lists import UpstreamEntry
+
+POOL = PoolId("p")
+PARTS = (Part(PartId("a"), 100),)
+ASSIGNMENT = Assignment("m/1", PARTS, 0.01, 120, 1)
+
+
+def make_entry(name: str) -> UpstreamEntry:
+    return UpstreamEntry(UpstreamId(name), POOL, "10.0.0.1:80", HallId("h"), 8, False, {})
+
+
+def make_table(memory_tokens: int) -> RouteTable:
+    engine = Engine(8, memory_tokens, (ModelId("m"),))
+    return RouteTable(Published(1, pools=(Pool(POOL, engine),)))
+
+
+class MemoryTest(unittest.TestCase):
+    def test_engine_that_has_just_come_has_its_memory_at_once(self) -> None:
+        trackers = Trackers()
+        trackers.take_table(make_table(1000))
+        tracker = trackers.at(make_entry("e-1"))
+        tracker.take_notice("host", Notice(tracker.id, 1, Progress.SENT, ASSIGNMENT))
+        self.assertEqual(tracker.memory.leading_tokens("m/1", PARTS), 100)
+
+    def test_new_configuration_changes_the_memory_of_known_engines(self) -> None:
+        trackers = Trackers()
+        tracker = trackers.at(make_entry("e-1"))
+        for tokens in (1000, 500):
+            trackers.take_table(make_table(tokens))
+            self.assertEqual(tracker.memory.capacity_tokens, tokens)
+
+
+class OutcomesTest(unittest.TestCase):
+    def test_outcome_that_another_host_saw_counts(self) -> None:
+        tracker = Trackers().at(make_entry("e-1"))
+        for number in range(5):
+            tracker.take_notice("other", Notice(tracker.id, number, Progress.ENDED, failed=True))
+        self.assertFalse(tracker.is_sound)
+
+    def test_end_that_says_nothing_of_the_upstream_does_not_count(self) -> None:
+        tracker = Trackers().at(make_entry("e-1"))
+        for number in range(5):
+            tracker.take_notice("other", Notice(tracker.id, number, Progress.ENDED))
+        self.assertTrue(tracker.is_sound)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -56,6 +56,7 @@
         self.lease = mock.Mock(is_holder=True, may_order=True, fence=7, holder="host", lease_s=3.0)
         self.lease.take.return_value = True
         self.neighbours = mock.Mock(news_at=0.0, live_hosts=["a"], address="a")
+        self.neighbours.loads.lag_s = 0.0
         self.kept = mock.Mock(by_id={})
 
     def make(self, count: int, silent: set[str]) -> WeightRollouts:
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -4,10 +4,11 @@
 from enum import Enum
 
 import msgspec
-from ruddersaddle_base.ids import UpstreamId
+from ruddersaddle_base.ids import PoolId, UpstreamId
 
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
 from ruddersaddle_serving.prompts import Part
+from ruddersaddle_serving.routes import RouteTable
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_lists import UpstreamEntry
 
@@ -18,6 +19,8 @@
 some of their requests with an error of their own (up to 14 % of a class on the sheets)."""
 FORGET_S = 3.0
 """A share of failures halves in this time without requests, so that an upstream is tried again."""
+TOLD_TRUST_S = 1.0
+"""What another host told of failures counts this long; it is told five times a second."""
 OFF_AFTER_CONNECT_S = 0.5
 """An upstream that took no connection is left out this long, then twice as long each time."""
 OFF_MAX_S = 4.0
@@ -50,22 +53,26 @@
     """The host's own number of the request."""
     progress: Progress
     assignment: Assignment | None = None
+    failed: bool | None = None
+    """How it ended; None where that says nothing about the upstream."""
 
 
 class Tracker:
     """One upstream as this host's own requests show it."""
 
-    def __init__(self, entry: UpstreamEntry) -> None:
+    def __init__(self, entry: UpstreamEntry, memory_tokens: int = 0) -> None:
         self.entry = entry
         self.connections = UpstreamConnections(entry.address)
         self.in_flight = 0
         self.load = EngineLoad()
-        self.memory = EngineMemory(0)
+        self.memory = EngineMemory(memory_tokens)
         self.version_by_model = dict(entry.version_by_model)
         self.avoided_until = 0.0
         """The holder of the lease empties this upstream until then, on the steady clock."""
         self._failing = 0.0
         self._noted_at = time.monotonic()
+        self._told_failing = 0.0
+        self._told_at = float("-inf")
         self._refusals = 0
         self._off_until = 0.0
 
@@ -76,7 +83,14 @@
 
     @property
     def failing_share(self) -> float:
-        """About the share of recent requests that failed."""
+        """About the share of recent requests that failed, here or as others told."""
+        told_s = time.monotonic() - self._told_at
+        told = self._told_failing if told_s < TOLD_TRUST_S else 0.0
+        return max(self.observed_failing, told)
+
+    @property
+    def observed_failing(self) -> float:
+        """About the share of recent requests that failed, of those that this host hears of."""
         idle_s = time.monotonic() - self._noted_at
         return self._failing * 0.5 ** (idle_s / FORGET_S)
 
@@ -92,12 +106,17 @@
 
     def note_outcome(self, failed: bool) -> None:
         """Count how a request ended."""
-        share = self.failing_share
+        share = self.observed_failing
         self._failing = share + OUTCOME_WEIGHT * (float(failed) - share)
         self._noted_at = time.monotonic()
         if not failed:
             self._refusals = 0
 
+    def note_told_failing(self, share: float) -> None:
+        """Take about the share of failures that another host observed."""
+        self._told_failing = share
+        self._told_at = time.monotonic()
+
     def note_no_connection(self) -> None:
         """Count a connection that did not come about."""
         off_s = min(OFF_MAX_S, OFF_AFTER_CONNECT_S * 2**self._refusals)
@@ -116,6 +135,8 @@
                 self.load.note_first(number)
             case Progress.ENDED:
                 self.load.end(number)
+                if notice.failed is not None:
+                    self.note_outcome(notice.failed)
 
     def take_entry(self, entry: UpstreamEntry) -> None:
         """Take a newer entry; versions of weights never go back within one start."""
@@ -136,12 +157,26 @@
 
     def __init__(self) -> None:
         self.by_id: dict[UpstreamId, Tracker] = {}
+        self._memory_by_pool: dict[PoolId, int] = {}
+
+    def take_table(self, table: RouteTable) -> None:
+        """Take the size of engines' memory from a configuration."""
+        self._memory_by_pool = {
+            pool.id: pool.engine.cache_tokens
+            for pool in table.published.pools
+            if pool.engine is not None
+        }
+        for tracker in self.by_id.values():
+            tracker.memory.capacity_tokens = self._memory_tokens(tracker.entry)
+
+    def _memory_tokens(self, entry: UpstreamEntry) -> int:
+        return self._memory_by_pool.get(entry.pool, 0)
 
     def at(self, entry: UpstreamEntry) -> Tracker:
         """Return the tracker of an entry."""
         tracker = self.by_id.get(entry.id)
         if tracker is None:
-            tracker = self.by_id[entry.id] = Tracker(entry)
+            tracker = self.by_id[entry.id] = Tracker(entry, self._memory_tokens(entry))
         elif tracker.entry is not entry:
             tracker.take_entry(entry)
         return tracker
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -13,8 +13,9 @@
 from ruddersaddle_base.ids import ModelId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
 
+from ruddersaddle_serving.context_stores import KeptStore
 from ruddersaddle_serving.fence_leases import FenceLease
-from ruddersaddle_serving.kept_parts import REPLACED_FREE_S, KeptParts, KeptStore
+from ruddersaddle_serving.kept_parts import REPLACED_FREE_S, KeptParts
 from ruddersaddle_serving.neighbours import Emptying, Loaded, Neighbours
 from ruddersaddle_serving.ports import Engines, Order, OrderOutcome
 from ruddersaddle_serving.publications import Publications
@@ -25,6 +26,9 @@
 logger = logging.getLogger(__name__)
 
 LOOK_S = 0.2
+"""Pause between looks while engines are brought to new weights."""
+IDLE_LOOK_S = 0.5
+"""Pause between looks while all engines have the newest weights; the bound is 12 s and more."""
 AT_ONCE_SHARE = 0.4
 """Share of a pool's engines that load at once. The weight store serves about this share before
 each load takes longer (2 of 5, 18 of 45, 22 of 56 on the sheets); the rest carries the traffic."""
@@ -96,7 +100,7 @@
         while True:
             for model, version in list(self.publications.version_by_model.items()):
                 self._look(model, version)
-            eventlet.sleep(LOOK_S)
+            eventlet.sleep(LOOK_S if any(self._left.values()) else IDLE_LOOK_S)
 
     def _look(self, model: ModelId, version: int) -> None:
         engines = self._engines_of(model)
@@ -186,8 +190,8 @@
 
     def _await_empty(self, tracker: Tracker) -> None:
         until = time.monotonic() + EMPTY_S
-        eventlet.sleep(TELL_S)
-        while tracker.load.by_number and time.monotonic() < until:
+        eventlet.sleep(TELL_S + self.neighbours.loads.lag_s)
+        while not tracker.load.is_idle and time.monotonic() < until:
             eventlet.sleep(EMPTY_LOOK_S)
 
     def _order(self, tracker: Tracker, model: ModelId, version: int) -> bool:
