A randomized soak of the program on the users' platform

Cause: faults were shown one at a time (test_whole_path); nothing drew overlapping ones for the platform's program.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 ROUNDS ?= 20
 
-.PHONY: setup demo test lint binary bench faults capacity mutations
+.PHONY: setup demo test lint binary bench faults capacity mutations soak
 
 setup: $(VENV)/.done
 
@@ -33,6 +33,9 @@
 faults: setup
 	$(BIN)/ruddersaddle-standin faults --seed $(SEED) --rounds $(ROUNDS)
 
+soak: setup
+	$(BIN)/python -m ruddersaddle_platform.tests.soaks --seeds $(ROUNDS) --keep-logs build/soak
+
 mutations: setup
 	$(BIN)/ruddersaddle-standin mutations
 
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -157,8 +157,6 @@
             self.trackers,
             self.kept,
         )
-        loads = self.neighbours.loads
-        self.forwarder.placement.knows_with_lag = lambda: not loads.is_direct
         self.parts = PartRelay(self.kept, self.neighbours)
         lease_s = settings.number("bounds.lease_ms") / MS_PER_S
         lease = FenceLease(self.store, self.incarnation, lease_s)
--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -15,7 +15,9 @@
 READERS_MIN = 2
 """Readers there are at least; the second one serves while the first is replaced."""
 SILENT_S = 4.0
-"""A host that did not answer is left alone this long."""
+"""A host that did not answer is left alone this long, and twice as long each time after that: the
+record of a host that is gone for good stays on the list."""
+SILENT_MAX_S = 64.0
 READERS_KEY = "readers"
 """Key under which hosts are ranked as readers."""
 
@@ -43,6 +45,7 @@
         """Whether the list was read, here or by a host that told it."""
         self._seeds = [seed for seed in seeds if seed and seed != own.address]
         self._silent_until: dict[str, float] = {}
+        self._failures_by_address: dict[str, int] = {}
         self._others: list[HostRecord] | None = None
         self._digest: int | None = None
         self._ranked: list[HostRecord] = []
@@ -73,11 +76,17 @@
 
     def note_silent(self, address: str) -> None:
         """Take that a host did not answer."""
-        self._silent_until[address] = time.monotonic() + SILENT_S
+        now = time.monotonic()
+        if now < self._silent_until.get(address, now):
+            return
+        failures = self._failures_by_address.get(address, 0)
+        self._failures_by_address[address] = failures + 1
+        self._silent_until[address] = now + min(SILENT_MAX_S, SILENT_S * 2**failures)
         self._ranked_until = float("-inf")
 
     def note_heard(self, address: str) -> None:
         """Take that a host lives."""
+        self._failures_by_address.pop(address, None)
         if self._silent_until.pop(address, None) is not None:
             self._ranked_until = float("-inf")
 
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from enum import Enum
 
 import msgspec
@@ -35,9 +35,6 @@
 CANDIDATES_MAX = 8
 """Engines that are weighed for a prompt; choosing costs 9 us an engine. Which ones follows from
 what prompts share, so that few engines keep it."""
-LAGGED_CANDIDATES_MAX = 3
-"""The same where hosts know of one another's requests with a lag: the more engines each of them
-weighs, the more of them send to the same one before any hears of it."""
 OVERFLOW_SAMPLE = 2
 """Engines that are drawn where all candidates make a request wait too long."""
 CROWD_SHARE = 0.5
@@ -145,8 +142,6 @@
         self.upstreams = upstreams
         self.trackers = trackers
         self.kept = kept
-        self.knows_with_lag: Callable[[], bool] = lambda: False
-        """Whether requests of other hosts are heard of late."""
 
     def pick_pool(self, route: Route) -> PoolId | None:
         """Return the pool of a request, drawn by the route's shares."""
@@ -200,9 +195,8 @@
         by_id = {tracker.id: tracker for tracker in usable}
         ranked = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
         holders_by_salt: dict[str, list[KeptStore | None]] = {}
-        count = LAGGED_CANDIDATES_MAX if self.knows_with_lag() else CANDIDATES_MAX
-        best = self._weigh(request, prompt, ranked[:count], holders_by_salt)
-        for group in self._beyond(ranked[count:]):
+        best = self._weigh(request, prompt, ranked[:CANDIDATES_MAX], holders_by_salt)
+        for group in self._beyond(ranked[CANDIDATES_MAX:]):
             if best.wait_s <= self._wait_max_s(request, best):
                 break
             best = self._weigh(request, prompt, [best.tracker, *group], holders_by_salt)
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -21,8 +21,10 @@
 UPSTREAM_PAUSE_S = 0.8
 """Pause between reads of upstreams' entries. Each upstream writes every 1.2 s, so a waiting read
 would return at once; a leave has to be known within `drain_ms` (2 s)."""
-FALLBACK_S = 2.2
-"""A host that is no reader asks the store by itself when what others told it is older than this."""
+FALLBACK_S = 3.0
+"""A host that is no reader asks the store by itself when what others told it is older than this. On
+an ordinary day that is 1.9 s at most: the reader's waiting question (1 s) and the host's own pause.
+A key needs a confirmation within 4.7 s."""
 LOOK_S = 0.25
 """Pause of a host that is no reader until it looks again whether it should ask the store."""
 RETRY_S = 0.3
--- a/libs/serving/ruddersaddle_serving/tests/test_hosts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_hosts.py
@@ -60,6 +60,24 @@
         self.now += 4.1
         self.assertIn(first, hosts.readers())
 
+    def test_host_that_stays_away_is_asked_more_and_more_rarely(self) -> None:
+        records = {n: record(n, NORTH) for n in range(1, 5)}
+        hosts = make_hosts(1, records)
+        gone = records[2].address
+        waits = []
+        for _ in range(6):
+            hosts.note_silent(gone)
+            hosts.note_silent(gone)
+            began = self.now
+            while gone not in [each.address for each in hosts.live()]:
+                self.now += 1.0
+            waits.append(self.now - began)
+        self.assertEqual(waits, [4.0, 8.0, 16.0, 32.0, 64.0, 64.0])
+        hosts.note_heard(gone)
+        hosts.note_silent(gone)
+        self.now += 4.0
+        self.assertIn(gone, [each.address for each in hosts.live()])
+
     def test_digest_tells_lists_apart(self) -> None:
         records = {n: record(n, NORTH) for n in range(1, 4)}
         same = {make_hosts(n, records).digest for n in records}
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -9,7 +9,7 @@
 
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.placements import (
-    LAGGED_CANDIDATES_MAX,
+    CANDIDATES_MAX,
     Choice,
     Full,
     Patience,
@@ -118,8 +118,7 @@
         self.fill(self.second, CAPACITY)
         self.assertIs(self.choose().tracker, self.first)
 
-    def test_hosts_that_hear_late_weigh_few_engines(self) -> None:
-        self.placement.knows_with_lag = lambda: True
+    def test_few_of_many_engines_are_weighed(self) -> None:
         for number in range(3, 30):
             self.add(f"e-{number}")
         chosen = set()
@@ -127,10 +126,9 @@
             tracker = self.choose().tracker
             chosen.add(tracker.id)
             tracker.load.add(("host", len(tracker.load.by_number)), 1, 0.01, 10)
-        self.assertEqual(len(chosen), LAGGED_CANDIDATES_MAX)
+        self.assertEqual(len(chosen), CANDIDATES_MAX)
 
     def test_part_that_many_want_goes_beyond_its_candidates(self) -> None:
-        self.placement.knows_with_lag = lambda: True
         for number in range(3, 30):
             self.add(f"e-{number}")
         for _ in range(25):
