A kept connection has one user: looked at without letting other tasks run

The log of edge-casa-nouaceur-1 at 0.600 s: "Second simultaneous read on fileno 232". The library's check of an idle connection lets other tasks run; housekeeping checked a connection while a request took it, and then put the list it had begun with back, connections in use included: two requests could have shared one.

Ruled out: descriptors reused after a close (both readers were checks of the same kind).

Change: UpstreamConnection.is_quiet peeks without waiting. Test that failed first: test_connection_in_use_is_not_taken_by_housekeeping (the same RuntimeError).

It also spares a turn of the hub for each idle connection a second.

--- a/libs/serving/ruddersaddle_serving/reset_sockets.py
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -4,6 +4,7 @@
 connection, so that one which was reset on the way would pass for whole.
 """
 
+import socket
 from typing import Any
 
 from eventlet.greenio import GreenSocket
@@ -34,3 +35,18 @@
         # A green socket closes its descriptor when it is collected, so the plain one has to stay.
         aware.plain = plain
         return aware
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the connection stands and nothing has arrived on it.
+
+        It is asked without waiting: the library's own check lets other tasks run meanwhile, who
+        could take the same connection.
+        """
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -44,7 +44,7 @@
     @property
     def is_usable(self) -> bool:
         """Whether it is young enough and nothing has arrived on it."""
-        return time.monotonic() < self.until and self.connection.is_connected
+        return time.monotonic() < self.until and self.connection.is_quiet
 
 
 class Exchange:
