--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -56,6 +56,7 @@
         self.covered_tokens = 0
         self.missing_tokens = 0
         self.candidates = 0
+        self.weighed: tuple[str, ...] = ()
         self.fetched = 0
         self.saved = 0
         self.first_s: float | None = None
@@ -196,6 +197,7 @@
         trail.covered_tokens = choice.covered_tokens
         trail.missing_tokens = choice.missing_tokens
         trail.candidates = choice.candidates
+        trail.weighed = choice.weighed
         if choice.transfer is not None:
             trail.fetched = sum(place is not None for place in choice.transfer.fetch_from)
             trail.saved = sum(place is not None for place in choice.transfer.save_to)
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -276,6 +276,7 @@
             fields["prompt_tokens"] = request.head.prompt.tokens_in
             fields["affinity"] = request.head.prompt.affinity_key
         fields["candidates"] = trail.candidates
+        fields["weighed"] = trail.weighed
         fields["fetched_parts"] = trail.fetched
         fields["saved_parts"] = trail.saved
         fields["tries"] = trail.tries
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/weighings.py
@@ -0,0 +1,148 @@
+"""What a prompt would cost at each of some engines."""
+
+import time
+
+import msgspec
+from ruddersaddle_base.ids import HallId, ModelId
+
+from ruddersaddle_serving.context_stores import KeptStore
+from ruddersaddle_serving.engine_loads import PRIORITIES
+from ruddersaddle_serving.kept_parts import FRESH_S, REPLACED_FETCH_S, KeptParts, make_salt
+from ruddersaddle_serving.prompts import CallerRequest, Prompt
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.trackers import Tracker
+
+PREFILL_TOKENS_S = 100_000.0
+"""Prompt tokens that an idle engine reads in a second (112 a millisecond on the sheets, less what
+decoding takes). It weighs reading against waiting and moving; a prompt whose first event has come
+counts no more, so that errors don't add up."""
+HOME_S = 0.02
+"""Requests that share most of their prompt go to one engine, unless another one is this much
+sooner: what they share is then in its memory more often than by chance."""
+CROWD_SHARE = 0.5
+"""What is less urgent at an engine counts this much: it gives way, but is read again then."""
+REQUEST_S = 0.004
+"""Work of a request beside reading: the steps that decode it, shared with others at the engine."""
+OLD_WEIGHTS_S = 0.1
+"""Engines with replaced weights are taken if they are this much sooner: their answers lose a fifth
+of their benefit, engines with new ones have everything to read again."""
+OLD_WEIGHTS_FREE_S = 0.5
+"""Answers on replaced weights lose nothing for the first 1.5 s, of which hosts hear late."""
+
+
+class Estimate(msgspec.Struct, frozen=True):
+    """What a prompt would cost at one engine, in seconds."""
+
+    tracker: Tracker
+    version: int | None
+    salt: str
+    wait_s: float
+    """Wait for what is as urgent as the request."""
+    crowd_s: float
+    """Wait for all that is at the engine."""
+    fetch_s: float
+    work_s: float
+    tokens: int
+    """Memory that the request needs at the engine."""
+    covered_tokens: int
+    missing_tokens: int
+    penalty_s: float
+
+    @property
+    def total_s(self) -> float:
+        """Predicted time until the prompt is read, and what speaks against the engine."""
+        crowd_s = CROWD_SHARE * (self.crowd_s - self.wait_s)
+        return self.wait_s + crowd_s + self.fetch_s + self.work_s + self.penalty_s
+
+    def note(self) -> str:
+        """Return the engine, its predicted time and wait in ms, and the tokens it has to read."""
+        total_ms, wait_ms = round(self.total_s * 1000), round(self.wait_s * 1000)
+        return f"{self.tracker.id} {total_ms} {wait_ms} {self.missing_tokens}"
+
+
+class Weighing:
+    """Estimates of one prompt; stores are looked through once for each salt."""
+
+    def __init__(
+        self, request: CallerRequest, prompt: Prompt, publications: Publications, kept: KeptParts
+    ) -> None:
+        self.request = request
+        self.prompt = prompt
+        self.publications = publications
+        self.kept = kept
+        self.estimates: list[Estimate] = []
+        self.holders_by_salt: dict[str, list[KeptStore | None]] = {}
+
+    def weigh(self, trackers: list[Tracker]) -> Estimate:
+        """Return the best estimate; the first of the trackers is the prompt's home."""
+        estimates = [self._estimate(each) for each in trackers]
+        self.estimates += estimates
+        home = trackers[0].id
+        return min(estimates, key=lambda each: each.total_s - HOME_S * (each.tracker.id == home))
+
+    def _estimate(self, tracker: Tracker) -> Estimate:
+        prompt = self.prompt
+        version = tracker.version_by_model.get(prompt.model) or None
+        priority = self.request.priority
+        salt = self._salt(prompt.model, version)
+        if salt not in self.holders_by_salt:
+            may_fetch = self._may_fetch(prompt.model, version or 0)
+            self.holders_by_salt[salt] = self.kept.find_holders(salt, prompt, may_fetch)
+        covered = tracker.memory.leading_tokens(salt, prompt.shared_parts)
+        fetched, fetch_s = _add_fetched(
+            prompt, covered, self.holders_by_salt[salt], tracker.entry.hall
+        )
+        missing = max(0, prompt.tokens_in - covered - fetched)
+        tokens = prompt.tokens_in + prompt.tokens_out
+        capacity = tracker.memory.capacity_tokens
+        slots = tracker.entry.slots
+        return Estimate(
+            tracker=tracker,
+            version=version,
+            salt=salt,
+            wait_s=tracker.load.wait_s(priority, tokens, capacity, slots),
+            crowd_s=tracker.load.wait_s(PRIORITIES - 1, tokens, capacity, slots),
+            fetch_s=fetch_s,
+            work_s=REQUEST_S + missing / PREFILL_TOKENS_S,
+            tokens=tokens,
+            covered_tokens=covered,
+            missing_tokens=missing,
+            penalty_s=self._penalty_s(prompt.model, version),
+        )
+
+    def _may_fetch(self, model: ModelId, version: int) -> bool:
+        """Return whether parts that these weights made may be fetched; see `kept_parts`."""
+        if self.publications.age_s > FRESH_S:
+            return False
+        return self.publications.replaced_at_most_s(model, version) < REPLACED_FETCH_S
+
+    def _penalty_s(self, model: ModelId, version: int | None) -> float:
+        newest = self.publications.version_by_model.get(model, 0)
+        if (version or 0) >= newest:
+            return 0.0
+        known_s = time.monotonic() - self.publications.named_at_by_model[model]
+        return OLD_WEIGHTS_S if known_s > OLD_WEIGHTS_FREE_S else 0.0
+
+    def _salt(self, model: ModelId, version: int | None) -> str:
+        """Return the name under which parts are kept: one for each weights and each wall."""
+        workspace = self.request.workspace
+        wall = workspace.id if workspace is not None and workspace.dedicated else None
+        return make_salt(model, version or 0, wall)
+
+
+def _add_fetched(
+    prompt: Prompt, covered: int, holders: list[KeptStore | None], hall: HallId
+) -> tuple[int, float]:
+    """Return the tokens of the parts after the covered ones that can be fetched, and the time."""
+    fetched = 0
+    fetch_s = 0.0
+    passed = 0
+    for part, holder in zip(prompt.shared_parts, holders, strict=True):
+        passed += part.tokens
+        if passed <= covered:
+            continue
+        if holder is None:
+            break
+        fetched += part.tokens
+        fetch_s += holder.move_s(part.tokens, hall)
+    return fetched, fetch_s
