--- a/libs/base/ruddersaddle_base/loggers.py
+++ b/libs/base/ruddersaddle_base/loggers.py
@@ -26,6 +26,10 @@
     "weight_rollouts": "weights",
     "kept_parts": "kept",
     "neighbours": "peer",
+    "hosts": "peer",
+    "load_shares": "peer",
+    "context_stores": "kept",
+    "part_relays": "kept",
     "metadata_stores": "store",
 }
 """Prefix of a module's log sentences; a module that is not listed uses its own name."""
--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -5,6 +5,7 @@
 calls to the platform and to upstreams grow with the halls and not with the hosts.
 """
 
+import logging
 import time
 from zlib import crc32
 
@@ -12,6 +13,8 @@
 from ruddersaddle_base.ids import HallId, HostId
 from ruddersaddle_routing.rendezvous import rank_names
 
+logger = logging.getLogger(__name__)
+
 READERS_MIN = 2
 """Readers there are at least; the second one serves while the first is replaced."""
 SILENT_S = 4.0
@@ -81,12 +84,15 @@
             return
         failures = self._failures_by_address.get(address, 0)
         self._failures_by_address[address] = failures + 1
-        self._silent_until[address] = now + min(SILENT_MAX_S, SILENT_S * 2**failures)
+        silent_s = min(SILENT_MAX_S, SILENT_S * 2**failures)
+        self._silent_until[address] = now + silent_s
+        logger.info("Host at %s does not answer; it is left alone for %.0f s.", address, silent_s)
         self._ranked_until = float("-inf")
 
     def note_heard(self, address: str) -> None:
         """Take that a host lives."""
-        self._failures_by_address.pop(address, None)
+        if self._failures_by_address.pop(address, None) is not None:
+            logger.info("Host at %s answers again.", address)
         if self._silent_until.pop(address, None) is not None:
             self._ranked_until = float("-inf")
 
