The bound on old weights counts from the first newer ones; a frozen giver's marks are void

Weights 2 were named at 19.4 s, 3 at 23.4 s. (1) Old weights were left 9.5 s after the naming of the newest (23.4), though weights 1 were over at 31.4. (2) port-2 marked two engines as being emptied and froze at 19.9 for 6 s; the marks last 7.2 s and counted as orders under way, so no other host took the lease until 26.7. (3) All hosts lost power at 34 s; started again, they took the bound to begin with them.

Ruled out: the store (no host lost it), the lease (free until 26.25), the line of successors (three hosts were awake and due from 22.5 s on).

Change: Publications.is_replaced_for, from the first newer naming, 2 s for what was named before a host's start; the room for further loads counts from it too; marks of others count neither for the holder of the lease nor once nothing moved for 2.5 s. Four tests, of which those of (1), (2), (3) failed first.

--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -1,7 +1,6 @@
 """Chooses the upstream of a request."""
 
 import random
-import time
 from collections.abc import Iterator
 from enum import Enum
 
@@ -216,10 +215,11 @@
         return taken > 0 and capacity > 0 and taken + best.tokens > capacity * share
 
     def _of_allowed_weights(self, model: ModelId, trackers: list[Tracker]) -> list[Tracker]:
-        newest = self.publications.version_by_model.get(model)
-        if newest is None:
-            return trackers
-        known_s = time.monotonic() - self.publications.named_at_by_model[model]
-        if known_s < self.version_bound_s - VERSION_MARGIN_S:
-            return trackers
-        return [each for each in trackers if each.version_by_model.get(model, 0) >= newest]
+        """Return the engines whose weights were replaced less than the bound ago, or not at all."""
+        bound_s = self.version_bound_s - VERSION_MARGIN_S
+        is_over = self.publications.is_replaced_for
+        return [
+            each
+            for each in trackers
+            if not is_over(model, each.version_by_model.get(model, 0), bound_s)
+        ]
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -13,6 +13,11 @@
 logger = logging.getLogger(__name__)
 
 
+START_GRACE_S = 2.0
+"""How long a host that has just started uses weights that were replaced before its start. The bound
+on them may be over; a host counts as in touch with the platform from 3 s after its start."""
+
+
 class Naming(msgspec.Struct, frozen=True):
     """Weights that were named; times are of the steady clock.
 
@@ -89,6 +94,18 @@
         naming = self._first_after(model, version)
         return 0.0 if naming is None else time.monotonic() - naming.heard_at
 
+    def is_replaced_for(self, model: ModelId, version: int, bound_s: float) -> bool:
+        """Return whether newer weights may have been named longer ago than a bound.
+
+        A host that has just started can't know when; it takes the bound as over soon.
+        """
+        naming = self._first_after(model, version)
+        if naming is None:
+            return False
+        was_known_at_start = naming.not_before == float("-inf")
+        allowed_s = min(bound_s, START_GRACE_S) if was_known_at_start else bound_s
+        return time.monotonic() - naming.heard_at >= allowed_s
+
     def _first_after(self, model: ModelId, version: int) -> "Naming | None":
         namings = self.namings_by_model.get(model, ())
         return next((each for each in namings if each.version > version), None)
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -105,6 +105,19 @@
         for _ in range(3):
             self.assertEqual((self.choose().tracker, self.choose().version), (self.first, 2))
 
+    def test_bound_counts_from_the_first_newer_weights(self) -> None:
+        """Found in a hunt: a second version named 4 s later let the oldest weights go on."""
+        self.publications.confirm(self.now, 1)
+        self.publications.take(ModelVersion(MODEL, 2))
+        self.now += 4.0
+        self.publications.take(ModelVersion(MODEL, 3))
+        self.first.take_version(MODEL, 2)
+        self.now += 6.0
+        self.fill(self.first, CAPACITY)
+        self.assertEqual((self.choose().tracker, self.choose().version), (self.first, 2))
+        self.now += 4.0
+        self.assertEqual(self.choose().code, Code.OTHER_VERSION)
+
     def test_engine_that_is_emptied_is_taken_only_if_no_other_is_left(self) -> None:
         self.first.avoided_until = self.now + 1.0
         self.assertIs(self.choose().tracker, self.second)
--- a/libs/serving/ruddersaddle_serving/tests/test_publications.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_publications.py
@@ -7,7 +7,7 @@
 from ruddersaddle_base.ids import ModelId
 
 from ruddersaddle_serving.ports import ModelVersion
-from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.publications import START_GRACE_S, Publications
 from ruddersaddle_serving.routes import Published, Route, RouteKind, RouteName, RouteTable
 
 MODEL = ModelId("m")
@@ -76,6 +76,21 @@
         self.now += 3.0
         self.assertEqual(self.bounds(1), (3.0, float("inf")))
 
+    def test_host_that_has_just_started_soon_leaves_weights_that_were_replaced_before(self) -> None:
+        """Found in a hunt: after a common restart the bound on old weights began anew."""
+        publications = Publications()
+        publications.take(ModelVersion(MODEL, 2))
+        publications.confirm(self.now, 1)
+        self.assertFalse(publications.is_replaced_for(MODEL, 1, 9.5))
+        self.now += START_GRACE_S
+        self.assertTrue(publications.is_replaced_for(MODEL, 1, 9.5))
+        self.assertFalse(publications.is_replaced_for(MODEL, 2, 9.5))
+        publications.take(ModelVersion(MODEL, 3))
+        self.now += 9.0
+        self.assertFalse(publications.is_replaced_for(MODEL, 2, 9.5))
+        self.now += 0.5
+        self.assertTrue(publications.is_replaced_for(MODEL, 2, 9.5))
+
     def test_the_first_newer_weights_count(self) -> None:
         for version in (2, 3):
             self.publications.confirm(self.now, version)
--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -102,6 +102,27 @@
             sorted(order.upstream for order in self.engines.orders), ["e-1", "e-2", "e-3"]
         )
 
+    def test_engines_that_a_frozen_giver_empties_hold_up_no_successor(self) -> None:
+        """Found in a hunt: its marks kept all others from giving orders for seven seconds."""
+        rollouts = self.make(4, set())
+        self.lease.is_holder = False
+        for tracker in rollouts._engines_of(MODEL):
+            tracker.avoided_until = time.monotonic() + 7.0
+        self.run_for(rollouts, 2)
+        self.assertEqual(self.engines.orders, [])
+        rollouts._moved_at = time.monotonic() - weight_rollouts.STALLED_S - 0.1
+        rollouts._look(MODEL, 2)
+        self.lease.is_holder = True
+        self.run_for(rollouts, 12)
+        self.assertEqual(len(self.engines.orders), 4)
+
+    def test_time_left_counts_from_the_first_newer_weights(self) -> None:
+        rollouts = self.make(10, set())
+        engines = rollouts._engines_of(MODEL)
+        with mock.patch.object(self.publications, "replaced_at_least_s", return_value=60.0):
+            hurried = rollouts._room(MODEL, engines, engines)
+        self.assertGreater(hurried, rollouts._room(MODEL, engines, engines))
+
     def test_nothing_is_ordered_without_the_lease(self) -> None:
         self.lease.take.return_value = False
         self.run_for(self.make(2, set()), 4)
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -109,7 +109,7 @@
         self._free_replaced(model, version)
         if not outdated:
             return
-        room = self._room(model, engines, len(outdated))
+        room = self._room(model, engines, outdated)
         waiting = [each for each in outdated if each.id not in self._begun]
         if room <= 0 or not waiting or not self._is_in_turn(model):
             self._watch_lease(model)
@@ -141,15 +141,28 @@
         found = [each for each in entries if model in each.version_by_model and not each.leaving]
         return [self.trackers.at(entry) for entry in found]
 
-    def _room(self, model: ModelId, engines: list[Tracker], outdated: int) -> int:
-        """Return how many engines more may begin: no more at once than the time asks for."""
-        known_s = time.monotonic() - self.publications.named_at_by_model[model]
+    def _room(self, model: ModelId, engines: list[Tracker], outdated: list[Tracker]) -> int:
+        """Return how many engines more may begin: no more at once than the time asks for.
+
+        The time counts from the first weights that are newer than those of any engine.
+        """
+        replaced_s = self.publications.replaced_at_least_s
+        known_s = max(replaced_s(model, each.version_by_model.get(model, 0)) for each in outdated)
         left_s = max(LOAD_S, self.weights_s * TIME_SHARE - known_s)
-        needed = math.ceil(outdated * LOAD_S / left_s)
+        needed = math.ceil(len(outdated) * LOAD_S / left_s)
         most = max(1, int(len(engines) * AT_ONCE_SHARE))
-        busy = sum(each.is_avoided or each.id in self._begun for each in engines)
+        busy = sum(each.id in self._begun or self._is_with_other(each) for each in engines)
         return min(most, needed) - busy
 
+    def _is_with_other(self, tracker: Tracker) -> bool:
+        """Return whether another host is emptying or loading an engine.
+
+        Its marks hold up nobody once it can give no orders any more, because this host has the
+        lease, or once it has done nothing for a while: it may be frozen or gone.
+        """
+        is_stalled = time.monotonic() - self._moved_at > STALLED_S
+        return tracker.is_avoided and not self.lease.is_holder and not is_stalled
+
     def _note_progress(self, model: ModelId, left: int) -> None:
         if self._left.get(model, 0) != left:
             self._left[model] = left
