An upstream whose address another one answers is gone

The engine had been started again; its former entry stays for three heartbeats, its address refuses that id at once, so it always looked idle and drew all prompts, whose routes allow one upstream.

Ruled out: refusals for old weights (none), for predicted waits (62).

Change: the first such answer marks the upstream as replaced on that host, for good.

--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -1,5 +1,6 @@
 """What this host knows of each upstream from its own requests."""
 
+import logging
 import time
 from enum import Enum
 
@@ -12,6 +13,8 @@
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_lists import UpstreamEntry
 
+logger = logging.getLogger(__name__)
+
 OUTCOME_WEIGHT = 0.2
 """Weight of the newest outcome in the mean share of failures: about the last ten count."""
 FAILING_SHARE = 0.35
@@ -75,6 +78,7 @@
         self._told_at = float("-inf")
         self._refusals = 0
         self._off_until = 0.0
+        self._is_replaced = False
 
     @property
     def id(self) -> UpstreamId:
@@ -97,7 +101,9 @@
     @property
     def is_sound(self) -> bool:
         """Whether requests to it are likely to be answered."""
-        return time.monotonic() >= self._off_until and self.failing_share < FAILING_SHARE
+        if self._is_replaced or time.monotonic() < self._off_until:
+            return False
+        return self.failing_share < FAILING_SHARE
 
     @property
     def is_avoided(self) -> bool:
@@ -117,6 +123,16 @@
         self._told_failing = share
         self._told_at = time.monotonic()
 
+    def note_replaced(self, successor: UpstreamId) -> None:
+        """Take that another upstream answers at this one's address: this one has ended for good.
+
+        Its entry stays for some seconds. It refuses at once and so looks idle, which would draw all
+        work to it.
+        """
+        if not self._is_replaced:
+            logger.info("Upstream %s is gone; %s answers at its address.", self.id, successor)
+        self._is_replaced = True
+
     def note_no_connection(self) -> None:
         """Count a connection that did not come about."""
         off_s = min(OFF_MAX_S, OFF_AFTER_CONNECT_S * 2**self._refusals)
