--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -123,10 +123,13 @@
 
     def _watch_lease(self, model: ModelId) -> None:
         """Follow the lease if this host is among the next in line."""
-        line = rank_names(model, self.neighbours.live_hosts)
-        if line.index(self.neighbours.address) < WATCHERS and not self.stopping:
+        if self._place_in_line(model) < WATCHERS and not self.stopping:
             self.lease.watch()
 
+    def _place_in_line(self, duty: str) -> int:
+        """Return this host's place among the live ones for a duty; 0 comes first."""
+        return rank_names(duty, self.neighbours.live_hosts).index(self.neighbours.address)
+
     def _turn(self, tracker: Tracker, model: ModelId) -> tuple[float, int, int]:
         """Order engines: those that were not tried in vain, then the oldest weights, the emptiest.
 
@@ -176,8 +179,7 @@
             return False
         if self.lease.is_holder:
             return True
-        line = rank_names(model, self.neighbours.live_hosts)
-        rank = line.index(self.neighbours.address)
+        rank = self._place_in_line(model)
         if rank == 0:
             return True
         return now - self._moved_at > STALLED_S + RANK_S * rank
@@ -267,8 +269,7 @@
 
     def _free_replaced(self, model: ModelId, version: int) -> None:
         """Free what replaced weights made, once no fetch of any host can be under way."""
-        line = rank_names(f"free/{model}", self.neighbours.live_hosts)
-        if line[0] != self.neighbours.address or self.stopping:
+        if self._place_in_line(f"free/{model}") > 0 or self.stopping:
             return
         oldest = version
         replaced_s = self.publications.replaced_at_least_s
