Keys stay valid in an outage of the store where their end is not strict

Ruled out: hosts, engines and budgets; every refusal's line says 'the configuration was confirmed 4.7 s ago'. Change: bounds.key_end_strict, default yes, filled from the deployment. Where it is no, a key counts as long as the newest known configuration holds it.

--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -67,6 +67,7 @@
     Default("requests", "stop_max_s", "600", float, "longest wait for streams at a stop", 0, 86400),
     Default("requests", "grace_s", "8", float, "seconds from SIGTERM until SIGKILL", 1, 3600),
     Default("bounds", "key_end_ms", "5000", float, "ms until a key taken away is void", 500),
+    Default("bounds", "key_end_strict", "yes", bool, "whether key_end_ms holds in an outage, too"),
     Default("bounds", "weights_ms", "12000", float, "ms until old weights are left", 1000),
     Default("bounds", "lease_ms", "3000", float, "ms that two givers of orders stay apart", 500),
     Default("bounds", "retry_share", "0.2", float, "retries as a share of requests, all hosts"),
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -1,6 +1,7 @@
 """One entry host: its parts, its listeners, its planned stop."""
 
 import logging
+import math
 import os
 import signal
 import time
@@ -113,7 +114,13 @@
 
     @property
     def key_age_max_s(self) -> float:
-        """Oldest confirmation of the configuration that lets a caller's key in, in seconds."""
+        """Oldest confirmation of the configuration that lets a caller's key in, in seconds.
+
+        Where the bound is not strict, keys stay valid while the metadata store is away: refusing all
+        callers for 4 s of an outage of 8 s cost a fifth of a day's worth (0.68 against 0.86).
+        """
+        if not self.settings.flag("bounds.key_end_strict"):
+            return math.inf
         return self.settings.number("bounds.key_end_ms") / MS_PER_S - KEY_AGE_MARGIN_S
 
     @property
