A starting host lists context stores at once, and saves to those that hold parts

Ruled out: the start itself (0.2 s to the first configuration) and the stores (an answer in 10 ms). Change: a change of the list of hosts starts the followers; a store that holds parts counts as settled for a host that has just started; hosts that are told of stores ask each 0.2 s until they know them.

--- a/libs/serving/ruddersaddle_serving/context_stores.py
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -123,10 +123,15 @@
             StoreChange(salt, part, tokens) for (salt, part), tokens in self.tokens_by_part.items()
         )
 
-    def reset(self, epoch: int, next_number: int) -> None:
-        """Begin a listing anew."""
+    def reset(self, epoch: int, next_number: int, has_parts: bool = False) -> None:
+        """Begin a listing anew; `has_parts` tells that the store has whole parts.
+
+        A host that has just started takes a store with parts as settled: whoever saved them had
+        waited. Otherwise a common restart of all hosts kept everything from being saved for 4.2 s.
+        """
         if epoch != self.epoch:
-            self.epoch_seen_at = time.monotonic()
+            is_settled = self.epoch is None and has_parts
+            self.epoch_seen_at = float("-inf") if is_settled else time.monotonic()
             logger.info("Store %s is at epoch %s, before %s.", self.spec.id, epoch, self.epoch)
         self.epoch = epoch
         self.next = next_number
--- a/libs/serving/ruddersaddle_serving/kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/kept_parts.py
@@ -62,7 +62,7 @@
             known = self.by_id.get(spec.id)
             if known is None or known.spec.address != spec.address:
                 self.by_id[spec.id] = KeptStore(spec)
-        self._start_followers()
+        self.start_followers()
 
     def start(self) -> None:
         """Start the task that begins to follow stores when this host becomes a reader."""
@@ -70,10 +70,11 @@
 
     def _supervise(self) -> None:
         while True:
-            self._start_followers()
+            self.start_followers()
             eventlet.sleep(LOOK_S)
 
-    def _start_followers(self) -> None:
+    def start_followers(self) -> None:
+        """Begin to follow the stores that this host asks itself and doesn't follow yet."""
         for kept in self.by_id.values():
             if not kept.is_followed and self.watches(kept.spec):
                 kept.is_followed = True
@@ -116,7 +117,7 @@
         if isinstance(listing, Failure):
             kept.forget()
             return listing
-        kept.reset(listing.epoch, listing.next)
+        kept.reset(listing.epoch, listing.next, bool(listing.whole))
         for part in listing.whole:
             kept.put(part)
         kept.note_broken(listing.broken)
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 import eventlet
 import msgspec
@@ -131,6 +132,8 @@
         self._seen = (0, 0)
         self.news_at = 0.0
         """When the last word of an engine being emptied or loaded came."""
+        self.host_listeners: list[Callable[[], None]] = []
+        """Called at once when the list of hosts has changed."""
 
     def start(self) -> None:
         """Listen, make this host known, and keep beliefs young."""
@@ -173,6 +176,8 @@
         if self.hosts.replace(records):
             logger.info("Hosts: %s.", ", ".join(sorted(self.hosts.by_id)))
         self.peers.keep_only(set(self.hosts.addresses()))
+        for listener in self.host_listeners:
+            listener()
 
     def leave(self) -> None:
         """Take this host off the list, at its planned stop."""
--- a/libs/serving/ruddersaddle_serving/part_news.py
+++ b/libs/serving/ruddersaddle_serving/part_news.py
@@ -81,7 +81,7 @@
 def take_store(store: KeptStore, news: StoreNews, asked_at: float) -> None:
     """Take what a peer told, dated from when the question left."""
     if news.is_whole or news.epoch != store.epoch:
-        store.reset(news.epoch, news.next)
+        store.reset(news.epoch, news.next, bool(news.changes))
     for change in news.changes:
         store.put(change)
     store.next = news.next
--- a/libs/serving/ruddersaddle_serving/part_relays.py
+++ b/libs/serving/ruddersaddle_serving/part_relays.py
@@ -16,6 +16,9 @@
 ASK_PAUSE_S = 0.5
 """Pause between questions. A listing is trusted for 2 s; with the reader's own question (0.5 s) its
 confirmation is about a second old when the next answer comes."""
+START_PAUSE_S = 0.2
+"""The same until each store has been told of once; a reader that has started at the same time knows
+them within 0.1 s."""
 
 
 class PartRelay:
@@ -29,6 +32,9 @@
     def start(self) -> None:
         """Start the task."""
         self.kept.watches = self.watches
+        # Waiting for the next look instead, hosts that had all been lost fetched nothing for their
+        # first second, and read 140,000 of 300,000 tokens of a day again in it.
+        self.neighbours.host_listeners.append(self.kept.start_followers)
         spawn_forever("parts", self._run)
 
     def watches(self, spec: ContextStore) -> bool:
@@ -42,7 +48,7 @@
 
     def _run(self) -> None:
         while True:
-            eventlet.sleep(ASK_PAUSE_S)
+            eventlet.sleep(self._pause_s)
             told = [spec for spec in self._specs() if not self.watches(spec)]
             if told:
                 self._ask(told)
@@ -50,6 +56,11 @@
                 # This host asks the stores itself now; a reader's numbers don't fit any more.
                 self._revision_by_source.clear()
 
+    @property
+    def _pause_s(self) -> float:
+        is_listed = all(kept.epoch is not None for kept in self.kept.by_id.values())
+        return ASK_PAUSE_S if is_listed else START_PAUSE_S
+
     def _specs(self) -> list[ContextStore]:
         return [kept.spec for kept in self.kept.by_id.values()]
 
--- a/libs/serving/ruddersaddle_serving/tests/test_kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_kept_parts.py
@@ -98,6 +98,13 @@
         self.confirm()
         self.assertEqual(self.plan().save_to, (FAST.address, SLOW.address, None))
 
+    def test_host_that_has_just_started_saves_where_others_have_saved(self) -> None:
+        """Found after a common restart: nothing was saved for 4.2 s."""
+        for store in self.kept.by_id.values():
+            store.epoch = None
+            store.reset(1, 0, has_parts=True)
+        self.assertEqual(self.plan().save_to, (FAST.address, SLOW.address, None))
+
     def test_full_store_takes_nothing(self) -> None:
         self.kept.by_id[FAST.id].used_tokens = FAST.capacity_tokens
         self.assertEqual(self.plan().save_to, (SLOW.address, SLOW.address, None))
