Parts that no store has are fetched from engines that have read them

Ruled out: sending such prompts to that engine; it is chosen where it is not busier. Change: where no store has a part whole, an engine is named that has read it under the same salt, by what hosts tell of first events; it is a fallback with the same bound in time.

--- a/libs/serving/ruddersaddle_serving/weighings.py
+++ b/libs/serving/ruddersaddle_serving/weighings.py
@@ -3,12 +3,12 @@
 import time
 
 import msgspec
-from ruddersaddle_base.ids import HallId, ModelId
+from ruddersaddle_base.ids import ModelId
 
-from ruddersaddle_serving.context_stores import KeptStore
 from ruddersaddle_serving.engine_loads import PRIORITIES
 from ruddersaddle_serving.kept_parts import KeptParts, make_salt
 from ruddersaddle_serving.paces import nominal_work_s
+from ruddersaddle_serving.part_sources import PartSources, find_sources
 from ruddersaddle_serving.prompts import CallerRequest, Prompt
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.trackers import Tracker
@@ -67,14 +67,21 @@
     """Estimates of one prompt; stores are looked through once for each salt."""
 
     def __init__(
-        self, request: CallerRequest, prompt: Prompt, publications: Publications, kept: KeptParts
+        self,
+        request: CallerRequest,
+        prompt: Prompt,
+        publications: Publications,
+        kept: KeptParts,
+        engines: list[Tracker],
     ) -> None:
+        self.engines = engines
+        """Engines that parts may be fetched from."""
         self.request = request
         self.prompt = prompt
         self.publications = publications
         self.kept = kept
         self.estimates: list[Estimate] = []
-        self.holders_by_salt: dict[str, list[KeptStore | None]] = {}
+        self.sources_by_salt: dict[str, list[PartSources]] = {}
 
     def weigh(self, trackers: list[Tracker]) -> Estimate:
         """Return the best estimate; the first of the trackers is the prompt's home."""
@@ -88,12 +95,10 @@
         version = tracker.version_by_model.get(prompt.model) or None
         priority = self.request.priority
         salt = self._salt(prompt.model, version)
-        if salt not in self.holders_by_salt:
-            self.holders_by_salt[salt] = self.kept.find_holders(salt, prompt)
+        if salt not in self.sources_by_salt:
+            self.sources_by_salt[salt] = find_sources(self.kept, self.engines, salt, prompt)
         covered = tracker.memory.leading_tokens(salt, prompt.shared_parts)
-        fetched, fetch_s = _add_fetched(
-            prompt, covered, self.holders_by_salt[salt], tracker.entry.hall
-        )
+        fetched, fetch_s = _add_fetched(prompt, covered, self.sources_by_salt[salt], tracker)
         missing = max(0, prompt.tokens_in - covered - fetched)
         tokens = prompt.tokens_in + prompt.tokens_out
         capacity = tracker.memory.capacity_tokens
@@ -128,18 +133,19 @@
 
 
 def _add_fetched(
-    prompt: Prompt, covered: int, holders: list[KeptStore | None], hall: HallId
+    prompt: Prompt, covered: int, sources: list[PartSources], tracker: Tracker
 ) -> tuple[int, float]:
     """Return the tokens of the parts after the covered ones that can be fetched, and the time."""
     fetched = 0
     fetch_s = 0.0
     passed = 0
-    for part, holder in zip(prompt.shared_parts, holders, strict=True):
+    for part, each in zip(prompt.shared_parts, sources, strict=True):
         passed += part.tokens
         if passed <= covered:
             continue
-        if holder is None:
+        source = each.for_reader(tracker)
+        if source is None:
             break
         fetched += part.tokens
-        fetch_s += holder.move_s(part.tokens, hall)
+        fetch_s += source.move_s(part.tokens, tracker.entry.hall)
     return fetched, fetch_s
