--- a/libs/serving/ruddersaddle_serving/context_stores.py
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -62,11 +62,6 @@
         """Grows with each change; begins anywhere, so that two hosts' numbers differ."""
         self._recent: deque[tuple[int, StoreChange]] = deque(maxlen=RECENT_MAX)
 
-    @property
-    def address(self) -> str:
-        """Address that parts are fetched from and saved to."""
-        return self.spec.address
-
     @property
     def is_trusted(self) -> bool:
         """Whether the listing is young enough to fetch by it."""
--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -235,8 +235,6 @@
     def __init__(self, capacity_tokens: int) -> None:
         self.capacity_tokens = capacity_tokens
         self._tokens_by_part: OrderedDict[tuple[str, PartId], int] = OrderedDict()
-        self._read: set[tuple[str, PartId]] = set()
-        """Parts of which a request has had its first event, so that they were read whole."""
         self._used = 0
 
     def use(self, salt: str, parts: tuple[Part, ...]) -> None:
@@ -248,18 +246,9 @@
             self._tokens_by_part[key] = part.tokens
             self._tokens_by_part.move_to_end(key)
         while self._used > self.capacity_tokens and self._tokens_by_part:
-            key, tokens = self._tokens_by_part.popitem(last=False)
-            self._read.discard(key)
+            _, tokens = self._tokens_by_part.popitem(last=False)
             self._used -= tokens
 
-    def note_read(self, salt: str, parts: tuple[Part, ...]) -> None:
-        """Take that a request with these parts had its first event."""
-        self._read.update(key for part in parts if (key := (salt, part.id)) in self._tokens_by_part)
-
-    def has_read(self, salt: str, part: Part) -> bool:
-        """Return whether the engine probably keeps a part that it has read whole."""
-        return (salt, part.id) in self._read
-
     def leading_tokens(self, salt: str, parts: tuple[Part, ...]) -> int:
         """Return the tokens of the leading parts that the engine probably keeps."""
         tokens = 0
@@ -272,5 +261,4 @@
     def clear(self) -> None:
         """Forget everything: new weights drop all that was kept."""
         self._tokens_by_part.clear()
-        self._read.clear()
         self._used = 0
--- a/libs/serving/ruddersaddle_serving/kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/kept_parts.py
@@ -9,8 +9,7 @@
 
 import logging
 import time
-from collections.abc import Callable, Sequence
-from typing import Protocol
+from collections.abc import Callable
 
 import eventlet
 from ruddersaddle_base.failures import Failure
@@ -43,14 +42,6 @@
 """Pause of a host that is told of stores until it looks again whether it should ask."""
 
 
-class PartSource(Protocol):
-    """Something that engines fetch a part from."""
-
-    @property
-    def address(self) -> str:
-        """Address that the part is fetched from."""
-
-
 class KeptParts:
     """All context stores, by id, with a task that follows each."""
 
@@ -145,18 +136,11 @@
         trusted = [kept for kept in self.by_id.values() if kept.is_trusted]
         return [_find_holder(trusted, salt, part) for part in prompt.shared_parts]
 
-    @property
-    def fetch_until_ms(self) -> int | None:
-        """Until when a fetch that begins now may last, on the engines' clock, if it is known."""
-        return min(
-            (kept.fetch_until_ms for kept in self.by_id.values() if kept.is_trusted), default=None
-        )
-
     def plan(
         self,
         salt: str,
         prompt: Prompt,
-        sources: Sequence[PartSource | None],
+        holders: list[KeptStore | None],
         hall: HallId,
         covered_tokens: int = 0,
         may_save: bool = True,
@@ -167,20 +151,24 @@
         """
         fetch: list[str | None] = []
         save: list[str | None] = []
+        until_ms: list[int] = []
         chain_is_kept = True
         passed_tokens = 0
-        for part, source in zip(prompt.shared_parts, sources, strict=True):
+        for part, holder in zip(prompt.shared_parts, holders, strict=True):
             passed_tokens += part.tokens
             is_covered = passed_tokens <= covered_tokens
-            chain_is_kept = chain_is_kept and (source is not None or is_covered)
-            fetch.append(source.address if source is not None and chain_is_kept else None)
-            is_saved = isinstance(source, KeptStore)
-            save.append(self._place(salt, part, hall) if may_save and not is_saved else None)
+            chain_is_kept = chain_is_kept and (holder is not None or is_covered)
+            if holder is None:
+                fetch.append(None)
+                save.append(self._place(salt, part, hall) if may_save else None)
+                continue
+            fetch.append(holder.spec.address if chain_is_kept else None)
+            save.append(None)
+            until_ms.append(holder.fetch_until_ms)
         self.counts["fetches"] += any(fetch)
         self.counts["saves"] += any(save)
-        until_ms = (self.fetch_until_ms or 0) if any(fetch) else 0
         # The last part is the request's own; it is neither fetched nor saved.
-        return Transfer(salt, (*fetch, None), (*save, None), until_ms)
+        return Transfer(salt, (*fetch, None), (*save, None), min(until_ms, default=0))
 
     def _place(self, salt: str, part: Part, hall: HallId) -> str | None:
         """Return the store that an engine in a hall saves a part to, or None."""
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -157,7 +157,7 @@
         usable = [tracker for tracker in sound if not tracker.is_avoided] or sound
         by_id = {tracker.id: tracker for tracker in usable}
         ranked = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
-        weighing = Weighing(request, prompt, self.publications, self.kept, sound)
+        weighing = Weighing(request, prompt, self.publications, self.kept)
         best = weighing.weigh(ranked[:CANDIDATES_MAX])
         for group in self._beyond(ranked[CANDIDATES_MAX:]):
             if self._excess_s(request, best) <= 0:
@@ -169,11 +169,10 @@
             return Full(best.first_s)
         hall = best.tracker.entry.hall
         is_newest = not self.publications.replaced_at_least_s(prompt.model, best.version or 0)
-        sources = weighing.sources_by_salt[best.salt]
         transfer = self.kept.plan(
             best.salt,
             prompt,
-            [each.for_reader(best.tracker) for each in sources],
+            weighing.holders_by_salt[best.salt],
             hall,
             best.covered_tokens,
             is_newest,
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -76,8 +76,6 @@
         self.version_by_model = dict(entry.version_by_model)
         self.avoided_until = 0.0
         """The holder of the lease empties this upstream until then, on the steady clock."""
-        self._reading: dict[tuple[str, int], Assignment] = {}
-        """Requests without a first event, by host and number."""
         self._failing = 0.0
         self._noted_at = time.monotonic()
         self._told_failing = 0.0
@@ -152,7 +150,6 @@
             case Progress.SENT if notice.assignment is not None:
                 assignment = notice.assignment
                 self.memory.use(assignment.salt, assignment.parts)
-                self._reading[number] = assignment
                 self.load.add(
                     number,
                     assignment.priority,
@@ -163,12 +160,8 @@
                 )
             case Progress.FIRST:
                 self.load.note_first(number)
-                read = self._reading.pop(number, None)
-                if read is not None:
-                    self.memory.note_read(read.salt, read.parts)
             case Progress.ENDED:
                 self.load.end(number)
-                self._reading.pop(number, None)
                 if notice.failed is not None:
                     self.note_outcome(notice.failed)
 
--- a/libs/serving/ruddersaddle_serving/weighings.py
+++ b/libs/serving/ruddersaddle_serving/weighings.py
@@ -3,11 +3,11 @@
 import time
 
 import msgspec
-from ruddersaddle_base.ids import ModelId
+from ruddersaddle_base.ids import HallId, ModelId
 
+from ruddersaddle_serving.context_stores import KeptStore
 from ruddersaddle_serving.kept_parts import KeptParts, make_salt
 from ruddersaddle_serving.paces import nominal_work_s
-from ruddersaddle_serving.part_sources import PartSources, find_sources
 from ruddersaddle_serving.prompts import CallerRequest, Prompt
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.trackers import Tracker
@@ -61,21 +61,14 @@
     """Estimates of one prompt; stores are looked through once for each salt."""
 
     def __init__(
-        self,
-        request: CallerRequest,
-        prompt: Prompt,
-        publications: Publications,
-        kept: KeptParts,
-        engines: list[Tracker],
+        self, request: CallerRequest, prompt: Prompt, publications: Publications, kept: KeptParts
     ) -> None:
-        self.engines = engines
-        """Engines that parts may be fetched from."""
         self.request = request
         self.prompt = prompt
         self.publications = publications
         self.kept = kept
         self.estimates: list[Estimate] = []
-        self.sources_by_salt: dict[str, list[PartSources]] = {}
+        self.holders_by_salt: dict[str, list[KeptStore | None]] = {}
 
     def weigh(self, trackers: list[Tracker]) -> Estimate:
         """Return the best estimate; the first of the trackers is the prompt's home."""
@@ -89,10 +82,12 @@
         version = tracker.version_by_model.get(prompt.model) or None
         priority = self.request.priority
         salt = self._salt(prompt.model, version)
-        if salt not in self.sources_by_salt:
-            self.sources_by_salt[salt] = find_sources(self.kept, self.engines, salt, prompt)
+        if salt not in self.holders_by_salt:
+            self.holders_by_salt[salt] = self.kept.find_holders(salt, prompt)
         covered = tracker.memory.leading_tokens(salt, prompt.shared_parts)
-        fetched, fetch_s = _add_fetched(prompt, covered, self.sources_by_salt[salt], tracker)
+        fetched, fetch_s = _add_fetched(
+            prompt, covered, self.holders_by_salt[salt], tracker.entry.hall
+        )
         missing = max(0, prompt.tokens_in - covered - fetched)
         tokens = prompt.tokens_in + prompt.tokens_out
         capacity = tracker.memory.capacity_tokens
@@ -126,19 +121,18 @@
 
 
 def _add_fetched(
-    prompt: Prompt, covered: int, sources: list[PartSources], tracker: Tracker
+    prompt: Prompt, covered: int, holders: list[KeptStore | None], hall: HallId
 ) -> tuple[int, float]:
     """Return the tokens of the parts after the covered ones that can be fetched, and the time."""
     fetched = 0
     fetch_s = 0.0
     passed = 0
-    for part, each in zip(prompt.shared_parts, sources, strict=True):
+    for part, holder in zip(prompt.shared_parts, holders, strict=True):
         passed += part.tokens
         if passed <= covered:
             continue
-        source = each.for_reader(tracker)
-        if source is None:
+        if holder is None:
             break
         fetched += part.tokens
-        fetch_s += source.move_s(part.tokens, tracker.entry.hall)
+        fetch_s += holder.move_s(part.tokens, hall)
     return fetched, fetch_s
