A whole answer ends once it is written; callers that have left reach no upstream

Change: the request ends with the close of its body; the caller's connection is looked at before anything is sent. Shown by: test_planned_stop_waits_for_an_answer_that_its_caller_reads_slowly (12 MB, a caller that reads after 3.5 s: cut off before, whole now), test_caller_watches.

--- a/libs/serving/ruddersaddle_serving/caller_watches.py
+++ b/libs/serving/ruddersaddle_serving/caller_watches.py
@@ -23,16 +23,27 @@
         self._active = True
         self._task = eventlet.spawn(self._run)
 
+    def has_left(self) -> bool:
+        """Return whether the connection is closed, without waiting.
+
+        A host that was frozen reads requests of callers who gave up long before; none of them
+        should reach an upstream.
+        """
+        raw = getattr(self.connection, "fd", self.connection)
+        try:
+            return not raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except (OSError, ValueError):
+            return True
+
     def _run(self) -> None:
         try:
             trampoline(self.connection.fileno(), read=True)
-            raw = getattr(self.connection, "fd", self.connection)
-            data = raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return
         except (OSError, ValueError):
-            data = b""
-        if not data:
+            # The connection was closed under the watch.
+            pass
+        if self.has_left():
             get_hub().schedule_call_global(0, self._raise)
 
     def _raise(self) -> None:
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -118,9 +118,10 @@
             self._end("ended with its task")
             raise
 
-    def _end_with(self, body: list[bytes]) -> list[bytes]:
-        self._end("answered")
-        return body
+    def _end_with(self, body: list[bytes]) -> "_WholeBody":
+        """Return an answer that is here whole; the request ends once it was written."""
+        self._release()
+        return _WholeBody(body, self._note_end)
 
     # What the request is
 
@@ -166,6 +167,8 @@
     def _forward(self, request: CallerRequest) -> Iterable[bytes]:
         self.timer = RouteTimeout(max(0.001, request.remaining_s))
         self.watch = CallerWatch(self.environ["caller.connection"])
+        if self.watch.has_left():
+            raise CallerLeftError
         self.forwarding = self.front.forwarder.start(request)
         result = self.forwarding.begin()
         if isinstance(result, Failure):
@@ -230,12 +233,19 @@
 
     def _end(self, word: str) -> None:
         """Give back what the request holds and write its line."""
+        self._release()
+        self._note_end(word)
+
+    def _release(self) -> None:
+        """Give back what the request holds, beside its place among those under way."""
         if self.timer is not None:
             self.timer.cancel()
         if self.watch is not None:
             self.watch.stop()
         if self.forwarding is not None:
             self.forwarding.finish()
+
+    def _note_end(self, word: str) -> None:
         self.front.active -= 1
         self._note(word)
 
@@ -294,6 +304,25 @@
         self.front.histograms.record(measure, workspace, request.route.name, elapsed_s * 1000)
 
 
+class _WholeBody:
+    """An answer that is here whole; the runner closes it once it was written.
+
+    A planned stop waits for that. Counted as ended before, an answer of which the caller had not
+    read all was cut off by the end of the process.
+    """
+
+    def __init__(self, parts: list[bytes], note_end: Callable[[str], None]) -> None:
+        self.parts = parts
+        self.note_end = note_end
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self.parts)
+
+    def close(self) -> None:
+        """End the request."""
+        self.note_end("answered")
+
+
 class StreamBrokenError(Exception):
     """Raised to end a caller's connection when its stream can't be finished."""
 
