Connections that fall silent for good are found; hosts tell when weights were named

Cause: an open connection may go silent without a reset while new ones work. Of ours, those to the store and to context stores were replaced by their read time-outs (1 to 2.5 s). Connections to peers never were; kept ones to upstreams cost one request each up to its own time-out; streams to callers stayed until their route's time-out. And a host that had just started left old weights 2 s after its start, because it could not know when newer ones had been named. Change: peers close a connection after a question without an answer, ask on a new one, and have the other side renew its way back; each host greets its peers in turn. Connections to upstreams are probed (given up 3 s after they fell silent), callers' as well, with 10 s for those that read slowly: 3 s cut off a caller that read nothing for 3.5 s (found by the test of planned stops). Hosts tell the ages of namings with their news; a starting host counts the bound from them.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -34,6 +34,7 @@
 from ruddersaddle_serving.ports import Engines, MetadataStore, Wire
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.replaced_parts import ReplacedParts
+from ruddersaddle_serving.silent_peers import watch_callers
 from ruddersaddle_serving.store_followers import (
     OPERATOR_WAIT_S,
     UPSTREAM_PAUSE_S,
@@ -203,6 +204,7 @@
     def _listen(self, name: str, app: Any, protocol: type) -> tuple[Any, Any]:
         host, _, port = self.settings.text(name).rpartition(":")
         listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
+        watch_callers(listener)
         server = eventlet.spawn(
             eventlet.wsgi.server,
             listener,
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -18,7 +18,7 @@
 from ruddersaddle_serving.part_news import AskParts, PartsNews, tell_parts
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import MetadataStore, ModelVersion, Record, Topic
-from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.publications import NamingAge, Publications
 from ruddersaddle_serving.routes import Published
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Trackers
@@ -44,6 +44,9 @@
 well."""
 SETTLE_S = 15.0
 """A host that is alone on the list looks again soon for this long after its start."""
+CHECK_PAUSE_S = 1.0
+"""Pause between looks at the connections to peers, one at a look: each of nine hosts finds a silent
+one within 8 s. Asking all of them each second would be 72 messages a second on every host."""
 START_ASKS = 3
 """Hosts that a starting host asks beside the readers: after a compaction the store's answers may
 lag, and a peer may know a newer configuration."""
@@ -74,6 +77,8 @@
     entries_age_s: float
     hosts: dict[HostId, HostRecord] | None
     """None where the asker knows the same hosts, or the peer reads no list."""
+    namings: tuple[NamingAge, ...] = ()
+    """How long ago weights were named."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
@@ -97,12 +102,26 @@
     version: int
 
 
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """Asks for any answer, so that a connection that is silent for good is found."""
+
+
 class Noted(msgspec.Struct, frozen=True, tag="noted"):
     """Answers a message that asks nothing."""
 
 
 NeighbourMessage = (
-    AskNews | News | Changed | Emptying | Loaded | Notices | LoadSums | AskParts | PartsNews | Noted
+    AskNews
+    | News
+    | Changed
+    | Hello
+    | Emptying
+    | Loaded
+    | Notices
+    | LoadSums
+    | AskParts
+    | PartsNews
+    | Noted
 )
 
 
@@ -140,6 +159,7 @@
         self.peers.start()
         spawn_forever("hosts", self._follow_hosts)
         spawn_forever("beliefs", self._keep_young)
+        spawn_forever("checks", self._check_connections)
         self.loads.start()
 
     @property
@@ -223,6 +243,21 @@
             if self._ask(address) and self.publications.age_s < OLD_S:
                 return
 
+    def _check_connections(self) -> None:
+        """Greet the peers in turn; a silent connection is closed by the greeting's time-out."""
+        turn = 0
+        while True:
+            eventlet.sleep(CHECK_PAUSE_S)
+            connected = self.peers.connected()
+            if not connected:
+                continue
+            turn += 1
+            address = connected[turn % len(connected)]
+            if isinstance(self.peers.ask(address, Hello(), ASK_S), Failure):
+                self.hosts.note_silent(address)
+            else:
+                self.hosts.note_heard(address)
+
     def _ask(self, address: str) -> bool:
         """Ask one peer; return whether it answered."""
         asked_at = time.monotonic()
@@ -244,6 +279,7 @@
         """Take a peer's beliefs, dated from when the question left."""
         for named in news.named:
             self.publications.take(named)
+        self.publications.take_naming_ages(news.namings, asked_at)
         if news.published is not None:
             self.publications.take(news.published)
         if news.end >= self.publications.end:
@@ -296,6 +332,7 @@
             entries_revision=upstreams.revision if upstreams.complete else -1,
             entries_age_s=upstreams.age_s,
             hosts=None if knows_hosts else {**hosts.by_id, hosts.own_id: hosts.own},
+            namings=publications.naming_ages(),
         )
 
     def _note_changed(self, message: Changed) -> None:
--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -43,6 +43,8 @@
     exchange: int
     is_answer: bool
     message: msgspec.Raw
+    got_no_answer: bool = False
+    """The sender's last question to this host was not answered: the connection back may be dead."""
 
 
 def limit_threads() -> None:
@@ -68,6 +70,8 @@
         self._socket: pynng.Pull0 | None = None
         self._push_by_address: dict[str, pynng.Push0] = {}
         self._signal_by_exchange: dict[int, Signal] = {}
+        self._unanswered: set[str] = set()
+        """Peers that did not answer the last question."""
         self._exchanges = itertools.count(1)
 
     def start(self) -> None:
@@ -94,6 +98,8 @@
         if isinstance(envelope, Failure):
             logger.warning("Unreadable message. %s", envelope.detail)
             return
+        if envelope.got_no_answer:
+            self._close_to(envelope.sender, "it got no answer")
         message = decode_packed(bytes(envelope.message), self.message_type, Step.PEER, "peer")
         if isinstance(message, Failure):
             logger.warning("Unreadable message of %s. %s", envelope.sender, message.detail)
@@ -117,20 +123,40 @@
     def _wrap(self, exchange: int, is_answer: bool, message: Message) -> Envelope:
         return Envelope(self.address, exchange, is_answer, msgspec.Raw(encode_packed(message)))
 
+    def _wrap_question(self, address: str, exchange: int, message: Message) -> Envelope:
+        envelope = self._wrap(exchange, False, message)
+        is_unanswered = address in self._unanswered
+        return msgspec.structs.replace(envelope, got_no_answer=is_unanswered)
+
     def ask(self, address: str, message: Message, timeout_s: float) -> Message | Failure:
         """Ask the host at a peer address; a failure says that no answer came, not that it ran."""
         exchange = next(self._exchanges)
         signal: Signal = Signal()
         self._signal_by_exchange[exchange] = signal
         try:
-            if not self._send(address, self._wrap(exchange, False, message)):
+            if not self._send(address, self._wrap_question(address, exchange, message)):
                 return self._gone(address, "not connected")
             with eventlet.Timeout(timeout_s, False):
-                return signal.wait()
+                answer = signal.wait()
+                self._unanswered.discard(address)
+                return answer
+            self._note_unanswered(address)
             return self._gone(address, f"no answer within {timeout_s:.1f} s")
         finally:
             del self._signal_by_exchange[exchange]
 
+    def _note_unanswered(self, address: str) -> None:
+        """Use new connections both ways from now on: those that stand may be silent for good."""
+        self._unanswered.add(address)
+        self._close_to(address, "it did not answer")
+
+    def _close_to(self, address: str, reason: str) -> None:
+        """Close the connection to a peer; the next message opens a new one."""
+        socket = self._push_by_address.pop(address, None)
+        if socket is not None:
+            logger.info("Connection to %s is closed, %s.", address, reason)
+            socket.close()
+
     def tell(self, address: str, message: Message) -> None:
         """Send a message that needs no answer; it is dropped where no connection stands yet."""
         self.tell_all([address], message)
@@ -179,6 +205,11 @@
         """Close the sockets to peers that are no longer listed."""
         for address in set(self._push_by_address) - addresses:
             self._push_by_address.pop(address).close()
+        self._unanswered &= addresses
+
+    def connected(self) -> list[str]:
+        """Return the peers to which a connection was opened."""
+        return sorted(self._push_by_address)
 
     def _gone(self, address: str, detail: str) -> Failure:
         return Failure(Code.PEER_GONE, Step.PEER, address, detail, Ran.UNKNOWN)
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -2,7 +2,7 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from ruddersaddle_base.ids import ModelId
@@ -29,6 +29,17 @@
     heard_at: float
 
 
+class NamingAge(msgspec.Struct, frozen=True, array_like=True):
+    """How long ago weights were named, as one host tells another; ages in seconds."""
+
+    model: ModelId
+    version: int
+    heard_s: float
+    """Since when the teller has known of them."""
+    unnamed_s: float
+    """Since when they may have been named: it knew before that they were not."""
+
+
 class Publications:
     """The newest configuration and the newest named weights.
 
@@ -84,6 +95,30 @@
         self.namings_by_model.setdefault(named.model, []).append(naming)
         self.named_at_by_model[named.model] = time.monotonic()
 
+    def naming_ages(self) -> tuple[NamingAge, ...]:
+        """Return the ages of all namings that this host has seen come."""
+        now = time.monotonic()
+        return tuple(
+            NamingAge(model, each.version, now - each.heard_at, now - each.not_before)
+            for model, namings in self.namings_by_model.items()
+            for each in namings
+            if each.not_before != float("-inf")
+        )
+
+    def take_naming_ages(self, ages: Iterable[NamingAge], asked_at: float) -> None:
+        """Take when another host heard of weights, dated from when it was asked.
+
+        A host that has just started learns by it how long old weights may be used; by itself it
+        would leave them after `START_GRACE_S`, when few engines may have newer ones yet.
+        """
+        for age in ages:
+            told = Naming(age.version, asked_at - age.unnamed_s, asked_at - age.heard_s)
+            by_version = {each.version: each for each in self.namings_by_model.get(age.model, ())}
+            own = by_version.get(age.version)
+            if own is None or own.not_before == float("-inf"):
+                by_version[age.version] = told
+            self.namings_by_model[age.model] = [by_version[each] for each in sorted(by_version)]
+
     def replaced_at_most_s(self, model: ModelId, version: int) -> float:
         """Return the longest time for which newer weights may have been named; 0 if none are."""
         naming = self._first_after(model, version)
--- a/libs/serving/ruddersaddle_serving/tests/test_publications.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_publications.py
@@ -91,6 +91,28 @@
         self.now += 0.5
         self.assertTrue(publications.is_replaced_for(MODEL, 2, 9.5))
 
+    def test_host_that_has_just_started_learns_from_others_when_weights_were_replaced(self) -> None:
+        """Found in reading: it left old weights after 2 s, when few engines had newer ones."""
+        self.publications.confirm(self.now, 1)
+        for version in (2, 3):
+            self.publications.take(ModelVersion(MODEL, version))
+            self.now += 4.0
+            self.publications.confirm(self.now, version)
+        started = Publications()
+        started.take(ModelVersion(MODEL, 3))
+        started.confirm(self.now, 3)
+        started.take_naming_ages(self.publications.naming_ages(), self.now)
+        self.now += START_GRACE_S - 1.0
+        self.assertFalse(started.is_replaced_for(MODEL, 1, 9.5))
+        self.now += 0.5
+        self.assertEqual(started.replaced_at_least_s(MODEL, 1), 9.5)
+        self.assertTrue(started.is_replaced_for(MODEL, 1, 9.5))
+        self.assertFalse(started.is_replaced_for(MODEL, 2, 9.5))
+
+    def test_hosts_that_have_all_just_started_tell_nothing_of_ages(self) -> None:
+        self.publications.take(ModelVersion(MODEL, 2))
+        self.assertEqual(self.publications.naming_ages(), ())
+
     def test_the_first_newer_weights_count(self) -> None:
         for version in (2, 3):
             self.publications.confirm(self.now, version)
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -8,6 +8,7 @@
 import socket  # noqa: E402
 import unittest  # noqa: E402
 
+from ruddersaddle_serving.silent_peers import LIVENESS_OPTIONS  # noqa: E402
 from ruddersaddle_serving.upstream_connections import (  # noqa: E402
     Exchange,
     UpstreamConnections,
@@ -42,6 +43,12 @@
         kept = self.keep_one()
         self.assertIs(self.pool.begin().connection, kept.connection)
 
+    def test_connection_that_falls_silent_is_given_up_by_the_system(self) -> None:
+        """Probes and the bound on unacknowledged bytes find it; nothing here has to be sent."""
+        sock = self.keep_one().connection.sock.fd
+        found = [sock.getsockopt(level, name) for level, name, _ in LIVENESS_OPTIONS]
+        self.assertEqual(found, [3000, 1, 1, 1, 2])
+
     def test_connection_in_use_is_not_taken_by_housekeeping(self) -> None:
         """Found on a grown site: the check yielded, so both held one connection at once."""
         kept = self.keep_one()
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -16,6 +16,7 @@
 
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
+from ruddersaddle_serving.silent_peers import LIVENESS_OPTIONS
 
 CONNECT_S = 0.35
 """Longest wait for a connection. Upstreams take one in a few milliseconds; the bound leaves time to
@@ -27,9 +28,7 @@
 IDLE_MAX = 32
 """Idle connections kept for each address."""
 READ_BYTES = 65536
-UNACKNOWLEDGED_MS = 3000
-"""TCP gives a connection up when sent bytes are not acknowledged for this long, so that a silent
-host is noticed (TCP_USER_TIMEOUT). As long as `contact_ms`: shorter cuts are outlived."""
+SOCKET_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1), *LIVENESS_OPTIONS]
 ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 SKIPPED = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 
@@ -148,7 +147,7 @@
                 return Exchange(self, idle.connection)
             idle.connection.close()
         connection = UpstreamConnection(
-            self._host, self._port, timeout=CONNECT_S, socket_options=_socket_options()
+            self._host, self._port, timeout=CONNECT_S, socket_options=SOCKET_OPTIONS
         )
         try:
             connection.connect()
@@ -186,10 +185,3 @@
 
 def _names(headers: Mapping[str, str]) -> set[str]:
     return {name.lower() for name in headers}
-
-
-def _socket_options() -> list[tuple[int, int, int]]:
-    return [
-        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-    ]
