--- a/libs/serving/ruddersaddle_serving/context_stores.py
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -19,8 +19,8 @@
 """A listing counts this long after the question was sent that last confirmed it. A question waits
 up to `FOLLOW_WAIT_S` for changes; hosts that are told by another one ask it each half second."""
 FETCH_S = 1.4
-"""A fetch that takes longer is thrown away by the engine. Reading the longest prompt of the sheets
-anew takes about 0.3 s."""
+"""A fetch that takes longer is thrown away by the engine. Reading a prompt of 30,000 tokens
+anew takes 0.3 to 0.6 s."""
 QUIET_S = 4.2
 """Nothing is saved this long after a new epoch of a store was first seen: the earlier listing is
 trusted for `TRUST_S` at most, and a fetch begun at its end may take `FETCH_S`."""
@@ -37,7 +37,7 @@
 """Memory goes by blocks of this many tokens."""
 REVISION_BITS = 40
 RECENT_MAX = 2000
-"""Changes that are remembered to be told to other hosts; at the peak of the sheets some hundred
+"""Changes that are remembered to be told to other hosts; at 30 prompts a second some hundred
 parts a second are saved to all stores together."""
 
 
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -27,7 +27,8 @@
 CONNECTS_MAX = 6
 """Upstreams that are tried for a connection; nothing was sent to those that gave none."""
 HELD_LOOK_S = 0.02
-"""Pause between looks at engines' room; a run ends about each 10 ms at the peak of the sheets."""
+"""Pause between looks at engines' room; it comes free with each run that ends, some dozens of them
+in a second."""
 SILENT_FACTOR = 3.0
 """A request that ends without a first byte after this many latency targets counts against its
 upstream; a caller that leaves earlier says nothing about it."""
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -32,18 +32,17 @@
 """Share of an engine's memory that each step of urgency has for itself. An engine that runs out of
 memory preempts the least urgent run and reads its prompt again."""
 RESERVED_STEPS = 3
-ADMIT_SHARE_MOST = 0.7
-ADMIT_SHARE_LEAST = 0.4
-ADMIT_SHARE_SLOPE = 3.0
+ADMIT_SHARE_MOST = 1.1
+ADMIT_SHARE_LEAST = 0.5
+ADMIT_SHARE_SLOPE = 12.0
 """Share of the latency target within which the first event has to be predicted; beyond it a request
 is refused at once. A late answer is worth a fifth, and what is not sent lets others be in time. The
 share falls with the part of an engine's memory that a request needs: one that needs 12,000 of
-70,000 tokens keeps out five short ones. One in ten first events takes three times its predicted
-time, so that the whole target would admit what comes late: 1.2 to 0.6 measured 0.01 of worth less on
-days with lost engines or new weights, flat shares of 0.7 to 1.6 0.02 to 0.06 less."""
-ADMIT_WAIT_SHARE = 0.15
-"""A wait of this share of the target refuses nobody: a prompt that takes longer than its target to
-read would find it no better later."""
+70,000 tokens keeps out five short ones. On days with lost engines or new weights, flat shares of
+0.7 to 1.6 measured 0.02 to 0.06 of worth less, 1.2 to 0.6 at a third of the slope 0.02 less."""
+ADMIT_WAIT_SHARE = 0.25
+"""A wait of this share of the target refuses nobody: long prompts take most of their time to read,
+and would find it no better later."""
 VERSION_MARGIN_S = 2.5
 """Old weights are left this long before the bound on them: it counts from the operator's write,
 of which this host hears up to a second later, and the request has to get there."""
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -19,8 +19,8 @@
 OUTCOME_WEIGHT = 0.2
 """Weight of the newest outcome in the mean share of failures: about the last ten count."""
 FAILING_SHARE = 0.35
-"""An upstream that fails more than this share is left out while others are there. Upstreams answer
-some of their requests with an error of their own (up to 14 % of a class on the sheets)."""
+"""An upstream that fails more than this share is left out while others are there. Sound
+upstreams answer up to a seventh of a kind of request with an error of their own."""
 FORGET_S = 3.0
 """A share of failures halves in this time without requests, so that an upstream is tried again."""
 TOLD_TRUST_S = 1.0
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -27,8 +27,8 @@
 IDLE_LOOK_S = 0.5
 """Pause between looks while all engines have the newest weights; the bound is 12 s and more."""
 AT_ONCE_SHARE = 0.4
-"""Share of a pool's engines that load at once. The weight store serves about this share before
-each load takes longer (2 of 5, 18 of 45, 22 of 56 on the sheets); the rest carries the traffic."""
+"""Share of a pool's engines that load at once; the rest carries the traffic. Where the store of
+weights serves fewer at once, each load takes longer, up to `LOAD_MAX_S`."""
 LOAD_S = 2.5
 """How long an engine is out of rotation: until it is empty, 1.3 s to load when few do at once, and
 the lag of its report."""
