--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -13,8 +13,8 @@
 from ruddersaddle_serving.prompts import Part, PartId
 
 FORGET_S = 8.0
-"""A request of which nothing more was heard is forgotten after this long: its host may be gone. On a
-full engine runs of 160 tokens take a few seconds."""
+"""A request of which nothing more was heard is forgotten after this long: its host may be gone.
+Runs of 160 tokens take a few seconds where an engine is full."""
 
 RUN_START_S = 1.0
 """Length of a run before any was seen; the known kinds take 0.1 to 5 s."""
