--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -185,10 +185,6 @@
             waits.append(self.run_s * (requests + 1 - slots) / slots)
         return max(waits)
 
-    def oldest_unread(self) -> Sent | None:
-        """Return the request that has waited longest for its first event."""
-        return next((sent for sent in self.by_number.values() if sent.first_at is None), None)
-
     def _reading_s(self, priority: int) -> float:
         """Return the nominal time until all that is as urgent is read."""
         steps = priority + 1
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -17,7 +17,6 @@
 from ruddersaddle_serving.prompts import CallerRequest, Headers
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import RouteKind
-from ruddersaddle_serving.silence_watches import SilenceWatch, UpstreamSilentError
 from ruddersaddle_serving.trackers import Notice
 
 logger = logging.getLogger(__name__)
@@ -112,7 +111,6 @@
         self._sent_count = 0
         self._may_have_run = False
         self._first = b""
-        self._silence: SilenceWatch | None = None
 
     def begin(self) -> Whole | AnswerHead | Failure:
         """Return a whole answer, the head of a stream whose first event is here, or a failure."""
@@ -134,23 +132,6 @@
         return msgspec.structs.replace(failure, code=code, ran=Ran.UNKNOWN)
 
     def _try_once(self, last_event: str | None) -> Whole | AnswerHead | Failure:
-        try:
-            return self._await_answer(last_event)
-        except UpstreamSilentError:
-            upstream = self.attempt.choice.tracker.id
-            self._end_attempt(True, f"{upstream} fell silent")
-            return Failure(Code.UPSTREAM_FAILED, Step.READ, upstream, "it is silent", Ran.UNKNOWN)
-        finally:
-            if self._silence is not None:
-                self._silence.stop()
-
-    def _watch_silence(self) -> None:
-        """Have the request taken back if its engine falls silent and another one may get it."""
-        may_go_on = self._sent_count < self.request.route.upstreams_max and self._may_repeat()
-        if may_go_on and self.attempt.choice.assignment is not None:
-            self._silence = SilenceWatch(self.attempt.choice.tracker)
-
-    def _await_answer(self, last_event: str | None) -> Whole | AnswerHead | Failure:
         opened = self._open(last_event)
         if isinstance(opened, Failure):
             return opened
@@ -204,7 +185,6 @@
         self._sent_count += 1
         upstream = self.attempt.choice.tracker.id
         self._excluded.add(upstream)
-        self._watch_silence()
         head = self.attempt.open()
         if isinstance(head, Failure):
             refused = head.ran is Ran.NOT_RUN
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -153,8 +153,6 @@
             detail = f"no engine has the newest weights of {prompt.model}"
             peer = trackers[0].entry.pool
             return Failure(Code.OTHER_VERSION, Step.ADMIT, peer, detail, retry_after_s=RETRY_SOON_S)
-        for tracker in allowed:
-            tracker.check_silence()
         sound = [tracker for tracker in allowed if tracker.is_sound] or allowed
         usable = [tracker for tracker in sound if not tracker.is_avoided] or sound
         by_id = {tracker.id: tracker for tracker in usable}
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -28,11 +28,6 @@
 OFF_AFTER_CONNECT_S = 0.5
 """An upstream that took no connection is left out this long, then twice as long each time."""
 OFF_MAX_S = 4.0
-SILENT_S = 0.4
-SILENT_FACTOR = 3.0
-"""An engine counts as silent when a request waits for its first event this long beyond so many
-times the predicted time, and none of its other requests had a first event meanwhile. One that
-falls dark is left after about 0.6 s; its entry goes after 3.6 s."""
 
 
 class Progress(Enum):
@@ -87,8 +82,6 @@
         self._told_at = float("-inf")
         self._refusals = 0
         self._off_until = 0.0
-        self._heard_at = time.monotonic()
-        """When a first event or a whole answer last came from it, to any host that tells."""
         self._is_replaced = False
 
     @property
@@ -112,15 +105,10 @@
     @property
     def is_sound(self) -> bool:
         """Whether requests to it are likely to be answered."""
-        if self._is_replaced or self.is_off:
+        if self._is_replaced or time.monotonic() < self._off_until:
             return False
         return self.failing_share < FAILING_SHARE
 
-    @property
-    def is_off(self) -> bool:
-        """Whether it is left out for a while: it took no connection, or fell silent."""
-        return time.monotonic() < self._off_until
-
     @property
     def is_avoided(self) -> bool:
         """Whether it is being emptied for an order."""
@@ -149,19 +137,8 @@
             logger.info("Upstream %s is gone; %s answers at its address.", self.id, successor)
         self._is_replaced = True
 
-    def check_silence(self) -> None:
-        """Leave the upstream out for a while if it has fallen silent."""
-        oldest = self.load.oldest_unread()
-        if oldest is None or oldest.nominal_s is None or self.is_off:
-            return
-        allowed_s = SILENT_S + SILENT_FACTOR * oldest.nominal_s * self.load.pace.factor
-        if self._heard_at > oldest.at or time.monotonic() - oldest.at < allowed_s:
-            return
-        logger.info("Upstream %s is silent; %.2f s without a first event.", self.id, allowed_s)
-        self.note_no_connection()
-
     def note_no_connection(self) -> None:
-        """Count a connection that did not come about, or an upstream that fell silent."""
+        """Count a connection that did not come about."""
         off_s = min(OFF_MAX_S, OFF_AFTER_CONNECT_S * 2**self._refusals)
         self._refusals += 1
         self._off_until = time.monotonic() + off_s
@@ -182,12 +159,9 @@
                     self.memory.capacity_tokens,
                 )
             case Progress.FIRST:
-                self._heard_at = time.monotonic()
                 self.load.note_first(number)
             case Progress.ENDED:
                 self.load.end(number)
-                if notice.failed is False:
-                    self._heard_at = time.monotonic()
                 if notice.failed is not None:
                     self.note_outcome(notice.failed)
 
