--- a/libs/serving/ruddersaddle_serving/routes.py
+++ b/libs/serving/ruddersaddle_serving/routes.py
@@ -60,8 +60,6 @@
     """Most calls that wait for cache events at once."""
     token_bytes: int = 0
     """Memory of one token; 0 where the configuration doesn't say."""
-    link_mbps: float = 0.0
-    """Width of an engine's link for moves of memory; 0 where the configuration doesn't say."""
 
 
 class Pool(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -31,8 +31,8 @@
 """Share of a pool's engines that load at once; the rest carries the traffic. Where the store of
 weights serves fewer at once, each load takes longer, up to `LOAD_MAX_S`."""
 LOAD_S = 2.5
-"""How long an engine is out of rotation: 0.9 to 1.3 s to load when few do at once, the lag of its
-report, and as much again where the store of weights is busy."""
+"""How long an engine is out of rotation: the known kinds load in 0.9 to 1.3 s when few do at once;
+the rest is the lag of its report, and for a store of weights that is busy."""
 TIME_SHARE = 0.75
 """Share of the bound on old weights within which all engines are to be brought over; the rest is
 left for orders that are lost and engines that come late."""
