Two arguments that nobody passes go

Pace and KeptStore took a start value that only their own default ever gave; both are set afterwards by those who know better (the pool's middle factor, the configured size of a token). Found by reading the whole change once more; no behaviour changes.

--- a/libs/serving/ruddersaddle_serving/context_stores.py
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -44,9 +44,9 @@
 class KeptStore:
     """One context store as this host knows it."""
 
-    def __init__(self, spec: ContextStore, token_bytes: int = TOKEN_BYTES) -> None:
+    def __init__(self, spec: ContextStore) -> None:
         self.spec = spec
-        self.token_bytes = token_bytes
+        self.token_bytes = TOKEN_BYTES
         self.epoch: int | None = None
         self.next = 0
         self.confirmed_at = float("-inf")
--- a/libs/serving/ruddersaddle_serving/paces.py
+++ b/libs/serving/ruddersaddle_serving/paces.py
@@ -26,8 +26,8 @@
     three times their median in one of ten requests.
     """
 
-    def __init__(self, factor: float = 1.0) -> None:
-        self.factor = factor
+    def __init__(self) -> None:
+        self.factor = 1.0
 
     def note(self, nominal_s: float, observed_s: float) -> None:
         """Take how long a first event took, and how long it would take a nominal engine."""
