Hosts share what they hear of upstreams; one host tries a silent one again

Cause: each host found a dark engine by itself, with requests of callers. A connection that did not come about was told to nobody, cost 0.35 s (targets are 0.31 to 0.52 s) and was tried again after 0.5, 1, 2, 4 s by every host: with 195 hosts and 16 dark engines some 3,000 pairs, of which a host meets each about once in 10 s. Requests sent on kept connections to a dark engine told nobody either.

Change: `silences` holds, without reading a clock, when any host last heard of an upstream and which requests were sent since; a request that is overdue, or a connection that does not come about, shows silence until something is heard. Readers tell it with their sums of loads (two small numbers an engine). `probes`: the reader of the engine's hall and that of the next one try a silent engine with a bare connection each 0.4 s, ever less where it takes connections and answers nothing. The bound on a connection is 0.15 s.

Ruled out: an engine that one cut-off host can't reach is not left by the others (test): they hear of it.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -6,11 +6,12 @@
 from collections.abc import Callable
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
 from ruddersaddle_serving.prompts import CallerRequest
-from ruddersaddle_serving.trackers import Assignment, Notice, Progress
+from ruddersaddle_serving.trackers import Notice, Progress, Reach
 from ruddersaddle_serving.upstream_connections import Exchange
 
 logger = logging.getLogger(__name__)
@@ -46,15 +47,17 @@
         self.exchange: Exchange | None = None
         choice.tracker.in_flight += 1
         self._finished = False
+        self._reach = Reach.NOTHING
         # It counts from the choice: while a connection came about (1 to 3 ms), all requests of one
         # moment were sent to the engine that had looked idle to the first of them.
-        self._note(Progress.SENT, choice.assignment)
+        self.tell(Notice(*self._name(Progress.SENT), choice.assignment, expected_s=choice.first_s))
 
     def connect(self) -> Failure | None:
         """Get a connection; nothing is sent yet."""
         exchange = self.choice.tracker.connections.begin()
         if isinstance(exchange, Failure):
             self.choice.tracker.note_no_connection()
+            self._reach = Reach.NO_CONNECTION
             return exchange
         self.exchange = exchange
         return None
@@ -121,21 +124,10 @@
 
     def note_first_event(self) -> None:
         """Take that the prompt was read."""
-        self._note(Progress.FIRST)
+        self.tell(Notice(*self._name(Progress.FIRST)))
 
-    def _note(
-        self,
-        progress: Progress,
-        assignment: Assignment | None = None,
-        failed: bool | None = None,
-    ) -> None:
-        """Tell all hosts, this one among them, how far the request is at its upstream.
-
-        Of requests at plain services only the outcome is told; what they keep is of no interest.
-        """
-        if self.choice.assignment is not None or failed is not None:
-            tracker = self.choice.tracker
-            self.tell(Notice(tracker.id, self.number, progress, assignment, failed))
+    def _name(self, progress: Progress) -> tuple[UpstreamId, int, Progress]:
+        return self.choice.tracker.id, self.number, progress
 
     def finish(self, failed: bool | None) -> None:
         """End the try; `failed` is None where it says nothing about the upstream."""
@@ -143,6 +135,8 @@
             return
         self._finished = True
         self.choice.tracker.in_flight -= 1
-        self._note(Progress.ENDED, failed=failed)
+        if self.exchange is not None and self.exchange.whole:
+            self._reach = Reach.ANSWERED
+        self.tell(Notice(*self._name(Progress.ENDED), failed=failed, reach=self._reach))
         if self.exchange is not None:
             self.exchange.finish()
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -32,6 +32,7 @@
 from ruddersaddle_serving.peers import limit_threads
 from ruddersaddle_serving.placements import Placement
 from ruddersaddle_serving.ports import Engines, MetadataStore, Wire
+from ruddersaddle_serving.probes import Probes
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.replaced_parts import ReplacedParts
 from ruddersaddle_serving.silent_peers import watch_callers
@@ -166,6 +167,7 @@
             self.trackers,
             self.kept,
         )
+        self.probes = Probes(self.neighbours.hosts, self.trackers, self._tell_notice)
         self.parts = PartRelay(self.kept, self.neighbours)
         lease_s = settings.number("bounds.lease_ms") / MS_PER_S
         lease = FenceLease(self.store, self.incarnation, lease_s)
@@ -225,6 +227,7 @@
         spawn_forever("operator", operator.run, OPERATOR_WAIT_S, 0.0, is_reader)
         spawn_forever("entries", entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
         self.neighbours.start()
+        self.probes.start()
         self.parts.start()
         self.kept.start()
         self.rollouts.start()
@@ -267,6 +270,8 @@
             ("ready", "1 if the balancer should send callers here", self.is_ready()),
             ("hosts_known", "hosts, this one included", self.neighbours.hosts.count),
             ("peer_sent_bytes", "bytes sent to peers", self.neighbours.peers.sent_bytes),
+            ("upstreams_silent", "upstreams that nobody hears of", self._silent_count()),
+            ("upstream_probes", "connections tried to silent upstreams", self.probes.count),
         )
         budget = {"spent": self.budget.spent, "denied": self.budget.denied}
         lines = format_gauges(gauges)
@@ -277,6 +282,9 @@
         lines += format_histograms(self.histograms)
         return "\n".join(lines) + "\n"
 
+    def _silent_count(self) -> int:
+        return sum(each.is_silent for each in self.trackers.by_id.values())
+
     # The planned stop
 
     def stop(self) -> None:
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -5,6 +5,8 @@
 messages then grow with the hosts, and not with hosts times requests.
 """
 
+import time
+
 import eventlet
 import msgspec
 from ruddersaddle_base.ids import UpstreamId
@@ -12,8 +14,9 @@
 from ruddersaddle_serving.engine_loads import LoadSum
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.peers import Peers
+from ruddersaddle_serving.silences import Silence
 from ruddersaddle_serving.tasks import spawn_forever
-from ruddersaddle_serving.trackers import Notice, Trackers
+from ruddersaddle_serving.trackers import Notice, Tracker, Trackers
 
 DIRECT_HOSTS_MAX = 12
 """Up to so many hosts tell one another directly; above, 85 hosts would each get 2,000 messages a
@@ -28,6 +31,8 @@
 """Pause between totals; 56 engines take about 2 KB, 28 hosts then 4 Mbit/s of their reader."""
 
 
+NEVER_MS = 60_000
+"""Longest time since a sign of life that is told."""
 LOOK_S = 0.5
 """Pause of a host that sums nothing until it looks again whether it should."""
 
@@ -51,6 +56,10 @@
     """The same weighed by the tokens of runs."""
     pace_percent: int = 100
     """What first events take, as a share of the nominal time."""
+    heard_ms: int = NEVER_MS
+    """How long ago any host heard of it."""
+    silent_ms: int | None = None
+    """For how long it has been silent; None where it is not."""
 
 
 class LoadSums(msgspec.Struct, frozen=True, tag="load_sums"):
@@ -142,21 +151,8 @@
         return [address for hall, address in by_hall.items() if hall != own_hall]
 
     def _sums(self, is_total: bool) -> tuple[EngineSum, ...]:
-        sums = []
-        for tracker in self.trackers.by_id.values():
-            load = tracker.load.total_sum() if is_total else tracker.load.own_sum()
-            failing = tracker.failing_share if is_total else tracker.observed_failing
-            sums.append(
-                EngineSum(
-                    upstream=tracker.id,
-                    load=load,
-                    failing_percent=round(100 * failing),
-                    run_ms=round(1000 * tracker.load.run_s),
-                    memory_run_ms=round(1000 * tracker.load.memory_run_s),
-                    pace_percent=round(100 * tracker.load.pace.factor),
-                )
-            )
-        return tuple(sums)
+        now = time.monotonic()
+        return tuple(_sum_of(each, is_total, now) for each in self.trackers.by_id.values())
 
     def take_sums(self, message: LoadSums) -> None:
         """Take another reader's sums, or the totals of this hall's reader."""
@@ -166,7 +162,35 @@
             if tracker is not None:
                 tracker.load.take_sum(source, told.load, message.is_total)
                 tracker.note_told_failing(told.failing_percent / 100)
+                _take_silence(tracker.silence, source, told)
                 if message.is_total:
                     tracker.load.run_s = told.run_ms / 1000
                     tracker.load.memory_run_s = told.memory_run_ms / 1000
                     tracker.load.pace.factor = told.pace_percent / 100
+
+
+def _sum_of(tracker: Tracker, is_total: bool, now: float) -> EngineSum:
+    """Return what stands at one engine: of this hall, or of all halls where it is a total."""
+    silence = tracker.silence
+    silent_since = silence.since(now) if is_total else silence.own_since(now)
+    return EngineSum(
+        upstream=tracker.id,
+        load=tracker.load.total_sum() if is_total else tracker.load.own_sum(),
+        failing_percent=round(
+            100 * (tracker.failing_share if is_total else tracker.observed_failing)
+        ),
+        run_ms=round(1000 * tracker.load.run_s),
+        memory_run_ms=round(1000 * tracker.load.memory_run_s),
+        pace_percent=round(100 * tracker.load.pace.factor),
+        heard_ms=round(min(NEVER_MS, 1000 * (now - silence.heard_at))),
+        silent_ms=None if silent_since is None else round(1000 * (now - silent_since)),
+    )
+
+
+def _take_silence(silence: Silence, source: str, told: EngineSum) -> None:
+    """Take when others last heard of an upstream, and since when they find it silent."""
+    now = time.monotonic()
+    if told.heard_ms < NEVER_MS:
+        silence.note_heard(now - told.heard_ms / 1000)
+    since = None if told.silent_ms is None else now - told.silent_ms / 1000
+    silence.note_told(source, since, now)
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -70,6 +70,9 @@
     transfer: Transfer | None
     candidates: int
     assignment: Assignment | None = None
+    first_s: float = 0.0
+    """Time within which the upstream should be heard of: predicted for a prompt, else the
+    target."""
     wait_s: float = 0.0
     """Predicted wait at the upstream before it begins to read."""
     covered_tokens: int = 0
@@ -133,13 +136,14 @@
             return Failure(Code.NO_UPSTREAM, Step.ADMIT, pool, detail, retry_after_s=RETRY_SOON_S)
         prompt = request.head.prompt
         if prompt is None:
-            return self._choose_plain(left)
+            return self._choose_plain(request, left)
         return self._choose_engine(request, prompt, left, patience)
 
-    def _choose_plain(self, trackers: list[Tracker]) -> Choice:
+    def _choose_plain(self, request: CallerRequest, trackers: list[Tracker]) -> Choice:
         usable = [tracker for tracker in trackers if tracker.is_sound] or trackers
         chosen = min(usable, key=self._plain_order)
-        return Choice(chosen, None, None, len(usable))
+        first_s = request.route.target_latency_s
+        return Choice(chosen, None, None, len(usable), first_s=first_s)
 
     def _plain_order(self, tracker: Tracker) -> tuple[float, bool, float]:
         share = tracker.in_flight / max(1, tracker.entry.slots)
@@ -191,6 +195,7 @@
             transfer,
             len(usable),
             assignment,
+            best.first_s,
             best.wait_s,
             best.covered_tokens,
             best.missing_tokens,
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/probes.py
@@ -0,0 +1,104 @@
+"""Tries silent upstreams again with a bare connection, so that no caller's request has to.
+
+The reader of the upstream's hall does it, and the reader of the next hall, in case that the first
+one is cut off. What they find is told like the steps of requests.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+from ruddersaddle_base.ids import UpstreamId
+
+from ruddersaddle_serving.hosts import Hosts
+from ruddersaddle_serving.tasks import spawn_forever
+from ruddersaddle_serving.trackers import Notice, Progress, Tracker, Trackers
+
+logger = logging.getLogger(__name__)
+
+LOOK_S = 0.2
+"""Pause between looks for silent upstreams."""
+PAUSE_S = 0.4
+"""Pause between connections to one silent upstream, in seconds."""
+PAUSE_MAX_S = 6.4
+RELAPSE_S = 3.0
+"""An upstream that takes a connection and falls silent again within this time answers nothing; the
+pause doubles each time. Without that, one that hangs gets a tenth of the requests for ever."""
+
+
+class _Course(msgspec.Struct):
+    """How the probes of one upstream went. Moments are of the steady clock."""
+
+    pause_s: float = PAUSE_S
+    next_at: float = 0.0
+    reached_at: float | None = None
+    """When it last took a connection, until it is silent again."""
+
+
+class Probes:
+    """Probes the silent upstreams that are this host's to probe."""
+
+    def __init__(self, hosts: Hosts, trackers: Trackers, tell: Callable[[Notice], None]) -> None:
+        self.hosts = hosts
+        self.trackers = trackers
+        self.tell = tell
+        self.count = 0
+        self._course_by_id: dict[UpstreamId, _Course] = {}
+
+    def start(self) -> None:
+        """Start the task."""
+        spawn_forever("probes", self._run)
+
+    def _run(self) -> None:
+        while True:
+            eventlet.sleep(LOOK_S)
+            for tracker in self.due():
+                eventlet.spawn(self.probe, tracker)
+
+    def due(self) -> list[Tracker]:
+        """Return the upstreams to probe now."""
+        silent = [each for each in self.trackers.by_id.values() if each.is_silent]
+        known = self._course_by_id
+        self._course_by_id = {each: known[each] for each in known if each in self.trackers.by_id}
+        return [each for each in silent if self._is_mine(each) and self._begin(each.id)]
+
+    def _is_mine(self, tracker: Tracker) -> bool:
+        by_hall = self.hosts.reader_by_hall()
+        halls = sorted(by_hall)
+        hall = tracker.entry.hall
+        first = halls.index(hall) if hall in by_hall else 0
+        probers = {by_hall[halls[(first + step) % len(halls)]] for step in (0, 1)}
+        return self.hosts.own.address in probers
+
+    def _begin(self, upstream: UpstreamId) -> bool:
+        """Return whether the upstream's next probe is due, and date the one after it."""
+        now = time.monotonic()
+        course = self._course_by_id.setdefault(upstream, _Course())
+        if course.reached_at is not None:
+            self._slow_down(course, now)
+        if now < course.next_at:
+            return False
+        course.next_at = now + course.pause_s
+        return True
+
+    def _slow_down(self, course: _Course, now: float) -> None:
+        """Take that an upstream is silent again although it took a connection."""
+        if now - course.reached_at < RELAPSE_S:
+            course.pause_s = min(PAUSE_MAX_S, 2 * course.pause_s)
+        else:
+            course.pause_s = PAUSE_S
+        course.next_at = now + course.pause_s
+        course.reached_at = None
+
+    def probe(self, tracker: Tracker) -> None:
+        """Open a connection; if it comes about, tell that the upstream is there."""
+        self.count += 1
+        failure = tracker.connections.probe()
+        if failure is not None:
+            logger.info("Upstream %s is silent. %s", tracker.id, failure.detail)
+            return
+        self._course_by_id.setdefault(tracker.id, _Course()).reached_at = time.monotonic()
+        logger.info("Upstream %s takes connections again.", tracker.id)
+        self.tell(Notice(tracker.id, 0, Progress.REACHED))
--- a/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
@@ -9,7 +9,7 @@
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
 from ruddersaddle_serving.prompts import Part, PartId
-from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Trackers
+from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Reach, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamEntry
 
 ENGINE = UpstreamId("e-1")
@@ -121,6 +121,36 @@
         sound = {shares.trackers.by_id[ENGINE].is_sound for shares in fleet}
         self.assertEqual(sound, {True})
 
+    def silent_count(self, fleet: list[LoadShares]) -> int:
+        return sum(shares.trackers.by_id[ENGINE].is_silent for shares in fleet)
+
+    def test_dark_engine_that_one_host_finds_is_left_by_all(self) -> None:
+        """Each of 195 hosts found each of 16 dark engines with requests of callers."""
+        _, fleet = make_fleet(3, 8)
+        fleet[0].tell(Notice(ENGINE, 1, Progress.SENT, expected_s=0.1))
+        self.now += 0.15
+        fleet[0].tell(Notice(ENGINE, 1, Progress.ENDED, reach=Reach.NO_CONNECTION))
+        self.settle(fleet)
+        self.assertEqual(self.silent_count(fleet), 24)
+        for _ in range(30):
+            self.now += 0.1
+            self.settle(fleet)
+        self.assertEqual(self.silent_count(fleet), 24)
+        fleet[9].tell(Notice(ENGINE, 2, Progress.REACHED))
+        self.settle(fleet)
+        self.assertEqual(self.silent_count(fleet), 0)
+
+    def test_engine_that_others_hear_of_is_not_left(self) -> None:
+        _, fleet = make_fleet(3, 8)
+        for number in range(20):
+            fleet[0].tell(Notice(ENGINE, number, Progress.SENT, expected_s=0.1))
+            fleet[20].tell(Notice(ENGINE, number, Progress.SENT, expected_s=0.1))
+            self.now += 0.15
+            fleet[0].tell(Notice(ENGINE, number, Progress.ENDED, reach=Reach.NO_CONNECTION))
+            fleet[20].tell(Notice(ENGINE, number, Progress.FIRST))
+            self.settle(fleet)
+            self.assertLessEqual(self.silent_count(fleet), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_probes.py
@@ -0,0 +1,96 @@
+"""Tests of who tries a silent upstream again, and how often."""
+
+import time
+import unittest
+from unittest import mock
+
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.ids import HallId, HostId, PoolId, UpstreamId
+
+from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.probes import PAUSE_S, Probes
+from ruddersaddle_serving.trackers import Notice, Progress, Reach, Trackers
+from ruddersaddle_serving.upstream_lists import UpstreamEntry
+
+ENGINE = UpstreamId("e-1")
+REFUSED = Failure(Code.UPSTREAM_FAILED, Step.CONNECT, "e-1", "timed out")
+
+
+class ProbesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.probes = self.make_probes("h0-0")
+        self.tracker = self.probes.trackers.by_id[ENGINE]
+        self.tracker.connections = mock.Mock()
+
+    def make_probes(self, own: str) -> Probes:
+        records = {
+            HostId(f"h{hall}-{number}"): HostRecord(
+                f"10.0.{hall}.{number}:1", HallId(f"hall-{hall}"), 100.0 - number
+            )
+            for hall in range(4)
+            for number in range(5)
+        }
+        hosts = Hosts(HostId(own), records[HostId(own)], [])
+        hosts.replace(records)
+        trackers = Trackers()
+        entry = UpstreamEntry(ENGINE, PoolId("p"), "10.1.0.1:80", HallId("hall-0"), 8, False, {})
+        tracker = trackers.at(entry)
+        return Probes(hosts, trackers, lambda notice: tracker.take_notice(own, notice))
+
+    def fall_silent(self, probes: Probes) -> None:
+        tracker = probes.trackers.by_id[ENGINE]
+        tracker.take_notice("x", Notice(ENGINE, 1, Progress.SENT, expected_s=0.1))
+        ended = Notice(ENGINE, 1, Progress.ENDED, reach=Reach.NO_CONNECTION)
+        tracker.take_notice("x", ended)
+
+    def run_for(self, seconds: float) -> int:
+        """Look ten times a second; return how many probes were made."""
+        before = self.probes.count
+        for _ in range(round(seconds * 10)):
+            self.now += 0.1
+            for tracker in self.probes.due():
+                self.probes.probe(tracker)
+        return self.probes.count - before
+
+    def test_only_two_of_twenty_hosts_probe(self) -> None:
+        names = [f"h{hall}-{number}" for hall in range(4) for number in range(5)]
+        probers = []
+        for name in names:
+            probes = self.make_probes(name)
+            self.fall_silent(probes)
+            probers += [name] if probes.due() else []
+        self.assertEqual(probers, ["h0-0", "h1-0"])
+
+    def test_upstream_that_answers_is_left_alone(self) -> None:
+        self.assertEqual(self.run_for(5.0), 0)
+
+    def test_dark_upstream_is_probed_until_it_takes_a_connection(self) -> None:
+        self.fall_silent(self.probes)
+        self.tracker.connections.probe.return_value = REFUSED
+        self.assertIn(self.run_for(4.0), range(8, round(4.0 / PAUSE_S) + 1))
+        self.assertFalse(self.tracker.is_sound)
+        self.tracker.connections.probe.return_value = None
+        self.run_for(2 * PAUSE_S)
+        self.assertTrue(self.tracker.is_sound)
+        self.assertEqual(self.run_for(4.0), 0)
+
+    def test_upstream_that_takes_connections_and_answers_nothing_is_probed_ever_less(self) -> None:
+        self.tracker.connections.probe.return_value = None
+        counts = []
+        for _ in range(4):
+            began = self.probes.count
+            for _ in range(40):
+                if not self.tracker.is_silent:
+                    self.now += 0.5
+                    self.fall_silent(self.probes)
+                self.run_for(0.1)
+            counts.append(self.probes.count - began)
+        self.assertLess(counts[-1], counts[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -11,6 +11,7 @@
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
 from ruddersaddle_serving.prompts import Part
 from ruddersaddle_serving.routes import RouteTable
+from ruddersaddle_serving.silences import Silence
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_lists import UpstreamEntry
 
@@ -31,12 +32,23 @@
 
 
 class Progress(Enum):
-    """How far a request is at its engine."""
+    """How far a request is at its upstream."""
 
     SENT = 0
     FIRST = 1
     """Its first event came, so its prompt was read."""
     ENDED = 2
+    REACHED = 3
+    """No request: the upstream took a connection."""
+
+
+class Reach(Enum):
+    """What was heard of an upstream until a request ended."""
+
+    ANSWERED = 0
+    NO_CONNECTION = 1
+    NOTHING = 2
+    """It took the request, and nothing came, or its answer broke off."""
 
 
 class Assignment(msgspec.Struct, frozen=True, array_like=True):
@@ -62,6 +74,10 @@
     assignment: Assignment | None = None
     failed: bool | None = None
     """How it ended; None where that says nothing about the upstream."""
+    reach: Reach = Reach.NOTHING
+    """What was heard of the upstream until it ended."""
+    expected_s: float = 0.0
+    """Where it was sent: the time within which something should be heard."""
 
 
 class Tracker:
@@ -76,6 +92,7 @@
         self.version_by_model = dict(entry.version_by_model)
         self.avoided_until = 0.0
         """The holder of the lease has it load weights until then, on the steady clock."""
+        self.silence = Silence()
         self._failing = 0.0
         self._noted_at = time.monotonic()
         self._told_failing = 0.0
@@ -107,7 +124,12 @@
         """Whether requests to it are likely to be answered."""
         if self._is_replaced or time.monotonic() < self._off_until:
             return False
-        return self.failing_share < FAILING_SHARE
+        return not self.is_silent and self.failing_share < FAILING_SHARE
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it was sent requests, and no host has heard of it since."""
+        return self.silence.since(time.monotonic()) is not None
 
     @property
     def is_avoided(self) -> bool:
@@ -146,24 +168,42 @@
     def take_notice(self, host: str, notice: Notice) -> None:
         """Take how far a request of this host or another one is."""
         number = (host, notice.number)
+        now = time.monotonic()
         match notice.progress:
-            case Progress.SENT if notice.assignment is not None:
-                assignment = notice.assignment
-                self.memory.use(assignment.salt, assignment.parts)
-                self.load.add(
-                    number,
-                    assignment.priority,
-                    assignment.work_s,
-                    assignment.tokens,
-                    assignment.fetch_s,
-                    self.memory.capacity_tokens,
-                )
+            case Progress.SENT:
+                self.silence.note_sent(number, now, notice.expected_s)
+                if notice.assignment is not None:
+                    self._add_load(number, notice.assignment)
             case Progress.FIRST:
+                self.silence.note_heard(now)
                 self.load.note_first(number)
             case Progress.ENDED:
+                self._note_reach(number, notice.reach, now)
                 self.load.end(number)
                 if notice.failed is not None:
                     self.note_outcome(notice.failed)
+            case Progress.REACHED:
+                self.silence.note_heard(now)
+
+    def _add_load(self, number: tuple[str, int], assignment: Assignment) -> None:
+        self.memory.use(assignment.salt, assignment.parts)
+        self.load.add(
+            number,
+            assignment.priority,
+            assignment.work_s,
+            assignment.tokens,
+            assignment.fetch_s,
+            self.memory.capacity_tokens,
+        )
+
+    def _note_reach(self, number: tuple[str, int], reach: Reach, now: float) -> None:
+        match reach:
+            case Reach.ANSWERED:
+                self.silence.note_heard(now)
+            case Reach.NO_CONNECTION:
+                self.silence.note_unreached(number)
+            case Reach.NOTHING:
+                self.silence.note_left(number, now)
 
     def take_entry(self, entry: UpstreamEntry) -> None:
         """Take a newer entry; versions of weights never go back within one start."""
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -18,9 +18,10 @@
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
 from ruddersaddle_serving.silent_peers import LIVENESS_OPTIONS
 
-CONNECT_S = 0.35
-"""Longest wait for a connection. Upstreams take one in a few milliseconds; the bound leaves time to
-try another upstream within the shortest latency targets (200 ms) plus one."""
+CONNECT_S = 0.15
+"""Longest wait for a connection. Upstreams take one in 3 to 50 ms, across regions too; a request
+that finds a dark one keeps half of a target of 300 ms for another. A lost packet is sent again
+after a second, so that no bound within the targets would outlast it."""
 IDLE_S = 4.0
 """Idle connections are kept this long where the upstream names no time of its own."""
 IDLE_MARGIN_S = 1.0
@@ -146,6 +147,18 @@
             if idle.is_usable:
                 return Exchange(self, idle.connection)
             idle.connection.close()
+        connection = self._connect()
+        return connection if isinstance(connection, Failure) else Exchange(self, connection)
+
+    def probe(self) -> Failure | None:
+        """Open a connection and keep it, or return why there is none."""
+        connection = self._connect()
+        if isinstance(connection, Failure):
+            return connection
+        self.keep(connection, None)
+        return None
+
+    def _connect(self) -> UpstreamConnection | Failure:
         connection = UpstreamConnection(
             self._host, self._port, timeout=CONNECT_S, socket_options=SOCKET_OPTIONS
         )
@@ -158,7 +171,7 @@
         self.opened += 1
         # Bounds on the answer are the request's own; it raises into whoever waits here.
         connection.timeout = None
-        return Exchange(self, connection)
+        return connection
 
     def keep(self, connection: UpstreamConnection, idle_s: float | None) -> None:
         """Keep a connection for the next request."""
