--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -12,6 +12,7 @@
 from ruddersaddle_serving.admissions import Room, Standing, predict_wait_s
 from ruddersaddle_serving.paces import Pace
 from ruddersaddle_serving.prompts import Part, PartId
+from ruddersaddle_serving.silences import TOLD_TRUST_S
 
 FORGET_S = 8.0
 """A request of which nothing more was heard is forgotten after this long: its host may be gone.
@@ -27,9 +28,6 @@
 PRIORITIES = 10
 """Steps of urgency that engines know; 0 goes first."""
 
-SUM_TRUST_S = 1.0
-"""A sum counts this long; sums are told ten times a second, and a run takes about as long."""
-
 
 class Sent(msgspec.Struct):
     """A request that was sent to the engine. `work_s` is the nominal time that reading it takes."""
@@ -107,13 +105,13 @@
         )
 
     def take_sum(self, source: str, told: LoadSum, includes_own: bool) -> None:
-        """Take a sum of requests that were sent elsewhere; it counts for `SUM_TRUST_S`."""
+        """Take a sum of requests that were sent elsewhere; it counts for `TOLD_TRUST_S`."""
         if includes_own and self.by_number:
             told = _subtract(told, self.own_sum())
         self._others_by_source[source] = (told, time.monotonic())
 
     def _others(self) -> list[LoadSum]:
-        oldest_at = time.monotonic() - SUM_TRUST_S
+        oldest_at = time.monotonic() - TOLD_TRUST_S
         return [told for told, at in self._others_by_source.values() if at > oldest_at]
 
     def _others_tokens(self) -> list[int]:
--- a/libs/serving/ruddersaddle_serving/silences.py
+++ b/libs/serving/ruddersaddle_serving/silences.py
@@ -14,7 +14,8 @@
 answered. Engines in use are heard of ten times a second, so that this waits for rare ones: a long
 prompt alone on an engine that reads at half the usual pace is 0.3 s late."""
 TOLD_TRUST_S = 1.0
-"""What a reader told counts this long; it tells ten times a second."""
+"""What another host told of an upstream counts this long; readers tell 25 times a second, and a run
+takes about as long."""
 SENT_MAX = 64
 """Requests that are watched at one upstream; of the others the oldest decide."""
 
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -11,7 +11,7 @@
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
 from ruddersaddle_serving.prompts import Part
 from ruddersaddle_serving.routes import RouteTable
-from ruddersaddle_serving.silences import Silence
+from ruddersaddle_serving.silences import TOLD_TRUST_S, Silence
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_lists import UpstreamEntry
 
@@ -24,8 +24,6 @@
 upstreams answer up to a seventh of a kind of request with an error of their own."""
 FORGET_S = 3.0
 """A share of failures halves in this time without requests, so that an upstream is tried again."""
-TOLD_TRUST_S = 1.0
-"""What another host told of failures counts this long; it is told ten times a second."""
 OFF_AFTER_CONNECT_S = 0.5
 """An upstream that took no connection is left out this long, then twice as long each time."""
 OFF_MAX_S = 4.0
