The bound on a connection to an upstream is 0.35 s again

A host that gets no processor for 0.15 s takes its own pause for the upstream's. Ruled out: the retry budget and the order of tries, unchanged.

--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -18,10 +18,10 @@
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
 from ruddersaddle_serving.silent_peers import LIVENESS_OPTIONS
 
-CONNECT_S = 0.15
-"""Longest wait for a connection. Upstreams take one in 3 to 50 ms, across regions too; a request
-that finds a dark one keeps half of a target of 300 ms for another. A lost packet is sent again
-after a second, so that no bound within the targets would outlast it."""
+CONNECT_S = 0.35
+"""Longest wait for a connection. Upstreams take one in a few milliseconds; a host that gets no
+processor for a moment must not take its own pause for theirs. 0.15 s served no more callers where
+hosts share which upstreams are silent (replay with a quarter of the engines dark)."""
 IDLE_S = 4.0
 """Idle connections are kept this long where the upstream names no time of its own."""
 IDLE_MARGIN_S = 1.0
