--- a/libs/serving/ruddersaddle_serving/probes.py
+++ b/libs/serving/ruddersaddle_serving/probes.py
@@ -30,8 +30,8 @@
 pause doubles each time. Without that, one that hangs gets a tenth of the requests for ever."""
 
 
-class _Course(msgspec.Struct):
-    """How the probes of one upstream went. Moments are of the steady clock."""
+class ProbeState(msgspec.Struct):
+    """How the probes of one upstream went; moments are of the steady clock."""
 
     pause_s: float = PAUSE_S
     next_at: float = 0.0
@@ -50,7 +50,7 @@
         self.engines = engines
         self.tell = tell
         self.count = 0
-        self._course_by_id: dict[UpstreamId, _Course] = {}
+        self._state_by_id: dict[UpstreamId, ProbeState] = {}
 
     def start(self) -> None:
         """Start the task."""
@@ -66,8 +66,8 @@
         """Return the upstreams to probe now."""
         trackers = self.trackers.by_id.values()
         silent = [each for each in trackers if each.is_silent and not each.is_replaced]
-        known = self._course_by_id
-        self._course_by_id = {each: known[each] for each in known if each in self.trackers.by_id}
+        known = self._state_by_id
+        self._state_by_id = {each: known[each] for each in known if each in self.trackers.by_id}
         return [each for each in silent if self._is_mine(each) and self._begin(each.id)]
 
     def _is_mine(self, tracker: Tracker) -> bool:
@@ -81,22 +81,22 @@
     def _begin(self, upstream: UpstreamId) -> bool:
         """Return whether the upstream's next probe is due, and date the one after it."""
         now = time.monotonic()
-        course = self._course_by_id.setdefault(upstream, _Course())
-        if course.reached_at is not None:
-            self._slow_down(course, now)
-        if now < course.next_at:
+        state = self._state_by_id.setdefault(upstream, ProbeState())
+        if state.reached_at is not None:
+            self._slow_down(state, now)
+        if now < state.next_at:
             return False
-        course.next_at = now + course.pause_s
+        state.next_at = now + state.pause_s
         return True
 
-    def _slow_down(self, course: _Course, now: float) -> None:
+    def _slow_down(self, state: ProbeState, now: float) -> None:
         """Take that an upstream is silent again although it answered a probe."""
-        if now - course.reached_at < RELAPSE_S:
-            course.pause_s = min(PAUSE_MAX_S, 2 * course.pause_s)
+        if now - state.reached_at < RELAPSE_S:
+            state.pause_s = min(PAUSE_MAX_S, 2 * state.pause_s)
         else:
-            course.pause_s = PAUSE_S
-        course.next_at = now + course.pause_s
-        course.reached_at = None
+            state.pause_s = PAUSE_S
+        state.next_at = now + state.pause_s
+        state.reached_at = None
 
     def probe(self, tracker: Tracker) -> None:
         """Ask an upstream whether it is there, and tell the answer."""
@@ -108,6 +108,6 @@
         if not is_there:
             self.tell(Notice(tracker.id, 0, Progress.REPLACED))
             return
-        self._course_by_id.setdefault(tracker.id, _Course()).reached_at = time.monotonic()
+        self._state_by_id.setdefault(tracker.id, ProbeState()).reached_at = time.monotonic()
         logger.info("Upstream %s answers again.", tracker.id)
         self.tell(Notice(tracker.id, 0, Progress.REACHED))
--- a/libs/serving/ruddersaddle_serving/silences.py
+++ b/libs/serving/ruddersaddle_serving/silences.py
@@ -3,10 +3,11 @@
 Load pattern: a third of the engines goes dark while some hundred hosts send to all of them. Each
 host alone finds a dark engine with a request of a caller, which costs that caller its latency
 target, and tries again after a pause: with 195 hosts and 16 dark engines 3,000 pairs of host and
-engine. Hosts therefore share what they hear of each upstream, and one host tries it again with a
-bare connection. Nothing here reads a clock: moments are handed in, in seconds of the steady clock.
+engine. Hosts therefore share what they hear of each upstream, and two of them probe a silent one.
+Nothing here reads a clock: moments are handed in, in seconds of the steady clock.
 """
 
+import msgspec
 from ruddersaddle_base.ids import HostId
 
 OVERDUE_S = 0.4
@@ -14,54 +15,60 @@
 answered. Engines in use are heard of ten times a second, so that this waits for rare ones: a long
 prompt alone on an engine that reads at half the usual pace is 0.3 s late."""
 TOLD_TRUST_S = 1.0
-"""What another host told of an upstream counts this long; readers tell 25 times a second, and a run
-takes about as long."""
+"""What another host told of an upstream counts this long; readers tell twelve times a second, and a
+run takes about as long."""
 SENT_MAX = 64
-"""Requests that are watched at one upstream; of the others the oldest decide."""
+"""Most requests that are watched at one upstream; one that is overdue is enough."""
 
 Number = tuple[str | HostId, int]
 """A request: its host, and the host's own number of it."""
 
 
+class Unanswered(msgspec.Struct, frozen=True):
+    """A request that was sent; it shows silence once `due_at` is over."""
+
+    sent_at: float
+    due_at: float
+
+
 class Silence:
     """Signs of life of one upstream, and the requests that still wait for one."""
 
     def __init__(self) -> None:
         self.heard_at = float("-inf")
         """When anything was last heard of it, by any host that tells this one."""
-        self._sent_by_number: dict[Number, tuple[float, float]] = {}
-        """When each request left and when it is overdue; only those sent since `heard_at`."""
+        self._unanswered_by_number: dict[Number, Unanswered] = {}
+        """Requests that were sent since `heard_at`."""
         self._evidence_at = float("-inf")
         """When the newest request left that was overdue or got no connection."""
         self._told_by_source: dict[str, tuple[float, float]] = {}
 
     def note_sent(self, number: Number, now: float, expected_s: float) -> None:
         """Take that a request was sent that should be answered in `expected_s`."""
-        if len(self._sent_by_number) < SENT_MAX:
-            self._sent_by_number[number] = (now, now + expected_s + OVERDUE_S)
+        if len(self._unanswered_by_number) < SENT_MAX:
+            due_at = now + expected_s + OVERDUE_S
+            self._unanswered_by_number[number] = Unanswered(now, due_at)
 
     def note_heard(self, at: float) -> None:
         """Take that something came from the upstream at a moment."""
         if at <= self.heard_at:
             return
         self.heard_at = at
-        self._sent_by_number = {
-            number: (sent_at, due_at)
-            for number, (sent_at, due_at) in self._sent_by_number.items()
-            if sent_at > at
+        self._unanswered_by_number = {
+            number: sent for number, sent in self._unanswered_by_number.items() if sent.sent_at > at
         }
 
     def note_unreached(self, number: Number) -> None:
         """Take that no connection for a request came about."""
-        sent = self._sent_by_number.pop(number, None)
+        sent = self._unanswered_by_number.pop(number, None)
         if sent is not None:
-            self._evidence_at = max(self._evidence_at, sent[0])
+            self._evidence_at = max(self._evidence_at, sent.sent_at)
 
     def note_left(self, number: Number, now: float) -> None:
         """Take that a request ended and that nothing was heard: its caller or its time ended it."""
-        sent = self._sent_by_number.pop(number, None)
-        if sent is not None and now > sent[1]:
-            self._evidence_at = max(self._evidence_at, sent[0])
+        sent = self._unanswered_by_number.pop(number, None)
+        if sent is not None and now > sent.due_at:
+            self._evidence_at = max(self._evidence_at, sent.sent_at)
 
     def note_told(self, source: str, silent_since: float | None, now: float) -> None:
         """Take what another host knows: since when the upstream is silent, or None."""
@@ -72,7 +79,8 @@
 
     def own_since(self, now: float) -> float | None:
         """Return since when the upstream is silent by the requests this host hears of, or None."""
-        overdue = [sent_at for sent_at, due_at in self._sent_by_number.values() if now > due_at]
+        unanswered = self._unanswered_by_number.values()
+        overdue = [sent.sent_at for sent in unanswered if now > sent.due_at]
         since = max([self._evidence_at, *overdue])
         return since if since > self.heard_at else None
 
