--- a/libs/serving/ruddersaddle_serving/admissions.py
+++ b/libs/serving/ruddersaddle_serving/admissions.py
@@ -6,8 +6,7 @@
 urgent is refused first, at once, while the others are still in time.
 
 Nothing here reads a clock, a socket or a random source. Times are in seconds, memory in tokens.
-The gains in this module are of a replay of 9 s (490 prompts/s in three kinds, 50 engines of 12
-slots, 40 hosts with beliefs 0.1 s old; `test_load_replays`): share of the callers' worth in time.
+What each limit is worth stands in docs/size.md (replays of 9 s).
 """
 
 import msgspec
@@ -26,8 +25,7 @@
 TARGET_SHARE_SLOPE = 12.0
 """Share of the latency target within which the first event has to be predicted. It falls with the
 part of an engine's memory that a request needs: one that needs 12,000 of 70,000 tokens keeps out
-five short ones. A flat 1.0 refuses too late under load (0.75 -> 0.72), 0.5 refuses in calm what
-would have been in time (0.98 -> 0.96)."""
+five short ones."""
 
 
 class Standing(msgspec.Struct, frozen=True):
