A host that ends by a fault says so, with the requests it cuts

Cause: such an end left a trace on standard error only, and hypotheses on lost requests could not be told apart by the log. Change: one critical line with the trace and the number of requests under way. Before: the log of a host that ended 0.11 s after SIGTERM ended in calm lines. After: its last line is 'Host ... ends by a fault', cut 8. Ruled out: that the loop's end keeps the line from being written; it was seen with a pipe. Conclusion: sight only, no logic changed.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -191,7 +191,17 @@
     # Running
 
     def serve(self) -> None:
-        """Run until a planned stop has ended."""
+        """Run until a planned stop has ended; a fault that ends the host is told before."""
+        try:
+            self._serve()
+        except Exception:
+            active = self.front.active
+            logger.critical(
+                "Host %s ends by a fault.", self.incarnation, exc_info=True, extra={"cut": active}
+            )
+            raise
+
+    def _serve(self) -> None:
         limit_threads()
         signal.signal(signal.SIGTERM, lambda *_: self.stop())
         signal.signal(signal.SIGINT, lambda *_: self.stop())
