--- a/libs/standins/ruddersaddle_standins/counting_proxies.py
+++ b/libs/standins/ruddersaddle_standins/counting_proxies.py
@@ -3,7 +3,7 @@
 import socket
 import threading
 
-from ruddersaddle_standins.processes import LOOPBACK
+from ruddersaddle_standins.port_blocks import LOOPBACK
 
 READ_BYTES = 65536
 
--- a/libs/standins/ruddersaddle_standins/fleets.py
+++ b/libs/standins/ruddersaddle_standins/fleets.py
@@ -25,7 +25,8 @@
 )
 from ruddersaddle_upstreams.host_lists import HostRole, HostRow, HostState
 
-from ruddersaddle_standins.processes import LOOPBACK, Process, free_ports, is_good, wait_until
+from ruddersaddle_standins.port_blocks import LOOPBACK, free_ports
+from ruddersaddle_standins.processes import Process, is_good, wait_until
 from ruddersaddle_standins.servers import Fault
 from ruddersaddle_standins.service_servers import Run, read_runs
 
--- a/libs/standins/ruddersaddle_standins/processes.py
+++ b/libs/standins/ruddersaddle_standins/processes.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,18 +12,6 @@
 START_S = 15.0
 STOP_S = 20.0
 STEP_S = 0.02
-LOOPBACK = "127.0.0.1"
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free on loopback right now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((LOOPBACK, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
 
 
 class Process:
--- a/libs/standins/ruddersaddle_standins/tests/test_binaries.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_binaries.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from ruddersaddle_standins.binaries import build
-from ruddersaddle_standins.processes import LOOPBACK, free_ports, is_good, wait_until
+from ruddersaddle_standins.port_blocks import LOOPBACK, free_ports
+from ruddersaddle_standins.processes import is_good, wait_until
 
 
 class BinaryTest(unittest.TestCase):
