Hosts go on accepting whatever one connection meets; what has arrived goes before timers

Cause: (1) the library's accept loop ends at any error of accept(); its end closes idle connections at once, the others after their request, and nothing listens any more while the host says that it is ready. (2) The event loop fires due timers before it looks at its sockets; after a freeze its poll returns nothing. Change: a listener that goes on after every error but its own, refuses what it can't take by a descriptor kept in reserve, logs at most a line in 5 s, and closes connections beyond its places at once instead of leaving them accepted and unread; places are at most three quarters of the descriptors. Timeouts of the idle time, head, body and route are raised only after one more look at the sockets. Before: 40 of 40 idle and the kept connection closed, new ones refused; after a freeze 5 of 5 requests closed unread, 5 of 5 heads got 408, 5 of 5 ready answers became 504. Ruled out: ECONNABORTED as a likely cause here. Conclusion: the accept loop's end explains many lost requests at once where descriptors or kernel memory run out; whether that happened to the users is not known.

--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -3,10 +3,10 @@
 import re
 import time
 
-import eventlet
 from eventlet import wsgi
 from eventlet.wsgi import HttpProtocol
 
+from ruddersaddle_serving.patient_timeouts import PatientTimeout
 from ruddersaddle_serving.routes import CallerLimits
 
 HEAD_MAX = 1 << 20
@@ -26,7 +26,7 @@
 )
 
 
-class HeadTimeout(eventlet.Timeout):
+class HeadTimeout(PatientTimeout):
     """Raised when a caller takes too long for a request's head."""
 
 
@@ -56,13 +56,13 @@
 
     def _await_request(self) -> bool:
         """Return whether a byte of a next request arrived."""
-        self.connection.settimeout(self.limits.idle_timeout_s)
         try:
-            return bool(self.rfile.peek(1))
+            with PatientTimeout(self.limits.idle_timeout_s, False):
+                return bool(self.rfile.peek(1))
         except (OSError, ValueError):
-            return False
-        finally:
-            self.connection.settimeout(None)
+            # The connection was reset, or was closed by a planned stop.
+            pass
+        return False
 
     def parse_request(self) -> bool:
         """Parse the head; refuse what two parties might frame differently."""
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -15,6 +15,7 @@
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.retries import RetryBudget
 
+from ruddersaddle_serving.caller_listeners import LastingListener, find_room
 from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
@@ -64,8 +65,6 @@
 STOP_STEP_S = 0.05
 STOP_LOOK_S = 0.25
 """Pause between looks for a planned stop; readiness ends at once, with the signal itself."""
-CONNECTIONS_MAX = 3000
-"""Connections of callers at once; a host has about 4,000 descriptors."""
 BUDGET_SHARE = 0.75
 """Share of the installation's retry bound that all hosts together use: hosts see unequal shares of
 the requests, and the bound counts them all."""
@@ -218,6 +217,8 @@
         host, _, port = self.settings.text(name).rpartition(":")
         listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
         watch_callers(listener)
+        pool = eventlet.GreenPool(find_room())
+        listener = LastingListener(listener, pool)
         server = eventlet.spawn(
             eventlet.wsgi.server,
             listener,
@@ -225,7 +226,7 @@
             protocol=protocol,
             log_output=False,
             minimum_chunk_size=0,
-            max_size=CONNECTIONS_MAX,
+            custom_pool=pool,
             url_length_limit=HEAD_MAX,
             debug=False,
         )
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -6,7 +6,6 @@
 from http.client import responses
 from typing import Any
 
-import eventlet
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.histograms import Histograms, Measure
@@ -14,6 +13,7 @@
 from ruddersaddle_serving.caller_bodies import read_body
 from ruddersaddle_serving.caller_watches import CallerLeftError, CallerWatch
 from ruddersaddle_serving.forwarders import Forwarder, Forwarding, Whole
+from ruddersaddle_serving.patient_timeouts import PatientTimeout
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
@@ -40,7 +40,7 @@
 PUBLIC = "public"
 
 
-class RouteTimeout(eventlet.Timeout):
+class RouteTimeout(PatientTimeout):
     """Raised into a request whose time, or whose route's time, is over."""
 
 
@@ -91,7 +91,7 @@
         self.request: CallerRequest | None = None
         self.forwarding: Forwarding | None = None
         self.watch: CallerWatch | None = None
-        self.timer: eventlet.Timeout | None = None
+        self.timer: RouteTimeout | None = None
         self.status = 0
 
     def run(self) -> Iterable[bytes]:
@@ -158,7 +158,7 @@
         return found
 
     def _read_body(self, table: RouteTable, route: Route) -> bytes | Failure:
-        with eventlet.Timeout(route.timeout_s, False):
+        with PatientTimeout(route.timeout_s, False):
             return read_body(self.environ, table.published.limits.body_bytes)
         return Failure(Code.DEADLINE, Step.PARSE, "caller", "the body did not come in time")
 
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_patient_timeouts.py
@@ -0,0 +1,54 @@
+"""Tests of timeouts that let what has arrived go first."""
+
+import socket
+import time
+import unittest
+
+import eventlet
+from eventlet.hubs import trampoline
+
+from ruddersaddle_serving.patient_timeouts import PatientTimeout
+
+TIME_S = 0.05
+HELD_S = 0.1
+"""For how long a step holds the event loop up, past the time."""
+
+
+class PatientTimeoutTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.near, self.far = socket.socketpair()
+        self.addCleanup(self.near.close)
+        self.addCleanup(self.far.close)
+
+    def send_and_hold(self) -> None:
+        """Send a byte, and hold the event loop up until the time is over."""
+        self.far.send(b"x")
+        time.sleep(HELD_S)
+
+    def wait(self) -> bool:
+        """Return whether a byte came before the timeout."""
+        with PatientTimeout(TIME_S, False):
+            trampoline(self.near.fileno(), read=True)
+            return True
+        return False
+
+    def test_byte_that_has_arrived_goes_first(self) -> None:
+        eventlet.spawn(self.send_and_hold)
+        self.assertTrue(self.wait())
+        eventlet.sleep(TIME_S)
+
+    def test_time_ends_where_nothing_arrives(self) -> None:
+        began = time.monotonic()
+        self.assertFalse(self.wait())
+        self.assertGreaterEqual(time.monotonic() - began, TIME_S)
+
+    def test_cancelled_between_its_two_steps_it_is_not_raised(self) -> None:
+        timeout = PatientTimeout(TIME_S)
+        eventlet.spawn_after(TIME_S + 0.001, timeout.cancel)
+        eventlet.spawn(time.sleep, HELD_S)
+        eventlet.sleep(HELD_S * 2)
+        self.assertFalse(timeout.pending)
+
+
+if __name__ == "__main__":
+    unittest.main()
