Refusals of HEAD end with their head; bodies are asked for; a half-closed caller is told the truth

Cause: refusals wrote their body whatever the method; chunked bodies are read past the library's own '100 Continue', and as long as it means to send one it closes the connection after the answer unannounced; CallerLeftError ran into the library's page for crashes. Change: no body behind a HEAD; the body is asked for once, before it is read, and not where none is due; an answer without having asked says 'Connection: close'; a caller that closed gets 503 before anything was sent, 502 after (nobody reads it unless the sending side alone was closed). Before: 41 bytes behind a 404's head, 504 for each chunked body asked about, 500 for what had not run. Ruled out: bodies with a length, they passed before. Whether a half-close should let the request run isn't decided here.

--- a/libs/serving/ruddersaddle_serving/caller_bodies.py
+++ b/libs/serving/ruddersaddle_serving/caller_bodies.py
@@ -15,20 +15,34 @@
     """Return a request's body, or why it can't be taken."""
     source = environ["eventlet.input"]
     try:
+        if (source.content_length or 0) > bytes_max:
+            return _refuse(Code.TOO_LARGE, f"{source.content_length} bytes, at most {bytes_max}")
+        _ask_for_body(source)
         if source.chunked_input:
             body = _read_chunks(source.rfile, bytes_max)
             # The library would look for chunks that were read here already.
             source.chunk_length = 0
             return body
-        return _read_sized(source, bytes_max)
+        return _read_sized(source)
     except (OSError, ValueError) as error:
         return _refuse(Code.BAD_REQUEST, f"the body broke off: {error}")
 
 
-def _read_sized(source: Any, bytes_max: int) -> bytes | Failure:
+def _ask_for_body(source: Any) -> None:
+    """Tell a caller that waits for "100 Continue" to send its body.
+
+    The library tells it at its own first read, which chunked bodies pass by; and as long as it
+    means to tell, it closes the connection after the answer without a word.
+    """
+    if not source.should_send_hundred_continue:
+        return
+    if source.chunked_input or source.content_length:
+        source.send_hundred_continue_response()
+    source.is_hundred_continue_response_sent = True
+
+
+def _read_sized(source: Any) -> bytes | Failure:
     length = source.content_length or 0
-    if length > bytes_max:
-        return _refuse(Code.TOO_LARGE, f"{length} bytes, at most {bytes_max}")
     body = source.read(length) if length else b""
     if len(body) < length:
         return _refuse(Code.BAD_REQUEST, "the body is shorter than its length")
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import msgspec
-from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.histograms import Histograms, Measure
 
 from ruddersaddle_serving.caller_bodies import read_body
@@ -104,8 +104,7 @@
             self.request = request
             return self._forward(request)
         except CallerLeftError:
-            self._end("caller left")
-            raise
+            return self._end_with(self._refuse(self._caller_left()), "caller left")
         except RouteTimeout as timeout:
             if timeout is not self.timer:
                 raise
@@ -118,10 +117,10 @@
             self._end("ended with its task")
             raise
 
-    def _end_with(self, body: list[bytes]) -> "_WholeBody":
+    def _end_with(self, body: list[bytes], word: str = "answered") -> "_WholeBody":
         """Return an answer that is here whole; the request ends once it was written."""
         self._release()
-        return _WholeBody(body, self._note_end)
+        return _WholeBody(body, lambda: self._note_end(word))
 
     # What the request is
 
@@ -208,13 +207,25 @@
 
     def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
         self.status = status
-        if self.front.closing:
+        # A body that was never asked for may still come; no next request could be told from it.
+        if self.front.closing or self.environ["eventlet.input"].should_send_hundred_continue:
             self.environ["caller.protocol"].close_connection = 1
         self.start(f"{status} {responses.get(status, 'Unknown')}", headers)
 
     def _time_over(self) -> Failure:
         return Failure(Code.DEADLINE, Step.READ, "upstream", "the time for the request is over")
 
+    def _caller_left(self) -> Failure:
+        """Return what a caller is told that has closed, perhaps its sending side alone.
+
+        The library's 500 told it nothing; before anything was sent it is sure that nothing ran.
+        """
+        self.environ["caller.protocol"].close_connection = 1
+        detail = "the caller has closed its side of the connection"
+        if self.forwarding is None:
+            return Failure(Code.PEER_GONE, Step.ADMIT, "caller", detail)
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, "caller", detail, Ran.UNKNOWN)
+
     def _refuse(self, failure: Failure) -> list[bytes]:
         status = STATUS_BY_CODE.get(failure.code, NOT_RUN_STATUS)
         body = msgspec.json.encode({"error": failure.code.value, "detail": failure.detail})
@@ -227,7 +238,8 @@
             self.environ["caller.protocol"].close_connection = 1
         self.failure = failure
         self._start(status, headers)
-        return [body]
+        # Bytes behind the head of an answer to HEAD would be taken for the next answer.
+        return [] if self.environ["REQUEST_METHOD"] == "HEAD" else [body]
 
     # The end of it
 
@@ -311,7 +323,7 @@
     read all was cut off by the end of the process.
     """
 
-    def __init__(self, parts: list[bytes], note_end: Callable[[str], None]) -> None:
+    def __init__(self, parts: list[bytes], note_end: Callable[[], None]) -> None:
         self.parts = parts
         self.note_end = note_end
 
@@ -320,7 +332,7 @@
 
     def close(self) -> None:
         """End the request."""
-        self.note_end("answered")
+        self.note_end()
 
 
 class StreamBrokenError(Exception):
