Nothing that a process writes waits for a reader

Cause: standard error was written by plain writes: traces of the event loop, the runner's lines about malformed probes, the daemon's whole log. A full pipe stopped the process for good, a pipe whose reader is gone ended the event loop. Change: standard error is a stream that drops what is not taken at once; the daemon logs by the same handler as the hosts. Warnings have a reserve of 50 lines, so that the line that says why a host ends isn't dropped in a flood of requests' lines; a total of dropped lines never falls.

--- a/libs/base/ruddersaddle_base/bounded_outputs.py
+++ b/libs/base/ruddersaddle_base/bounded_outputs.py
@@ -1,5 +1,7 @@
-"""A log handler that never blocks and never writes more than so many lines a second."""
+"""Outputs that never wait for their readers: a log handler with a bound on lines, a text stream."""
 
+import contextlib
+import io
 import logging
 import time
 
@@ -16,6 +18,9 @@
 requests a second with a line each."""
 LINES_BURST = 600.0
 """Lines that may come at once after a quiet time."""
+RESERVE = 50
+"""Warnings that are written although the bound on lines is reached; the reserve is whole again
+after a quiet time. Else the line that says why a host ends could be dropped in a flood."""
 REPORT_S = 5.0
 """Pause between lines that tell how many lines were dropped."""
 
@@ -27,7 +32,10 @@
         super().__init__()
         self.descriptor = descriptor
         self.dropped = 0
+        """Lines dropped since the last line that told so."""
+        self.dropped_total = 0
         self._saved = LINES_BURST
+        self._reserve = RESERVE
         self._counted_at = time.monotonic()
         self._told_at = time.monotonic()
         self._rest = b""
@@ -39,14 +47,29 @@
         now = time.monotonic()
         self._saved = min(LINES_BURST, self._saved + (now - self._counted_at) * LINES_S)
         self._counted_at = now
-        if self._saved < 1.0:
-            self.dropped += 1
+        if not self._take(record.levelno or logging.NOTSET):
+            self._drop()
             return
-        self._saved -= 1.0
         self._write(self.format(record))
         if self.dropped and now - self._told_at > REPORT_S:
             self._tell(now)
 
+    def _take(self, level: int) -> bool:
+        """Return whether a line of this level may be written now."""
+        if self._saved >= LINES_BURST:
+            self._reserve = RESERVE
+        if self._saved >= 1.0:
+            self._saved -= 1.0
+            return True
+        if level < logging.WARNING or self._reserve == 0:
+            return False
+        self._reserve -= 1
+        return True
+
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.dropped_total += 1
+
     def _tell(self, now: float) -> None:
         dropped, self.dropped = self.dropped, 0
         self._told_at = now
@@ -59,10 +82,45 @@
             written = system.write(self.descriptor, data)
         except OSError:
             # Nobody reads, or not fast enough; a request must not wait for it.
-            self.dropped += 1
+            self._drop()
             return
         if written < len(self._rest):
             self._rest = self._rest[written:]
-            self.dropped += 1
+            self._drop()
         else:
             self._rest = data[written:]
+
+
+class BoundedStream(io.TextIOBase):
+    """Text for people on a descriptor; what its reader does not take at once is dropped.
+
+    The event loop writes a trace of each task that fails, and the runner a line for each malformed
+    probe. A plain write to a full pipe stopped the process for good; one to a pipe without a reader
+    raised inside the loop and ended it.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.dropped_total = 0
+        """Writes that were not taken, or in part."""
+        with contextlib.suppress(OSError):
+            # The descriptor may be closed; then each write is dropped.
+            system.set_blocking(descriptor, False)
+
+    def writable(self) -> bool:
+        """Return true; the stream can't be read."""
+        return True
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
+        return self.descriptor
+
+    def write(self, text: str) -> int:
+        """Write what is taken at once."""
+        data = text.encode(errors="backslashreplace")
+        written = 0
+        with contextlib.suppress(OSError):
+            written = system.write(self.descriptor, data)
+        self.dropped_total += written < len(data)
+        return len(text)
--- a/libs/base/ruddersaddle_base/loggers.py
+++ b/libs/base/ruddersaddle_base/loggers.py
@@ -5,6 +5,9 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from ruddersaddle_base.bounded_outputs import BoundedHandler, BoundedStream
+
+STANDARD_ERROR = 2
 FIELDS = "%(asctime)s %(levelname)s %(message)s"
 PART_BY_MODULE_ENDING = {
     "gateways": "gateway",
@@ -52,8 +55,12 @@
 
 
 def start_logging(level: str, host: str, handler: logging.Handler | None = None) -> None:
-    """Write the whole process's logs as JSON lines, to standard error if no handler is given."""
-    handler = handler or logging.StreamHandler(sys.stderr)
+    """Write the whole process's logs as JSON lines, to standard error if no handler is given.
+
+    Nothing that the process writes to standard error waits for a reader from here on.
+    """
+    sys.stderr = BoundedStream(STANDARD_ERROR)
+    handler = handler or BoundedHandler(STANDARD_ERROR)
     renames = {"asctime": "time", "levelname": "level", "message": "text"}
     handler.setFormatter(JsonFormatter(FIELDS, rename_fields=renames))
     handler.addFilter(PrefixFilter(host))
--- a/libs/base/ruddersaddle_base/tests/test_bounded_outputs.py
+++ b/libs/base/ruddersaddle_base/tests/test_bounded_outputs.py
@@ -6,7 +6,13 @@
 import unittest
 from unittest import mock
 
-from ruddersaddle_base.bounded_outputs import LINES_BURST, LINES_S, BoundedHandler
+from ruddersaddle_base.bounded_outputs import (
+    LINES_BURST,
+    LINES_S,
+    RESERVE,
+    BoundedHandler,
+    BoundedStream,
+)
 
 
 def make_record(text: str) -> logging.LogRecord:
@@ -34,6 +40,24 @@
         dropped = int(2000 - LINES_BURST)
         self.assertEqual(lines[-2:], ["after", f"log: {dropped} lines were dropped."])
 
+    def test_warnings_have_a_reserve_in_a_flood(self) -> None:
+        for _ in range(2000):
+            self.handler.emit(make_record("x"))
+        warning = logging.makeLogRecord({"msg": "why", "levelno": logging.WARNING})
+        for _ in range(2 * RESERVE):
+            self.handler.emit(warning)
+        lines = os.read(self.reader, 1 << 20).decode().splitlines()
+        self.assertEqual(lines.count("why"), RESERVE)
+        self.assertEqual(self.handler.dropped_total, 2000 - LINES_BURST + RESERVE)
+
+    def test_total_of_dropped_lines_never_falls(self) -> None:
+        for _ in range(2000):
+            self.handler.emit(make_record("x"))
+        self.now += 10.0
+        self.handler.emit(make_record("after"))
+        self.assertEqual(self.handler.dropped, 0)
+        self.assertEqual(self.handler.dropped_total, 2000 - LINES_BURST)
+
     def test_lines_come_back_with_time(self) -> None:
         for _ in range(2000):
             self.handler.emit(make_record("x"))
@@ -61,5 +85,25 @@
         self.assertEqual(len(lines) - 1 + self.handler.dropped, 20)
 
 
+class BoundedStreamTest(unittest.TestCase):
+    def test_text_that_nobody_reads_is_dropped(self) -> None:
+        reader, writer = os.pipe()
+        stream = BoundedStream(writer)
+        for _ in range(100):
+            print("x" * 10_000, file=stream)
+        self.assertGreater(stream.dropped_total, 0)
+        os.close(reader)
+        print("nobody", file=stream)
+        os.close(writer)
+        print("closed", file=stream)
+
+    def test_text_that_is_read_comes_whole(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        print("a trace", file=BoundedStream(writer))
+        self.assertEqual(os.read(reader, 100), b"a trace\n")
+
+
 if __name__ == "__main__":
     unittest.main()
