An upstream may read a long body late or answer before it has read it

Cause: TCP_USER_TIMEOUT of 3 s also counts what waits before a full window; a break while sending ended the try unread; connections were kept although the body before still waited. A connection whose long body is not acknowledged when the answer ends is not kept; closing it still delivers the rest. Ruled out: keeping no connection after any long body, which would open one for each; a longer bound for all, with which a silent connection is noticed later also for short requests.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -72,9 +72,12 @@
             self.choice.transfer,
             self.last_event,
         )
-        headers = self.wire.write_delivery(delivery, request.remaining_s)
+        remaining_s = request.remaining_s
+        headers = self.wire.write_delivery(delivery, remaining_s)
         self.sent_at = time.monotonic()
-        failure = self.exchange.send(request.method, request.target, request.body, headers)
+        failure = self.exchange.send(
+            request.method, request.target, request.body, headers, remaining_s
+        )
         if failure is not None:
             return failure
         head = self.exchange.read_head(self.wire)
--- a/libs/serving/ruddersaddle_serving/reset_sockets.py
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -4,13 +4,19 @@
 connection, so that one which was reset on the way would pass for whole.
 """
 
+import fcntl
 import socket
+import struct
+import termios
 from typing import Any
 
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import trampoline
 from urllib3.connection import HTTPConnection
 
+MS_PER_S = 1000
+COUNT = struct.Struct("i")
+
 
 class ResetAwareSocket(GreenSocket):
     """A green socket whose reads raise `ConnectionResetError`."""
@@ -50,3 +56,15 @@
         except OSError:
             return False
         return False
+
+    @property
+    def has_unacknowledged(self) -> bool:
+        """Whether bytes that were sent have not arrived at the other end."""
+        # TIOCOUTQ is the number of SIOCOUTQ, too (tcp(7)).
+        held = fcntl.ioctl(self.sock.fileno(), termios.TIOCOUTQ, bytes(COUNT.size))
+        return COUNT.unpack(held)[0] > 0
+
+    def give_up_after(self, unacknowledged_s: float) -> None:
+        """End the connection when sent bytes are not acknowledged for this long."""
+        bound_ms = max(1, int(unacknowledged_s * MS_PER_S))
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, bound_ms)
