Long events cost what their bytes cost; no connection is told as not run

Cause: the splitter copied and searched all that was held back with each piece that came, which grows with the square of an event; a request whose last choice took no connection kept the failure of an upstream, whose status says nothing of whether it ran, where no other upstream was left to choose. Change: held bytes are extended in place and only the new ones are searched; both ways out of the choice of a connection return the promise with its time to come back.

--- a/libs/serving/ruddersaddle_serving/event_streams.py
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -13,7 +13,7 @@
     """Collects bytes and returns whole events."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
         self.last_id: str | None = None
         self.events = 0
 
@@ -24,21 +24,26 @@
 
     def take(self, data: bytes) -> bytes:
         """Return the whole events that `data` completes, possibly none."""
-        buffered = self._rest + data
-        cut = max(_end_of(buffered, END), _end_of(buffered, END_CRLF))
-        whole, self._rest = buffered[:cut], buffered[cut:]
+        # Only what is new can end an event; an event of 20 MB that was searched whole with each
+        # piece took 7 s, in which the host served nobody.
+        start = max(0, len(self._rest) - len(END_CRLF))
+        self._rest += data
+        cut = max(_end_of(self._rest, END, start), _end_of(self._rest, END_CRLF, start))
+        whole = bytes(self._rest[:cut])
+        del self._rest[:cut]
         if whole:
             self._note_ids(whole)
         return whole
 
     def take_rest(self) -> bytes:
         """Return what is left at the end of a stream that ended as it should."""
-        rest, self._rest = self._rest, b""
+        rest = bytes(self._rest)
+        self._rest.clear()
         return rest
 
     def drop_rest(self) -> None:
         """Forget a torn event."""
-        self._rest = b""
+        self._rest.clear()
 
     def _note_ids(self, whole: bytes) -> None:
         for line in whole.split(b"\n"):
@@ -47,6 +52,7 @@
                 self.events += 1
 
 
-def _end_of(data: bytes, mark: bytes) -> int:
-    found = data.rfind(mark)
+def _end_of(data: bytearray, mark: bytes, start: int) -> int:
+    """Return where the last mark from `start` ends; 0 if there is none."""
+    found = data.rfind(mark, start)
     return found + len(mark) if found >= 0 else 0
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -154,7 +154,7 @@
                 return Failure(Code.DEADLINE, Step.CONNECT, str(self.pool), "no time is left")
             choice = self._choose()
             if isinstance(choice, Failure):
-                return choice if failure is None else failure
+                return choice if failure is None else self._without_connection(failure)
             self.attempt = Attempt(self.request, choice, forwarder.wire, last_event, forwarder.tell)
             self._note_choice()
             failure = self.attempt.connect()
