Requests that end without an answer are named, counted and explained

Cause: a request's line is written at its end, so a stop that cut it, a fault of the host or a kill left no line with its id; `explain` found nothing. An answer that could not be written counted as `answered`, a stream that could not be written as `broken off`; a fault's line named no request. Change: the last line of a host names up to 20 requests that it cuts, oldest first, with route, upstream and time; a line tells the signal, when it was noticed, and how many came; a fault's line names request, route and upstream; a process that stood still for 0.5 s says so. Metrics: requests by kind of end, dropped log lines and other texts (never fall), seconds of standstill. `explain` finds a request in a last line, and where no line tells its end, names dropped lines and hosts that were killed. Before: none of it, see above.

--- a/libs/base/ruddersaddle_base/bounded_outputs.py
+++ b/libs/base/ruddersaddle_base/bounded_outputs.py
@@ -31,6 +31,8 @@
     def __init__(self, descriptor: int) -> None:
         super().__init__()
         self.descriptor = descriptor
+        self.host = ""
+        """Named in the line about dropped lines, as filters do in others."""
         self.dropped = 0
         """Lines dropped since the last line that told so."""
         self.dropped_total = 0
@@ -74,7 +76,8 @@
         dropped, self.dropped = self.dropped, 0
         self._told_at = now
         text = f"log: {dropped} lines were dropped."
-        self._write(self.format(logging.makeLogRecord({"msg": text, "levelname": "WARNING"})))
+        fields = {"msg": text, "levelname": "WARNING", "host": self.host}
+        self._write(self.format(logging.makeLogRecord(fields)))
 
     def _write(self, line: str) -> None:
         data = self._rest + line.encode() + b"\n"
--- a/libs/base/ruddersaddle_base/loggers.py
+++ b/libs/base/ruddersaddle_base/loggers.py
@@ -64,7 +64,17 @@
     renames = {"asctime": "time", "levelname": "level", "message": "text"}
     handler.setFormatter(JsonFormatter(FIELDS, rename_fields=renames))
     handler.addFilter(PrefixFilter(host))
+    if isinstance(handler, BoundedHandler):
+        handler.host = host
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
     logging.getLogger("urllib3").setLevel(logging.ERROR)
+
+
+def count_dropped() -> dict[str, int]:
+    """Return what was dropped since the start: log lines, and other texts to standard error."""
+    handlers = [each for each in logging.getLogger().handlers if isinstance(each, BoundedHandler)]
+    lines = sum(each.dropped_total for each in handlers)
+    texts = sys.stderr.dropped_total if isinstance(sys.stderr, BoundedStream) else 0
+    return {"lines": lines, "texts": texts}
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -12,6 +12,7 @@
 import eventlet.wsgi
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import HallId, HostId, Incarnation, new_incarnation
+from ruddersaddle_base.loggers import count_dropped
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.retries import RetryBudget
 
@@ -35,7 +36,9 @@
 from ruddersaddle_serving.probes import Probes
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.replaced_parts import ReplacedParts
+from ruddersaddle_serving.request_ends import cut_fields
 from ruddersaddle_serving.silent_peers import watch_callers
+from ruddersaddle_serving.standstills import Standstills
 from ruddersaddle_serving.store_followers import (
     OPERATOR_WAIT_S,
     UPSTREAM_PAUSE_S,
@@ -43,6 +46,7 @@
     StoreLink,
     UpstreamFollower,
 )
+from ruddersaddle_serving.taken_signals import TakenSignals
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -87,6 +91,8 @@
         self.engines = engines
         self.incarnation = incarnation
         self.stopping = False
+        self.signals = TakenSignals()
+        self.standstills = Standstills()
         self.histograms = Histograms()
         self.link = StoreLink()
         self.publications = Publications()
@@ -195,16 +201,16 @@
         try:
             self._serve()
         except Exception:
-            active = self.front.active
+            fields = cut_fields(self.front.under_way())
             logger.critical(
-                "Host %s ends by a fault.", self.incarnation, exc_info=True, extra={"cut": active}
+                "Host %s ends by a fault.", self.incarnation, exc_info=True, extra=fields
             )
             raise
 
     def _serve(self) -> None:
         limit_threads()
-        signal.signal(signal.SIGTERM, lambda *_: self.stop())
-        signal.signal(signal.SIGINT, lambda *_: self.stop())
+        signal.signal(signal.SIGTERM, self._take_signal)
+        signal.signal(signal.SIGINT, self._take_signal)
         front = self._listen("listen.callers", self.front, CallerProtocol)
         self._listen("listen.ready", self._serve_ready, eventlet.wsgi.HttpProtocol)
         self._listen("listen.metrics", self._serve_metrics, eventlet.wsgi.HttpProtocol)
@@ -251,7 +257,9 @@
             self.trackers.close_expired()
             slack = self.settings.number("bounds.retry_slack") * BUDGET_SHARE
             self.budget.most = max(1.0, slack / self.neighbours.hosts.count)
+            slept_at = time.monotonic()
             eventlet.sleep(HOUSEKEEPING_S)
+            self.standstills.check(slept_at, HOUSEKEEPING_S)
 
     # Readiness, metrics
 
@@ -283,10 +291,13 @@
             ("peer_sent_bytes", "bytes sent to peers", self.neighbours.peers.sent_bytes),
             ("upstreams_silent", "upstreams that nobody hears of", self._silent_count()),
             ("upstream_probes", "probes of silent upstreams", self.probes.count),
+            ("stood_still_seconds", "standstill since the start", self.standstills.total_s),
         )
         budget = {"spent": self.budget.spent, "denied": self.budget.denied}
         lines = format_gauges(gauges)
         lines += format_counters("answers", "answers by status", self.front.counts)
+        lines += format_counters("requests_ended", "requests by how they ended", self.front.ends)
+        lines += format_counters("dropped_writes", "log lines, other texts", count_dropped())
         lines += format_counters("retries", "retries by outcome", budget)
         lines += format_counters("contexts", "kept context by action", self.kept.counts)
         lines += format_counters("orders", "orders to engines", self.rollouts.counts)
@@ -298,6 +309,10 @@
 
     # The planned stop
 
+    def _take_signal(self, number: int, _frame: Any) -> None:
+        self.signals.note(number)
+        self.stop()
+
     def stop(self) -> None:
         """Begin the planned stop.
 
@@ -312,7 +327,8 @@
     def _finish(self, listener: Any, server: Any) -> None:
         """Serve on until the balancer has noticed, then until no request is under way."""
         began = time.monotonic()
-        logger.info("Planned stop begins.", extra={"active": self.front.active})
+        fields = {"active": self.front.active, **self.signals.fields()}
+        logger.info("Planned stop begins.", extra=fields)
         eventlet.spawn(self.neighbours.leave)
         eventlet.sleep(ACCEPT_AFTER_STOP_S)
         # The runner closes idle connections as it ends, and goes on with the requests under way.
@@ -321,4 +337,7 @@
         latest = began + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
         while self.front.active and time.monotonic() < latest:
             eventlet.sleep(STOP_STEP_S)
-        logger.info("Host %s has stopped.", self.incarnation, extra={"cut": self.front.active})
+        fields = cut_fields(self.front.under_way())
+        level = logging.WARNING if fields["cut"] else logging.INFO
+        fields["signals"] = self.signals.count
+        logger.log(level, "Host %s has stopped.", self.incarnation, extra=fields)
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -17,6 +17,7 @@
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.request_ends import CutRequest, count_end, count_none
 from ruddersaddle_serving.routes import CallerLimits, Route, RouteTable, Workspace
 
 logger = logging.getLogger(__name__)
@@ -61,7 +62,11 @@
         self.closing = False
         """Whether answers tell callers to open no further request on their connection."""
         self.active = 0
+        self.visits: set[_Visit] = set()
+        """Requests under way."""
         self.counts: dict[str, int] = {}
+        self.ends = count_none()
+        """Requests that have ended, by kind of end."""
 
     @property
     def limits(self) -> CallerLimits:
@@ -77,6 +82,10 @@
         """Count an event by name."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
+    def under_way(self) -> list[CutRequest]:
+        """Return the requests that the end of this process would cut."""
+        return [visit.describe() for visit in self.visits]
+
 
 class _Visit:
     """One request of a caller, from its head to the end of its answer."""
@@ -97,6 +106,7 @@
     def run(self) -> Iterable[bytes]:
         """Return the answer; a stream goes on after this has returned."""
         self.front.active += 1
+        self.front.visits.add(self)
         try:
             request = self._read_request()
             if isinstance(request, Failure):
@@ -111,7 +121,7 @@
                 raise
             return self._end_with(self._refuse(self._time_over()))
         except Exception:
-            logger.exception("Request failed for a fault of this program.")
+            self._note_fault()
             self._end("failed")
             raise
         except BaseException:
@@ -187,7 +197,7 @@
         return self._events()
 
     def _events(self) -> Iterator[bytes]:
-        word = "broken off"
+        word = "ended with its task"
         try:
             for data in self.forwarding.events():
                 if isinstance(data, Failure):
@@ -203,9 +213,24 @@
         except RouteTimeout:
             word = "time is over"
             raise
+        except GeneratorExit:
+            word = self._word_for_close()
+            raise
+        except StreamBrokenError:
+            raise
+        except Exception:
+            word = "failed"
+            self._note_fault()
+            raise
         finally:
             self._end(word)
 
+    def _word_for_close(self) -> str:
+        """Return why the runner closed a stream before its end: writing to the caller failed."""
+        if self.request.remaining_s <= 0:
+            return "time is over"
+        return "caller left" if self.watch.has_left() else "not taken"
+
     def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
         self.status = status
         if self.front.closing:
@@ -245,13 +270,27 @@
         if self.forwarding is not None:
             self.forwarding.finish()
 
+    def describe(self) -> CutRequest:
+        """Return what on-call needs to know of a request that is cut."""
+        request = None if self.head is None else self.head.id
+        route = None if self.request is None else self.request.route.name
+        upstream = None if self.forwarding is None else self.forwarding.trail.upstream
+        return CutRequest(request, route, upstream, time.monotonic() - self.began)
+
+    def _note_fault(self) -> None:
+        cut = self.describe()
+        fields = {"request": cut.request, "route": cut.route, "upstream": cut.upstream}
+        logger.exception("Request failed for a fault of this program.", extra=fields)
+
     def _note_end(self, word: str) -> None:
         self.front.active -= 1
+        self.front.visits.discard(self)
         self._note(word)
 
     def _note(self, word: str) -> None:
         front = self.front
         front.count(f"answers_{self.status or 'none'}")
+        count_end(front.ends, word)
         total_s = time.monotonic() - self.began
         fields: dict[str, Any] = {
             "status": self.status,
@@ -314,13 +353,16 @@
     def __init__(self, parts: list[bytes], note_end: Callable[[str], None]) -> None:
         self.parts = parts
         self.note_end = note_end
+        self.written = False
+        """Whether the runner has come back after the last part, so that writing it did not fail."""
 
     def __iter__(self) -> Iterator[bytes]:
-        return iter(self.parts)
+        yield from self.parts
+        self.written = True
 
     def close(self) -> None:
         """End the request."""
-        self.note_end("answered")
+        self.note_end("answered" if self.written else "not taken")
 
 
 class StreamBrokenError(Exception):
--- a/libs/serving/ruddersaddle_serving/tests/test_explanations.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_explanations.py
@@ -26,6 +26,30 @@
     def test_unknown_request_has_no_story(self) -> None:
         self.assertEqual(explain("r-9", LINES), [])
 
+    def test_request_that_a_stop_cut_is_found_in_the_last_word_of_its_host(self) -> None:
+        line = (
+            '{"time": "5", "text": "host: Host e has stopped.", "host": "e", "cut": 2, '
+            '"requests": ["r-10 on a at i-1 for 2.0 s", "r-1 on b at i-2 for 1.0 s"]}'
+        )
+        told = "5 e host: Host e has stopped. cut=2 cut here: r-1 on b at i-2 for 1.0 s"
+        self.assertEqual(explain("r-1", [line]), [told])
+
+    def test_request_without_an_end_is_followed_by_what_may_have_kept_it(self) -> None:
+        lines = (
+            '{"time": "1", "text": "host: Host e has started.", "host": "e"}',
+            '{"time": "2", "text": "store: Store is lost.", "host": "e"}',
+            '{"time": "3", "text": "host: Host e has started.", "host": "e"}',
+            '{"time": "4", "text": "log: 7 lines were dropped.", "host": "e"}',
+            '{"time": "5", "text": "host: Host e has stopped.", "host": "e", "cut": 0}',
+            '{"time": "6", "text": "host: Host f has started.", "host": "f"}',
+        )
+        expected = [
+            "perhaps: 2 e was killed: it started again after this",
+            "perhaps: 4 e log: 7 lines were dropped.",
+            "perhaps: 6 f was killed or still runs: its log ends here",
+        ]
+        self.assertEqual(explain("r-1", lines), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
