--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -6,17 +6,18 @@
 from http.client import responses
 from typing import Any
 
-import eventlet
 import msgspec
-from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.histograms import Histograms, Measure
 
 from ruddersaddle_serving.caller_bodies import read_body
 from ruddersaddle_serving.caller_watches import CallerLeftError, CallerWatch
 from ruddersaddle_serving.forwarders import Forwarder, Forwarding, Whole
+from ruddersaddle_serving.patient_timeouts import PatientTimeout
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.request_ends import CutRequest, count_end, count_none
 from ruddersaddle_serving.routes import CallerLimits, Route, RouteTable, Workspace
 
 logger = logging.getLogger(__name__)
@@ -38,9 +39,13 @@
 UNKNOWN_YET_S = 0.5
 """When to come back to a host that knows no configuration yet; it reads it every 0.3 to 0.6 s."""
 PUBLIC = "public"
+ANSWERED = "answered"
+"""Outcome of a request whose whole answer was written."""
+NOT_TAKEN = "not taken"
+"""Outcome of a request whose answer could not be written: the connection had failed."""
 
 
-class RouteTimeout(eventlet.Timeout):
+class RouteTimeout(PatientTimeout):
     """Raised into a request whose time, or whose route's time, is over."""
 
 
@@ -60,8 +65,16 @@
         self.histograms = histograms
         self.closing = False
         """Whether answers tell callers to open no further request on their connection."""
-        self.active = 0
+        self.visits: set[_Visit] = set()
+        """Requests under way."""
         self.counts: dict[str, int] = {}
+        self.ends = count_none()
+        """Requests that have ended, by kind of end."""
+
+    @property
+    def active(self) -> int:
+        """Number of requests under way."""
+        return len(self.visits)
 
     @property
     def limits(self) -> CallerLimits:
@@ -77,6 +90,10 @@
         """Count an event by name."""
         self.counts[name] = self.counts.get(name, 0) + 1
 
+    def under_way(self) -> list[CutRequest]:
+        """Return the requests that the end of this process would cut."""
+        return [visit.describe() for visit in self.visits]
+
 
 class _Visit:
     """One request of a caller, from its head to the end of its answer."""
@@ -91,12 +108,12 @@
         self.request: CallerRequest | None = None
         self.forwarding: Forwarding | None = None
         self.watch: CallerWatch | None = None
-        self.timer: eventlet.Timeout | None = None
+        self.timer: RouteTimeout | None = None
         self.status = 0
 
     def run(self) -> Iterable[bytes]:
         """Return the answer; a stream goes on after this has returned."""
-        self.front.active += 1
+        self.front.visits.add(self)
         try:
             request = self._read_request()
             if isinstance(request, Failure):
@@ -104,24 +121,23 @@
             self.request = request
             return self._forward(request)
         except CallerLeftError:
-            self._end("caller left")
-            raise
+            return self._end_with(self._refuse(self._caller_left()), "caller left")
         except RouteTimeout as timeout:
             if timeout is not self.timer:
                 raise
             return self._end_with(self._refuse(self._time_over()))
         except Exception:
-            logger.exception("Request failed for a fault of this program.")
+            self._note_fault()
             self._end("failed")
             raise
         except BaseException:
             self._end("ended with its task")
             raise
 
-    def _end_with(self, body: list[bytes]) -> "_WholeBody":
+    def _end_with(self, body: list[bytes], word: str = ANSWERED) -> "_WholeBody":
         """Return an answer that is here whole; the request ends once it was written."""
         self._release()
-        return _WholeBody(body, self._note_end)
+        return _WholeBody(body, word, self._note_end)
 
     # What the request is
 
@@ -158,7 +174,7 @@
         return found
 
     def _read_body(self, table: RouteTable, route: Route) -> bytes | Failure:
-        with eventlet.Timeout(route.timeout_s, False):
+        with PatientTimeout(route.timeout_s, False):
             return read_body(self.environ, table.published.limits.body_bytes)
         return Failure(Code.DEADLINE, Step.PARSE, "caller", "the body did not come in time")
 
@@ -187,7 +203,7 @@
         return self._events()
 
     def _events(self) -> Iterator[bytes]:
-        word = "broken off"
+        word = "ended with its task"
         try:
             for data in self.forwarding.events():
                 if isinstance(data, Failure):
@@ -196,25 +212,52 @@
                     # caller has cannot pass for a whole answer.
                     raise StreamBrokenError(data.detail)
                 yield data
-            word = "answered"
+            word = ANSWERED
         except CallerLeftError:
             word = "caller left"
             raise
         except RouteTimeout:
             word = "time is over"
             raise
+        except GeneratorExit:
+            word = self._word_for_close()
+            raise
+        except StreamBrokenError:
+            raise
+        except Exception:
+            word = "failed"
+            self._note_fault()
+            raise
         finally:
             self._end(word)
 
+    def _word_for_close(self) -> str:
+        """Return why the runner closed a stream before its end: writing to the caller failed."""
+        if self.request.remaining_s <= 0:
+            return "time is over"
+        return "caller left" if self.watch.has_left() else NOT_TAKEN
+
     def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
         self.status = status
-        if self.front.closing:
+        # A body that was never asked for may still come; no next request could be told from it.
+        if self.front.closing or self.environ["eventlet.input"].should_send_hundred_continue:
             self.environ["caller.protocol"].close_connection = 1
         self.start(f"{status} {responses.get(status, 'Unknown')}", headers)
 
     def _time_over(self) -> Failure:
         return Failure(Code.DEADLINE, Step.READ, "upstream", "the time for the request is over")
 
+    def _caller_left(self) -> Failure:
+        """Return what a caller is told that has closed, perhaps its sending side alone.
+
+        The library's 500 told it nothing; before anything was sent it is sure that nothing ran.
+        """
+        self.environ["caller.protocol"].close_connection = 1
+        detail = "the caller has closed its side of the connection"
+        if self.forwarding is None:
+            return Failure(Code.PEER_GONE, Step.ADMIT, "caller", detail)
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, "caller", detail, Ran.UNKNOWN)
+
     def _refuse(self, failure: Failure) -> list[bytes]:
         status = STATUS_BY_CODE.get(failure.code, NOT_RUN_STATUS)
         body = msgspec.json.encode({"error": failure.code.value, "detail": failure.detail})
@@ -227,7 +270,8 @@
             self.environ["caller.protocol"].close_connection = 1
         self.failure = failure
         self._start(status, headers)
-        return [body]
+        # Bytes behind the head of an answer to HEAD would be taken for the next answer.
+        return [] if self.environ["REQUEST_METHOD"] == "HEAD" else [body]
 
     # The end of it
 
@@ -245,13 +289,26 @@
         if self.forwarding is not None:
             self.forwarding.finish()
 
+    def describe(self) -> CutRequest:
+        """Return what on-call needs to know of a request that is cut."""
+        request = None if self.head is None else self.head.id
+        route = None if self.request is None else self.request.route.name
+        upstream = None if self.forwarding is None else self.forwarding.trail.upstream
+        return CutRequest(request, route, upstream, time.monotonic() - self.began)
+
+    def _note_fault(self) -> None:
+        cut = self.describe()
+        fields = {"request": cut.request, "route": cut.route, "upstream": cut.upstream}
+        logger.exception("Request failed for a fault of this program.", extra=fields)
+
     def _note_end(self, word: str) -> None:
-        self.front.active -= 1
+        self.front.visits.discard(self)
         self._note(word)
 
     def _note(self, word: str) -> None:
         front = self.front
         front.count(f"answers_{self.status or 'none'}")
+        count_end(front.ends, word)
         total_s = time.monotonic() - self.began
         fields: dict[str, Any] = {
             "status": self.status,
@@ -311,16 +368,21 @@
     read all was cut off by the end of the process.
     """
 
-    def __init__(self, parts: list[bytes], note_end: Callable[[str], None]) -> None:
+    def __init__(self, parts: list[bytes], word: str, note_end: Callable[[str], None]) -> None:
         self.parts = parts
+        self.word = word
         self.note_end = note_end
+        self.written = False
+        """Whether the runner has come back after the last part, so that writing it did not fail."""
 
     def __iter__(self) -> Iterator[bytes]:
-        return iter(self.parts)
+        yield from self.parts
+        self.written = True
 
     def close(self) -> None:
         """End the request."""
-        self.note_end("answered")
+        was_lost = self.word == ANSWERED and not self.written
+        self.note_end(NOT_TAKEN if was_lost else self.word)
 
 
 class StreamBrokenError(Exception):
