A stopping host answers requests that came while it was held up

Cause: at the close of callers' idle connections the runner goes by what it has read, and timers run before the loop looks at connections. After a pause, requests that lay unread were closed with their connections. Change: one round of the loop before the close takes what has arrived; connections on which something still lies unread count as busy. The stop's times count from the signal, as the platform's do, not from the look that notices it up to 0.25 s later. A host waits for its last connection, not only for the last request counted as active: a stream is counted as ended before its last bytes are written. Ruled out: what a caller sends after the close; it crosses the close and is not read. Conclusion: requests read by a stopping host are answered also when it is short of processor.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -15,6 +15,7 @@
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.retries import RetryBudget
 
+from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
@@ -57,10 +58,10 @@
 lies between the check and the last byte sent."""
 HOUSEKEEPING_S = 1.0
 ACCEPT_AFTER_STOP_S = 2.6
-"""New connections are taken this long after a stop began: the balancer asks each second and needs
-two misses."""
+"""New connections are taken this long after the signal to stop: the balancer asks each second and
+needs two misses."""
 GRACE_MARGIN_S = 0.7
-"""A host ends by itself this long before the platform would kill it."""
+"""A host ends by itself this long before the platform would kill it, counted from the signal."""
 STOP_STEP_S = 0.05
 STOP_LOOK_S = 0.25
 """Pause between looks for a planned stop; readiness ends at once, with the signal itself."""
@@ -87,6 +88,8 @@
         self.engines = engines
         self.incarnation = incarnation
         self.stopping = False
+        self.signalled_at = 0.0
+        """When the signal to stop came, by the monotonic clock."""
         self.histograms = Histograms()
         self.link = StoreLink()
         self.publications = Publications()
@@ -205,16 +208,19 @@
         limit_threads()
         signal.signal(signal.SIGTERM, lambda *_: self.stop())
         signal.signal(signal.SIGINT, lambda *_: self.stop())
-        front = self._listen("listen.callers", self.front, CallerProtocol)
+        pool = CallerPool(CONNECTIONS_MAX)
+        listener, server = self._listen("listen.callers", self.front, CallerProtocol, pool)
         self._listen("listen.ready", self._serve_ready, eventlet.wsgi.HttpProtocol)
         self._listen("listen.metrics", self._serve_metrics, eventlet.wsgi.HttpProtocol)
         self._start_tasks()
         logger.info("Host %s has started.", self.incarnation, extra={"pid": os.getpid()})
         while not self.stopping:
             eventlet.sleep(STOP_LOOK_S)
-        self._finish(*front)
+        self._finish(listener, server, pool)
 
-    def _listen(self, name: str, app: Any, protocol: type) -> tuple[Any, Any]:
+    def _listen(
+        self, name: str, app: Any, protocol: type, pool: CallerPool | None = None
+    ) -> tuple[Any, Any]:
         host, _, port = self.settings.text(name).rpartition(":")
         listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
         watch_callers(listener)
@@ -226,6 +232,7 @@
             log_output=False,
             minimum_chunk_size=0,
             max_size=CONNECTIONS_MAX,
+            custom_pool=pool,
             url_length_limit=HEAD_MAX,
             debug=False,
         )
@@ -302,23 +309,33 @@
         """Begin the planned stop.
 
         Signals call this in the event loop, at any moment: it sets flags and does nothing else. The
-        line about it is written by the task that carries the stop out.
+        line about it is written by the task that carries the stop out. A second signal changes
+        nothing; the platform counts from the first.
         """
+        if not self.stopping:
+            self.signalled_at = time.monotonic()
         self.stopping = True
         self.front.closing = True
         self.rollouts.stopping = True
         self.replaced.stopping = True
 
-    def _finish(self, listener: Any, server: Any) -> None:
+    def _finish(self, listener: Any, server: Any, pool: CallerPool) -> None:
         """Serve on until the balancer has noticed, then until no request is under way."""
-        began = time.monotonic()
         logger.info("Planned stop begins.", extra={"active": self.front.active})
         eventlet.spawn(self.neighbours.leave)
-        eventlet.sleep(ACCEPT_AFTER_STOP_S)
-        # The runner closes idle connections as it ends, and goes on with the requests under way.
+        self._sleep_until(self.signalled_at + ACCEPT_AFTER_STOP_S)
+        # One round of the loop takes what arrived while the process got no processor.
+        eventlet.sleep(0)
+        pool.keep_waiting()
+        # The runner closes idle connections as it ends, and goes on with the others.
         server.kill()
         listener.close()
-        latest = began + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
-        while self.front.active and time.monotonic() < latest:
+        latest = self.signalled_at + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
+        # The runner ends after its last connection. Requests not read yet, and the last bytes of a
+        # stream, don't count as active.
+        while (self.front.active or not server.dead) and time.monotonic() < latest:
             eventlet.sleep(STOP_STEP_S)
         logger.info("Host %s has stopped.", self.incarnation, extra={"cut": self.front.active})
+
+    def _sleep_until(self, moment: float) -> None:
+        eventlet.sleep(max(0.0, moment - time.monotonic()))
