--- a/libs/serving/ruddersaddle_serving/settings_watches.py
+++ b/libs/serving/ruddersaddle_serving/settings_watches.py
@@ -16,27 +16,40 @@
 """Pause between looks at the file's time of change."""
 
 Read = Callable[[], Settings | list[Problem]]
+Stamp = tuple[int, int]
+"""Time of change in nanoseconds, and size in bytes."""
 
 
 class SettingsWatch:
     """Keeps the settings in force; `apply` gets new ones that were checked."""
 
-    def __init__(self, path: str, read: Read, settings: Settings) -> None:
+    def __init__(self, path: str, read: Read) -> None:
         self.path = Path(path)
         self.read = read
-        self.settings = settings
+        self.settings = Settings({})
         self.signalled = False
+        self._seen: Stamp | None = None
+
+    def begin(self) -> Settings | list[Problem]:
+        """Take SIGHUP and return the first settings.
+
+        The file is looked at before it is read, so that a change while it is read is seen later.
+        """
+        signal.signal(signal.SIGHUP, self._note_signal)
         self._seen = self._stamp()
+        found = self.read()
+        if isinstance(found, Settings):
+            self.settings = found
+        return found
 
     def start(self, apply: Callable[[Settings], None]) -> None:
-        """Take SIGHUP, and start to look at the file."""
-        signal.signal(signal.SIGHUP, self._note_signal)
+        """Start to look at the file."""
         spawn_forever("settings", self._run, apply)
 
     def _note_signal(self, *_: object) -> None:
         self.signalled = True
 
-    def _stamp(self) -> tuple[int, int] | None:
+    def _stamp(self) -> Stamp | None:
         try:
             status = self.path.stat()
         except OSError:
