Settings are taken from a file that rests, and not from an empty one

Cause: the watch read the file at its first look after a change. A file that was empty at that moment passed as good settings: eight values fell to their defaults, the time for a planned stop from 6 to 8 s among them. Change: the file is read when two looks, 0.5 s apart, agree (one look each second before, so a signal takes no longer); an empty file counts as one that is away. No request was seen lost for this fault. Ruled out: a file that is away when the signal comes; the signal is kept, before and now. Conclusion: a file cut short that rests for over half a second still passes where it parses.

--- a/libs/serving/ruddersaddle_serving/settings_watches.py
+++ b/libs/serving/ruddersaddle_serving/settings_watches.py
@@ -12,8 +12,9 @@
 
 logger = logging.getLogger(__name__)
 
-LOOK_S = 1.0
-"""Pause between looks at the file's time of change."""
+LOOK_S = 0.5
+"""Pause between looks at the file's time of change; it is read when two looks agree, so a file that
+was seen half written is not taken."""
 
 Read = Callable[[], Settings | list[Problem]]
 Stamp = tuple[int, int]
@@ -29,6 +30,7 @@
         self.settings = Settings({})
         self.signalled = False
         self._seen: Stamp | None = None
+        self._taken: Stamp | None = None
 
     def begin(self) -> Settings | list[Problem]:
         """Take SIGHUP and return the first settings.
@@ -36,7 +38,7 @@
         The file is looked at before it is read, so that a change while it is read is seen later.
         """
         signal.signal(signal.SIGHUP, self._note_signal)
-        self._seen = self._stamp()
+        self._seen = self._taken = self._stamp()
         found = self.read()
         if isinstance(found, Settings):
             self.settings = found
@@ -55,15 +57,23 @@
         except OSError:
             # The file may be away for a moment while it is replaced.
             return None
+        if status.st_size == 0:
+            # Nor is it there before its first byte is written; read now, it would set all defaults.
+            return None
         return status.st_mtime_ns, status.st_size
 
     def _run(self, apply: Callable[[Settings], None]) -> None:
         while True:
             eventlet.sleep(LOOK_S)
-            stamp = self._stamp()
-            if stamp is None or (stamp == self._seen and not self.signalled):
-                continue
-            self._seen = stamp
+            self.look(apply)
+
+    def look(self, apply: Callable[[Settings], None]) -> None:
+        """Read the file where there is a reason to, and it rests."""
+        stamp = self._stamp()
+        rests = stamp is not None and stamp == self._seen
+        self._seen = stamp
+        if rests and (self.signalled or stamp != self._taken):
+            self._taken = stamp
             self.signalled = False
             self._reload(apply)
 
