--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -6,10 +6,12 @@
 import signal
 import time
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
 
 import eventlet
 import eventlet.wsgi
+from eventlet.greenthread import GreenThread
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import HallId, HostId, Incarnation, new_incarnation
 from ruddersaddle_base.loggers import count_dropped
@@ -17,6 +19,7 @@
 from ruddersaddle_routing.retries import RetryBudget
 
 from ruddersaddle_serving.caller_listeners import LastingListener, find_room
+from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
@@ -62,10 +65,10 @@
 lies between the check and the last byte sent."""
 HOUSEKEEPING_S = 1.0
 ACCEPT_AFTER_STOP_S = 2.6
-"""New connections are taken this long after a stop began: the balancer asks each second and needs
-two misses."""
+"""New connections are taken this long after the signal to stop: the balancer asks each second and
+needs two misses."""
 GRACE_MARGIN_S = 0.7
-"""A host ends by itself this long before the platform would kill it."""
+"""A host ends by itself this long before the platform would kill it, counted from the signal."""
 STOP_STEP_S = 0.05
 STOP_LOOK_S = 0.25
 """Pause between looks for a planned stop; readiness ends at once, with the signal itself."""
@@ -74,6 +77,15 @@
 the requests, and the bound counts them all."""
 
 
+@dataclass(frozen=True)
+class ServedPort:
+    """A listener, the task of its server, and the tasks of its connections."""
+
+    listener: LastingListener
+    server: GreenThread
+    pool: CallerPool
+
+
 class EntryHost:
     """The program of one host."""
 
@@ -210,20 +222,20 @@
         limit_threads()
         signal.signal(signal.SIGTERM, self._take_signal)
         signal.signal(signal.SIGINT, self._take_signal)
-        front = self._listen("listen.callers", self.front, CallerProtocol)
+        callers = self._listen("listen.callers", self.front, CallerProtocol)
         self._listen("listen.ready", self._serve_ready, eventlet.wsgi.HttpProtocol)
         self._listen("listen.metrics", self._serve_metrics, eventlet.wsgi.HttpProtocol)
         self._start_tasks()
         logger.info("Host %s has started.", self.incarnation, extra={"pid": os.getpid()})
         while not self.stopping:
             eventlet.sleep(STOP_LOOK_S)
-        self._finish(*front)
+        self._finish(callers)
 
-    def _listen(self, name: str, app: Any, protocol: type) -> tuple[Any, Any]:
+    def _listen(self, name: str, app: Any, protocol: type) -> ServedPort:
         host, _, port = self.settings.text(name).rpartition(":")
         listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
         watch_callers(listener)
-        pool = eventlet.GreenPool(find_room())
+        pool = CallerPool(find_room())
         listener = LastingListener(listener, pool)
         server = eventlet.spawn(
             eventlet.wsgi.server,
@@ -236,7 +248,7 @@
             url_length_limit=HEAD_MAX,
             debug=False,
         )
-        return listener, server
+        return ServedPort(listener, server, pool)
 
     def _start_tasks(self) -> None:
         operator = OperatorFollower(self.store, self.link, self.publications)
@@ -311,34 +323,39 @@
     # The planned stop
 
     def _take_signal(self, number: int, _frame: Any) -> None:
-        self.signals.note(number)
-        self.stop()
-
-    def stop(self) -> None:
         """Begin the planned stop.
 
-        Signals call this in the event loop, at any moment: it sets flags and does nothing else. The
-        line about it is written by the task that carries the stop out.
+        A handler runs in the event loop, at any moment: it sets flags and does nothing else. The
+        line about it is written by the task that carries the stop out. A second signal is counted
+        and changes nothing; the platform counts from the first.
         """
+        self.signals.note(number)
         self.stopping = True
         self.front.closing = True
         self.rollouts.stopping = True
         self.replaced.stopping = True
 
-    def _finish(self, listener: Any, server: Any) -> None:
+    def _finish(self, callers: ServedPort) -> None:
         """Serve on until the balancer has noticed, then until no request is under way."""
-        began = time.monotonic()
         fields = {"active": self.front.active, **self.signals.fields()}
         logger.info("Planned stop begins.", extra=fields)
         eventlet.spawn(self.neighbours.leave)
-        eventlet.sleep(ACCEPT_AFTER_STOP_S)
-        # The runner closes idle connections as it ends, and goes on with the requests under way.
-        server.kill()
-        listener.close()
-        latest = began + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
-        while self.front.active and time.monotonic() < latest:
+        self._sleep_until(self.signals.first_at + ACCEPT_AFTER_STOP_S)
+        # One round of the loop takes what arrived while the process got no processor.
+        eventlet.sleep(0)
+        callers.pool.keep_waiting()
+        # The runner closes idle connections as it ends, and goes on with the others.
+        callers.server.kill()
+        callers.listener.close()
+        latest = self.signals.first_at + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
+        # The runner ends after its last connection. Requests not read yet, and the last bytes of a
+        # stream, don't count as active.
+        while (self.front.active or not callers.server.dead) and time.monotonic() < latest:
             eventlet.sleep(STOP_STEP_S)
         fields = cut_fields(self.front.under_way())
         level = logging.WARNING if fields["cut"] else logging.INFO
         fields["signals"] = self.signals.count
         logger.log(level, "Host %s has stopped.", self.incarnation, extra=fields)
+
+    def _sleep_until(self, moment: float) -> None:
+        eventlet.sleep(max(0.0, moment - time.monotonic()))
