Callers' unacknowledged bytes may wait 60 s, so that slow readers get their answers

Cause: TCP_USER_TIMEOUT of 10 s counts on while a small window is read steadily, as the kernel's clock of probes stops only when a whole segment (up to 64 KB) fits. Change: 60 s for callers; upstreams keep 3 s. Ruled out: the reader's pauses.

--- a/libs/serving/ruddersaddle_serving/silent_peers.py
+++ b/libs/serving/ruddersaddle_serving/silent_peers.py
@@ -9,8 +9,10 @@
 UNACKNOWLEDGED_MS = 3000
 """TCP gives a connection up when sent bytes are not acknowledged for this long (TCP_USER_TIMEOUT).
 As long as the platform takes to count a host as out of touch: shorter cuts are outlived."""
-CALLER_UNACKNOWLEDGED_MS = 10_000
-"""The same for callers, who may read slowly: a full window counts as unacknowledged, too."""
+CALLER_UNACKNOWLEDGED_MS = 60_000
+"""The same for callers, who may read slowly. A full window counts as unacknowledged, too, until
+a whole segment of up to 64 KB fits into it: at 10 s, callers with buffers of 16 KB who read 80 KB/s
+without a pause lost their answers."""
 PROBE_AFTER_S = 1
 """A connection is probed when nothing has arrived on it for this long."""
 PROBE_PAUSE_S = 1
