--- a/libs/base/ruddersaddle_base/loggers.py
+++ b/libs/base/ruddersaddle_base/loggers.py
@@ -22,6 +22,7 @@
     "fronts": "front",
     "forwarders": "forward",
     "entry_hosts": "host",
+    "standstills": "host",
     "publications": "configuration",
     "upstream_lists": "upstreams",
     "store_followers": "store",
