Test ports: keepers of blocks are closed at the process's end

Cause: each test program ended with a ResourceWarning for its keepers. Change: they are held, and closed, by the registration for the end. Ruled out: closing earlier, which would give the block to another test.

--- a/libs/standins/ruddersaddle_standins/port_blocks.py
+++ b/libs/standins/ruddersaddle_standins/port_blocks.py
@@ -6,6 +6,7 @@
 keeps the blocks that it draws from by a socket that stays bound.
 """
 
+import atexit
 import itertools
 import socket
 import threading
@@ -18,7 +19,6 @@
 BLOCK = 50
 """Ports of one block; the first is the one that keeps it."""
 
-_keepers: list[socket.socket] = []
 _guard = threading.Lock()
 
 
@@ -31,7 +31,8 @@
             # Another test process keeps this block.
             keeper.close()
             continue
-        _keepers.append(keeper)
+        # The registration holds the socket as long as the process lives.
+        atexit.register(keeper.close)
         yield from filter(_is_free, range(first + 1, first + BLOCK))
     raise OSError("all blocks of ports are taken")
 
