The messaging library's callbacks take native locks

Change: pynng makes its locks with the unpatched threading module, and its logger, whose calls take locks too, is off. No task holds one of these locks while another task runs, so native ones can't block the loop. Ruled out: a close on another thread; the callback that waits for good would stay.

--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -13,6 +13,7 @@
 import eventlet
 import msgspec
 import pynng
+from eventlet import patcher
 from eventlet.event import Event as Signal
 from eventlet.hubs import trampoline
 from ruddersaddle_base.codecs import decode_packed, encode_packed
@@ -20,6 +21,12 @@
 
 logger = logging.getLogger(__name__)
 
+# The library calls back on threads of its own. Green locks are for one thread: when two callbacks
+# met, one waited for good, and whoever closed its socket waited for it: the whole host stood still.
+pynng.nng.threading = patcher.original("threading")
+# Log calls take locks, too; there is nothing to log there.
+pynng.nng.logger.disabled = True
+
 CONNECT_S = 0.5
 """Longest wait for a first connection to a peer, in seconds."""
 CONNECT_STEP_S = 0.01
