Red: the garbage collector runs on the messaging library's threads

Ruled out: no end of the product's own objects was found that logs or waits; the way is open all the same.

--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/garbage_churns.py
@@ -0,0 +1,76 @@
+"""Program for a test: peers that come and go beside garbage whose end writes a line to the log."""
+
+import gc
+import logging
+import sys
+import time
+from collections.abc import Iterator
+
+from ruddersaddle_serving.tests.peer_churns import (  # the library's green calls come with it
+    CHURN_S,
+    SWITCH_S,
+    come_and_go,
+)
+
+# isort: split
+import eventlet
+from eventlet import patcher
+from ruddersaddle_base.loggers import start_logging
+
+from ruddersaddle_serving.peers import Peers, limit_threads
+
+logger = logging.getLogger(__name__)
+get_thread = patcher.original("_thread").get_ident
+"""The system's own thread; the green library's tells tasks apart."""
+
+
+class Litter:
+    """Garbage that only the collector finds, as it refers to itself."""
+
+    def __init__(self) -> None:
+        self.itself = self
+        self.task = self._run()
+        next(self.task)
+
+    def _run(self) -> Iterator[None]:
+        try:
+            yield
+        finally:
+            logger.info("Ended by the collector.")
+
+
+def make_litter() -> None:
+    """Make garbage all the time, and write lines."""
+    while True:
+        Litter()
+        logger.info("A line.")
+        eventlet.sleep(0)
+
+
+def main(ports: list[str]) -> None:
+    """Let peers come and go; print how many collections ran on another thread than this."""
+    own = get_thread()
+    foreign: list[str] = []
+    gc.callbacks.append(lambda phase, _: get_thread() == own or foreign.append(phase))
+    start_logging("INFO", "host-1")
+    limit_threads()
+    sys.setswitchinterval(SWITCH_S)
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    every = [Peers(address, lambda message: message, str) for address in addresses]
+    for peers in every:
+        peers.start()
+    eventlet.spawn(make_litter)
+    until = time.monotonic() + CHURN_S
+    tasks = [
+        eventlet.spawn(come_and_go, peers, address, until)
+        for peers in every
+        for address in addresses
+        if address != peers.address
+    ]
+    for task in tasks:
+        task.wait()
+    print(f"done, {len(foreign)} elsewhere", flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/libs/serving/ruddersaddle_serving/tests/test_peer_churns.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_peer_churns.py
@@ -24,15 +24,24 @@
 END_S = 20
 """The program takes about 4 s where nothing holds it up."""
 PROGRAM = "ruddersaddle_serving.tests.peer_churns"
+GARBAGE_PROGRAM = "ruddersaddle_serving.tests.garbage_churns"
 
 
 class PeerChurnsTest(unittest.TestCase):
     def test_peers_that_come_and_go_hold_nothing_up(self) -> None:
-        ports = [str(port) for port in free_ports(PEERS)]
-        command = [sys.executable, "-m", PROGRAM, *ports]
-        found = subprocess.run(command, capture_output=True, text=True, timeout=END_S, check=False)
+        found = self.run_program(PROGRAM)
         self.assertEqual((found.returncode, found.stdout), (0, "done\n"), found.stderr[-2000:])
 
+    def test_garbage_is_collected_on_the_thread_of_the_requests_alone(self) -> None:
+        found = self.run_program(GARBAGE_PROGRAM)
+        self.assertEqual((found.returncode, found.stdout), (0, "done, 0 elsewhere\n"))
+
+    def run_program(self, program: str) -> subprocess.CompletedProcess[str]:
+        """Run a program for a number of peers to its end."""
+        ports = [str(port) for port in free_ports(PEERS)]
+        command = [sys.executable, "-m", program, *ports]
+        return subprocess.run(command, capture_output=True, text=True, timeout=END_S, check=False)
+
 
 if __name__ == "__main__":
     unittest.main()
