--- a/libs/serving/ruddersaddle_serving/settings_watches.py
+++ b/libs/serving/ruddersaddle_serving/settings_watches.py
@@ -15,6 +15,8 @@
 LOOK_S = 0.5
 """Pause between looks at the file's time of change; it is read when two looks agree, so a file that
 was seen half written is not taken."""
+LOOKS_MAX = 4
+"""Looks after a signal until the file is read though it goes on changing."""
 
 Read = Callable[[], Settings | list[Problem]]
 Stamp = tuple[int, int]
--- a/libs/serving/ruddersaddle_serving/tests/test_settings_watches.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_settings_watches.py
@@ -11,7 +11,7 @@
 
 from ruddersaddle_base.settings import Problem, Settings, read_settings
 
-from ruddersaddle_serving.settings_watches import SettingsWatch
+from ruddersaddle_serving.settings_watches import LOOKS_MAX, SettingsWatch
 
 TEXT = "[host]\nid = host-7\n[requests]\ngrace_s = %d\n"
 GRACE = "requests.grace_s"
@@ -69,6 +69,16 @@
         self.path.write_text(TEXT % 12)
         self.assertEqual(self.look(3), [12.0])
 
+    def test_signal_is_served_though_the_file_never_rests(self) -> None:
+        """A file written each 0.3 s was not read in 10 s after a signal."""
+        self.watch.begin()
+        self.watch.signalled = True
+        for number in range(10, 10 + LOOKS_MAX):
+            self.assertEqual(self.taken, [])
+            self.path.write_text(TEXT % number + "#" * number)
+            self.look()
+        self.assertEqual(self.taken, [10.0 + LOOKS_MAX - 1])
+
 
 if __name__ == "__main__":
     unittest.main()
