A fault in accepting one connection doesn't end the listener

Change: any fault is told as a connection not taken. Before: the new test fails, seen on the code without it. After: 7 of 7. Ruled out: closed listeners, which still end it.

--- a/libs/serving/ruddersaddle_serving/caller_listeners.py
+++ b/libs/serving/ruddersaddle_serving/caller_listeners.py
@@ -90,6 +90,10 @@
                 self._refuse_one()
             self._note_refused(os.strerror(error.errno or 0))
             return None
+        except Exception as error:
+            # A fault here (memory that ran out, say) would end the listener for good.
+            self._note_refused(f"{type(error).__name__}: {error}")
+            return None
 
     def _refuse_one(self) -> None:
         """Close the next connection by means of the descriptor that is kept for this."""
--- a/libs/serving/ruddersaddle_serving/tests/test_caller_listeners.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_caller_listeners.py
@@ -80,6 +80,19 @@
         self.assertEqual(task.wait().getpeername(), second.getsockname())
         return data
 
+    def test_fault_of_the_program_ends_nothing(self) -> None:
+        accept = self.plain.accept
+        faults = [MemoryError("none left"), ValueError("unforeseen")]
+
+        def raise_or_accept() -> Any:
+            if faults:
+                raise faults.pop(0)
+            return accept()
+
+        with mock.patch.object(self.plain, "accept", raise_or_accept):
+            caller = self.call()
+            self.assertEqual(self.accept().getpeername(), caller.getsockname())
+
     def test_error_of_the_listener_itself_ends_accepting(self) -> None:
         for number in LISTENER_GONE:
             with self.subTest(errno.errorcode[number]), self.fail_first((number,)):
