Programs of peers that come and go share their churn

Cause: two test programs had the same run of lines. Change: one function of it. Ruled out: any change of what they do. Conclusion: one copy.

--- a/libs/serving/ruddersaddle_serving/tests/garbage_churns.py
+++ b/libs/serving/ruddersaddle_serving/tests/garbage_churns.py
@@ -3,14 +3,11 @@
 import gc
 import logging
 import sys
-import time
 from collections.abc import Iterator
 
-from ruddersaddle_serving.tests.peer_churns import (  # the library's green calls come with it
-    CHURN_S,
-    SWITCH_S,
-    come_and_go,
-)
+from ruddersaddle_serving.tests.peer_churns import SWITCH_S, churn
+
+# The import above makes the library's calls green; what follows has to see them.
 
 # isort: split
 import eventlet
@@ -18,7 +15,7 @@
 from ruddersaddle_base.loggers import start_logging
 
 from ruddersaddle_serving.garbage_collections import start_collecting
-from ruddersaddle_serving.peers import Peers, limit_threads
+from ruddersaddle_serving.peers import limit_threads
 
 logger = logging.getLogger(__name__)
 get_thread = patcher.original("_thread").get_ident
@@ -57,20 +54,8 @@
     limit_threads()
     start_collecting()
     sys.setswitchinterval(SWITCH_S)
-    addresses = [f"127.0.0.1:{port}" for port in ports]
-    every = [Peers(address, lambda message: message, str) for address in addresses]
-    for peers in every:
-        peers.start()
     eventlet.spawn(make_litter)
-    until = time.monotonic() + CHURN_S
-    tasks = [
-        eventlet.spawn(come_and_go, peers, address, until)
-        for peers in every
-        for address in addresses
-        if address != peers.address
-    ]
-    for task in tasks:
-        task.wait()
+    churn(ports)
     print(f"done, {len(foreign)} elsewhere", flush=True)
 
 
--- a/libs/serving/ruddersaddle_serving/tests/peer_churns.py
+++ b/libs/serving/ruddersaddle_serving/tests/peer_churns.py
@@ -29,10 +29,8 @@
         eventlet.sleep(random.random() * PAUSE_S)
 
 
-def main(ports: list[str]) -> None:
-    """Let all peers come and go, then end as a host does."""
-    limit_threads()
-    sys.setswitchinterval(SWITCH_S)
+def churn(ports: list[str]) -> None:
+    """Let a peer at each port come and go, from the point of view of all others."""
     addresses = [f"127.0.0.1:{port}" for port in ports]
     every = [Peers(address, lambda message: message, str) for address in addresses]
     for peers in every:
@@ -46,6 +44,13 @@
     ]
     for task in tasks:
         task.wait()
+
+
+def main(ports: list[str]) -> None:
+    """Let all peers come and go, then end as a host does."""
+    limit_threads()
+    sys.setswitchinterval(SWITCH_S)
+    churn(ports)
     print("done", flush=True)
 
 
