Peers: sockets by address are named so

Cause: the name told of push sockets, which bus sockets have replaced. Change: one private name; nothing else. Ruled out: other users of the name, there are none. Conclusion: behaviour as before.

--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -77,7 +77,7 @@
         self.sent_bytes = 0
         self.received_bytes = 0
         self._socket: pynng.Bus0 | None = None
-        self._push_by_address: dict[str, pynng.Bus0] = {}
+        self._socket_by_address: dict[str, pynng.Bus0] = {}
         self._signal_by_exchange: dict[int, Signal] = {}
         self._unanswered: set[str] = set()
         """Peers that did not answer the last question."""
@@ -161,7 +161,7 @@
 
     def _close_to(self, address: str, reason: str) -> None:
         """Close the connection to a peer; the next message opens a new one."""
-        socket = self._push_by_address.pop(address, None)
+        socket = self._socket_by_address.pop(address, None)
         if socket is not None:
             logger.info("Connection to %s is closed, %s.", address, reason)
             socket.close()
@@ -185,7 +185,7 @@
         return self._send_data(address, socket, encode_packed(envelope))
 
     def _socket_to(self, address: str) -> pynng.Bus0:
-        socket = self._push_by_address.get(address)
+        socket = self._socket_by_address.get(address)
         return self._dial(address) if socket is None else socket
 
     def _send_data(self, address: str, socket: pynng.Bus0, data: bytes) -> bool:
@@ -200,7 +200,7 @@
     def _dial(self, address: str) -> pynng.Bus0:
         socket = pynng.Bus0(send_buffer_size=QUEUE_MESSAGES)
         socket.dial(f"tcp://{address}", block=False)
-        self._push_by_address[address] = socket
+        self._socket_by_address[address] = socket
         return socket
 
     def _await_connection(self, socket: pynng.Bus0) -> bool:
@@ -212,13 +212,13 @@
 
     def keep_only(self, addresses: set[str]) -> None:
         """Close the sockets to peers that are no longer listed."""
-        for address in set(self._push_by_address) - addresses:
-            self._push_by_address.pop(address).close()
+        for address in set(self._socket_by_address) - addresses:
+            self._socket_by_address.pop(address).close()
         self._unanswered &= addresses
 
     def connected(self) -> list[str]:
         """Return the peers to which a connection was opened."""
-        return sorted(self._push_by_address)
+        return sorted(self._socket_by_address)
 
     def _gone(self, address: str, detail: str) -> Failure:
         return Failure(Code.PEER_GONE, Step.PEER, address, detail, Ran.UNKNOWN)
