--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -125,6 +125,11 @@
         tracker = self.choice.tracker
         return Failure(Code.UPSTREAM_FAILED, Step.READ, tracker.id, detail, Ran.UNKNOWN)
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether its connection ended before the answer did."""
+        return self.exchange is not None and self.exchange.is_broken
+
     def note_first_event(self) -> None:
         """Take that the prompt was read."""
         self.tell(Notice(*self._name(Progress.FIRST)))
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -21,6 +21,7 @@
 from ruddersaddle_serving.caller_listeners import LastingListener, find_room
 from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
+from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
 from ruddersaddle_serving.fronts import Front
@@ -113,6 +114,7 @@
         self.kept = KeptParts(engines)
         self.budget = RetryBudget(settings.number("bounds.retry_share") * BUDGET_SHARE)
         self.publications.listeners += [self.trackers.take_table, self.kept.take_table]
+        self.crashes = CrashWatch(engines, lambda crash: None)
         self._build_request_path(wire)
         self._build_tasks()
 
@@ -166,6 +168,7 @@
             self.budget,
             self.key_age_max_s,
             self._tell_notice,
+            self.crashes,
         )
         self.front = Front(wire, self.publications, self.forwarder, self.histograms)
 
@@ -314,6 +317,8 @@
         lines += format_counters("requests_ended", "requests by how they ended", self.front.ends)
         lines += format_counters("dropped_writes", "log lines, other texts", count_dropped())
         lines += format_counters("retries", "retries by outcome", budget)
+        broken = {"crash": self.crashes.crashes, "reset": self.crashes.resets}
+        lines += format_counters("upstream_breaks", "upstreams after broken runs", broken)
         lines += format_counters("contexts", "kept context by action", self.kept.counts)
         lines += format_counters("orders", "orders to engines", self.rollouts.counts)
         lines += format_histograms(self.histograms)
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -11,6 +11,7 @@
 from ruddersaddle_routing.retries import RetryBudget
 
 from ruddersaddle_serving.attempts import Attempt
+from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.event_streams import EventSplitter
 from ruddersaddle_serving.placements import (
     RETRY_SOON_S,
@@ -78,8 +79,10 @@
         budget: RetryBudget,
         key_age_max_s: float,
         tell: Callable[[Notice], None],
+        crashes: CrashWatch,
     ) -> None:
         self.tell = tell
+        self.crashes = crashes
         self.placement = placement
         self.wire = wire
         self.publications = publications
@@ -320,6 +323,10 @@
 
     def _end_attempt(self, failed: bool | None, word: str) -> None:
         self.trail.tries.append(word)
+        if self.attempt.is_broken:
+            self.forwarder.crashes.note_broken(
+                self.attempt.choice.tracker, self.request.fingerprint
+            )
         self.attempt.finish(failed)
 
     def finish(self) -> None:
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -330,6 +330,7 @@
         workspace = PUBLIC if request.workspace is None else request.workspace.id
         fields["route"] = request.route.name
         fields["workspace"] = workspace
+        fields["fingerprint"] = request.fingerprint
         if self.forwarding is None:
             return
         trail = self.forwarding.trail
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -9,7 +9,7 @@
 
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Headers, PartId
 from ruddersaddle_serving.routes import ContextStore, Published
-from ruddersaddle_serving.upstream_lists import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamStart
 
 
 class Topic(Enum):
@@ -198,14 +198,27 @@
     broken: tuple[StoreChange, ...]
 
 
+class Presence(Enum):
+    """What a question to the address of one start of an upstream showed."""
+
+    HERE = "here"
+    """It answers."""
+    REPLACED = "replaced"
+    """Another start, or another upstream, answers."""
+    DOWN = "down"
+    """The connection was refused or reset: no process listens there, or it takes nothing."""
+    UNKNOWN = "unknown"
+    """Nothing came in time."""
+
+
 class Engines(Protocol):
     """Calls to engines and context stores beside the requests themselves."""
 
     def report(self, address: str) -> EngineReport | Failure:
         """Return an engine's report."""
 
-    def is_there(self, address: str, upstream: UpstreamId) -> bool | Failure:
-        """Return whether this start of an upstream answers at an address, or another one does."""
+    def presence(self, address: str, start: UpstreamStart) -> Presence:
+        """Ask whether a start of an upstream is at an address."""
 
     def order(self, address: str, order: Order) -> OrderOutcome | Failure:
         """Give an order; a failure says that it may have been taken."""
--- a/libs/serving/ruddersaddle_serving/probes.py
+++ b/libs/serving/ruddersaddle_serving/probes.py
@@ -10,11 +10,10 @@
 
 import eventlet
 import msgspec
-from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.hosts import Hosts
-from ruddersaddle_serving.ports import Engines
+from ruddersaddle_serving.ports import Engines, Presence
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Progress, Tracker, Trackers
 
@@ -101,13 +100,16 @@
     def probe(self, tracker: Tracker) -> None:
         """Ask an upstream whether it is there, and tell the answer."""
         self.count += 1
-        is_there = self.engines.is_there(tracker.entry.address, tracker.id)
-        if isinstance(is_there, Failure):
-            logger.info("Upstream %s is silent. %s", tracker.id, is_there.detail)
-            return
-        if not is_there:
-            self.tell(Notice(tracker.id, 0, Progress.REPLACED))
-            return
+        presence = self.engines.presence(tracker.entry.address, tracker.entry.start)
+        match presence:
+            case Presence.HERE:
+                self._note_reached(tracker)
+            case Presence.REPLACED:
+                self.tell(Notice(tracker.id, 0, Progress.REPLACED))
+            case _:
+                logger.info("Upstream %s is silent: %s.", tracker.id, presence.value)
+
+    def _note_reached(self, tracker: Tracker) -> None:
         self._state_by_id.setdefault(tracker.id, ProbeState()).reached_at = time.monotonic()
         logger.info("Upstream %s answers again.", tracker.id)
         self.tell(Notice(tracker.id, 0, Progress.REACHED))
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -1,11 +1,13 @@
 """Requests of callers, in the terms that decisions are made in."""
 
 import time
+from functools import cached_property
 from typing import NewType
 
 import msgspec
 from ruddersaddle_base.ids import ModelId, RequestId
 
+from ruddersaddle_serving.fingerprints import Fingerprint, make_fingerprint
 from ruddersaddle_serving.routes import Route, Workspace
 
 PartId = NewType("PartId", str)
@@ -79,6 +81,12 @@
         """The id that the caller gave."""
         return self.head.id
 
+    @cached_property
+    def fingerprint(self) -> Fingerprint:
+        """What this request has in common with its copies, whichever host they come to."""
+        workspace = "" if self.workspace is None else self.workspace.id
+        return make_fingerprint(self.method, self.target, workspace, self.body)
+
     @property
     def remaining_s(self) -> float:
         """Seconds that are left of the caller's time and the route's."""
--- a/libs/serving/ruddersaddle_serving/tests/load_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/load_replays.py
@@ -15,7 +15,7 @@
 from unittest import mock
 
 import msgspec
-from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.forwarders import CONNECTS_MAX, HELD_LOOK_S
@@ -28,6 +28,7 @@
     LoadShares,
 )
 from ruddersaddle_serving.placements import Choice, Full, Patience, Placement
+from ruddersaddle_serving.ports import Presence
 from ruddersaddle_serving.probes import LOOK_S, Probes
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Part, PartId, Prompt
 from ruddersaddle_serving.publications import Publications
@@ -267,7 +268,7 @@
 
         self.placement.belief_lag_s = lambda: shares.lag_s
         engines = mock.Mock()
-        engines.is_there.side_effect = lambda _, upstream: replay.is_there(upstream)
+        engines.presence.side_effect = lambda _, start: replay.presence(start.id)
         self.probes = Probes(shares.hosts, trackers, engines, shares.tell)
         self.connected_until: dict[UpstreamId, float] = {}
 
@@ -279,9 +280,6 @@
         return is_new
 
 
-REFUSED = Failure(Code.UPSTREAM_FAILED, Step.CONNECT, "engine", "timed out")
-
-
 class Visit:
     """One caller, from the first try on."""
 
@@ -432,9 +430,9 @@
                 function()
         return self.outcome
 
-    def is_there(self, upstream: UpstreamId) -> bool | Failure:
+    def presence(self, upstream: UpstreamId) -> Presence:
         """Return what a probe of an engine brings."""
-        return REFUSED if self.engine_by_id[upstream].dark else True
+        return Presence.UNKNOWN if self.engine_by_id[upstream].dark else Presence.HERE
 
     def after(self, seconds: float, function: Callable[[], None]) -> None:
         """Call a function later."""
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -48,7 +48,13 @@
         head = CallerHead(RequestId("q"), None, None, None, None, ())
         request = CallerRequest(head, "POST", "/", b"", ROUTE, None, self.now)
         forwarder = Forwarder(
-            self.placement, mock.Mock(), Publications(), RetryBudget(0.1), 5.0, mock.Mock()
+            self.placement,
+            mock.Mock(),
+            Publications(),
+            RetryBudget(0.1),
+            5.0,
+            mock.Mock(),
+            mock.Mock(),
         )
         return Forwarding(forwarder, request)
 
--- a/libs/serving/ruddersaddle_serving/tests/test_probes.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_probes.py
@@ -3,17 +3,16 @@
 import unittest
 from unittest import mock
 
-from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId, PoolId, UpstreamId
 
 from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.ports import Presence
 from ruddersaddle_serving.probes import PAUSE_S, Probes
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Notice, Progress, Reach, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamEntry
 
 ENGINE = UpstreamId("e-1")
-REFUSED = Failure(Code.UPSTREAM_FAILED, Step.CONNECT, "e-1", "timed out")
 
 
 class ProbesTest(FixedClockTest):
@@ -36,7 +35,7 @@
         entry = UpstreamEntry(ENGINE, PoolId("p"), "10.1.0.1:80", HallId("hall-0"), 8, False, {})
         tracker = trackers.at(entry)
         engines = mock.Mock()
-        engines.is_there.return_value = True
+        engines.presence.return_value = Presence.HERE
         return Probes(hosts, trackers, engines, lambda notice: tracker.take_notice(own, notice))
 
     def fall_silent(self, probes: Probes) -> None:
@@ -68,10 +67,10 @@
 
     def test_dark_upstream_is_probed_until_it_takes_a_connection(self) -> None:
         self.fall_silent(self.probes)
-        self.probes.engines.is_there.return_value = REFUSED
+        self.probes.engines.presence.return_value = Presence.DOWN
         self.assertIn(self.run_for(4.0), range(8, round(4.0 / PAUSE_S) + 1))
         self.assertFalse(self.tracker.is_sound)
-        self.probes.engines.is_there.return_value = True
+        self.probes.engines.presence.return_value = Presence.HERE
         self.run_for(2 * PAUSE_S)
         self.assertTrue(self.tracker.is_sound)
         self.assertEqual(self.run_for(4.0), 0)
@@ -79,7 +78,7 @@
     def test_address_that_another_upstream_has_taken_is_left_for_good(self) -> None:
         """Each of 25 hosts sent requests there until its own first was refused."""
         self.fall_silent(self.probes)
-        self.probes.engines.is_there.return_value = False
+        self.probes.engines.presence.return_value = Presence.REPLACED
         self.assertEqual(self.run_for(4.0), 1)
         self.assertFalse(self.tracker.is_sound)
 
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -10,7 +10,8 @@
 from http.client import HTTPException
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, ProtocolError
+from urllib3.exceptions import TimeoutError as TimeoutErrorOfLibrary
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import SKIP_HEADER
 
@@ -37,6 +38,9 @@
 ERRORS = (HTTPError, HTTPException, OSError, ValueError)
 BREAKS = (ConnectionError, TimeoutError)
 """Ends of a connection; what arrived before can still be read."""
+ENDS = (ProtocolError, HTTPException, OSError)
+"""Ends of a connection in the middle of an exchange, as the library tells them."""
+TIMEOUTS = (TimeoutError, TimeoutErrorOfLibrary)
 SKIPPED = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 
 
@@ -62,6 +66,8 @@
         self.raw: BaseHTTPResponse | None = None
         self.head: AnswerHead | None = None
         self.whole = False
+        self.is_broken = False
+        """Whether the connection ended before the answer did, other than by a time-out."""
         self._is_long = False
         self._break: Exception | None = None
         """What ended the sending early."""
@@ -168,6 +174,7 @@
         return sized or headers.get("Transfer-Encoding", "").lower() == "chunked"
 
     def _fail(self, step: Step, error: Exception) -> Failure:
+        self.is_broken = isinstance(error, ENDS) and not isinstance(error, TIMEOUTS)
         detail = f"{type(error).__name__}: {error}"
         return Failure(Code.UPSTREAM_FAILED, step, self.pool.address, detail, Ran.UNKNOWN)
 
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -21,6 +21,17 @@
 """Oldest list that counts as complete; hosts hear of others' reads within 1.9 s."""
 
 
+class UpstreamStart(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One start of an upstream; under one id there may be several."""
+
+    id: UpstreamId
+    born_ms: int | None = None
+    """Unix time of the start; None where the upstream doesn't tell it."""
+
+    def __str__(self) -> str:
+        return self.id if self.born_ms is None else f"{self.id} of {self.born_ms}"
+
+
 class UpstreamEntry(msgspec.Struct, frozen=True):
     """One start of one upstream, as it describes itself."""
 
@@ -31,6 +42,13 @@
     slots: int
     leaving: bool
     version_by_model: dict[ModelId, int]
+    born_ms: int | None = None
+    """Unix time of its start; None where it is not told."""
+
+    @property
+    def start(self) -> UpstreamStart:
+        """Which start of the upstream this is."""
+        return UpstreamStart(self.id, self.born_ms)
 
 
 class UpstreamList:
@@ -81,12 +99,13 @@
         if known != entry:
             self.revision += 1
             logger.info(
-                "Upstream %s of %s at %s: leaving %s, versions %s.",
+                "Upstream %s of %s at %s: leaving %s, versions %s, born %s.",
                 entry.id,
                 entry.pool,
                 entry.address,
                 entry.leaving,
                 entry.version_by_model,
+                entry.born_ms,
             )
 
     def remove(self, upstream: UpstreamId) -> None:
--- a/libs/upstreams/ruddersaddle_upstreams/connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/connections.py
@@ -21,6 +21,10 @@
 """Errors that prove that no byte of the request has left."""
 
 
+TIMEOUTS = (urllib3.exceptions.ConnectTimeoutError, urllib3.exceptions.ReadTimeoutError)
+TIMEOUT_NAMES = frozenset(error.__name__ for error in TIMEOUTS)
+
+
 class Reply(msgspec.Struct, frozen=True):
     """A whole answer of an upstream."""
 
@@ -154,3 +158,8 @@
 def fail(step: Step, address: str, error: Exception, ran: Ran) -> Failure:
     """Return the failure of one call."""
     return Failure(Code.UPSTREAM_FAILED, step, address, type(error).__name__, ran)
+
+
+def is_timeout(failure: Failure) -> bool:
+    """Return whether a call failed because nothing came in time."""
+    return failure.detail in TIMEOUT_NAMES
