--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -4,9 +4,9 @@
 import logging
 import time
 from collections.abc import Callable
+from typing import Any
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
@@ -45,12 +45,13 @@
         self.last_event = last_event
         self.sent_at: float | None = None
         self.exchange: Exchange | None = None
+        self._start = choice.tracker.entry.start
         choice.tracker.in_flight += 1
         self._finished = False
         self._reach = Reach.NOTHING
         # It counts from the choice: while a connection came about (1 to 3 ms), all requests of one
         # moment were sent to the engine that had looked idle to the first of them.
-        self.tell(Notice(*self._name(Progress.SENT), choice.assignment, expected_s=choice.first_s))
+        self._tell(Progress.SENT, assignment=choice.assignment, expected_s=choice.first_s)
 
     def connect(self) -> Failure | None:
         """Get a connection; nothing is sent yet."""
@@ -108,7 +109,7 @@
         if head.version is not None and prompt is not None:
             tracker.take_version(prompt.model, head.version)
         if head.status == 421 and head.upstream not in (None, tracker.id):
-            self.tell(Notice(*self._name(Progress.REPLACED)))
+            self._tell(Progress.REPLACED)
         code = Code.OTHER_VERSION if head.status == 421 else Code.OVERLOADED
         detail = f"status {head.status}, answered by {head.upstream}"
         return Failure(
@@ -132,10 +133,12 @@
 
     def note_first_event(self) -> None:
         """Take that the prompt was read."""
-        self.tell(Notice(*self._name(Progress.FIRST)))
+        self._tell(Progress.FIRST)
 
-    def _name(self, progress: Progress) -> tuple[UpstreamId, int, Progress]:
-        return self.choice.tracker.id, self.number, progress
+    def _tell(self, progress: Progress, **more: Any) -> None:
+        self.tell(
+            Notice(self._start.id, self.number, progress, born_ms=self._start.born_ms, **more)
+        )
 
     def finish(self, failed: bool | None) -> None:
         """End the try; `failed` is None where it says nothing about the upstream."""
@@ -145,6 +148,6 @@
         self.choice.tracker.in_flight -= 1
         if self.exchange is not None and self.exchange.whole:
             self._reach = Reach.ANSWERED
-        self.tell(Notice(*self._name(Progress.ENDED), failed=failed, reach=self._reach))
+        self._tell(Progress.ENDED, failed=failed, reach=self._reach)
         if self.exchange is not None:
             self.exchange.finish()
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -65,6 +65,8 @@
     """For how long it has been silent; None where it is not."""
     is_replaced: bool = False
     """Whether another upstream answers at its address."""
+    born_ms: int | None = None
+    """Which start of it this is; None where that is not told."""
 
 
 class LoadSums(msgspec.Struct, frozen=True, tag="load_sums"):
@@ -165,7 +167,7 @@
         source = "hall" if message.is_total else message.address
         for told in message.sums:
             tracker = self.trackers.by_id.get(told.upstream)
-            if tracker is not None:
+            if tracker is not None and tracker.entry.born_ms == told.born_ms:
                 tracker.load.take_sum(source, told.load, message.is_total)
                 tracker.note_told_failing(told.failing_percent / 100)
                 _take_silence(tracker.silence, source, told)
@@ -193,6 +195,7 @@
         heard_ms=round(min(NEVER_MS, 1000 * (now - silence.heard_at))),
         silent_ms=None if silent_since is None else round(1000 * (now - silent_since)),
         is_replaced=tracker.is_replaced,
+        born_ms=tracker.entry.born_ms,
     )
 
 
--- a/libs/serving/ruddersaddle_serving/probes.py
+++ b/libs/serving/ruddersaddle_serving/probes.py
@@ -105,11 +105,15 @@
             case Presence.HERE:
                 self._note_reached(tracker)
             case Presence.REPLACED:
-                self.tell(Notice(tracker.id, 0, Progress.REPLACED))
+                self._tell(tracker, Progress.REPLACED)
             case _:
                 logger.info("Upstream %s is silent: %s.", tracker.id, presence.value)
 
     def _note_reached(self, tracker: Tracker) -> None:
         self._state_by_id.setdefault(tracker.id, ProbeState()).reached_at = time.monotonic()
         logger.info("Upstream %s answers again.", tracker.id)
-        self.tell(Notice(tracker.id, 0, Progress.REACHED))
+        self._tell(tracker, Progress.REACHED)
+
+    def _tell(self, tracker: Tracker, progress: Progress) -> None:
+        start = tracker.entry.start
+        self.tell(Notice(start.id, 0, progress, born_ms=start.born_ms))
--- a/libs/serving/ruddersaddle_serving/tests/test_trackers.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_trackers.py
@@ -15,8 +15,9 @@
 ASSIGNMENT = Assignment("m/1", PARTS, 0.01, 120, 1)
 
 
-def make_entry(name: str) -> UpstreamEntry:
-    return UpstreamEntry(UpstreamId(name), POOL, "10.0.0.1:80", HallId("h"), 8, False, {})
+def make_entry(name: str, born_ms: int | None = None) -> UpstreamEntry:
+    address = "10.0.0.1:80"
+    return UpstreamEntry(UpstreamId(name), POOL, address, HallId("h"), 8, False, {}, born_ms)
 
 
 def make_table(memory_tokens: int) -> RouteTable:
@@ -60,6 +61,33 @@
         self.assertFalse(self.old.is_sound)
 
 
+class StartsTest(FixedClockTest):
+    """Starts under one id, told apart by when they were born."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.trackers = Trackers()
+        self.old = self.trackers.at(make_entry("e-1", 1000))
+        self.old.take_notice("host", Notice(self.old.id, 1, Progress.SENT, ASSIGNMENT))
+        self.old.take_version(ModelId("m"), 7)
+        self.now += 5.0
+        self.new = self.trackers.at(make_entry("e-1", 2000))
+
+    def test_next_start_begins_with_nothing_of_the_one_before(self) -> None:
+        self.assertIs(self.trackers.by_id[self.old.id], self.new)
+        self.assertEqual((self.old.is_sound, self.new.is_sound), (False, True))
+        self.assertEqual(self.new.version_by_model, {})
+        self.assertEqual(self.new.load.tokens, 0)
+
+    def test_late_word_of_the_end_of_the_one_before_leaves_it_sound(self) -> None:
+        self.new.take_notice("other", Notice(self.old.id, 2, Progress.REPLACED, born_ms=1000))
+        self.assertTrue(self.new.is_sound)
+
+    def test_word_of_its_own_end_counts(self) -> None:
+        self.new.take_notice("other", Notice(self.old.id, 2, Progress.REPLACED, born_ms=2000))
+        self.assertFalse(self.new.is_sound)
+
+
 class OutcomesTest(unittest.TestCase):
     def test_outcome_that_another_host_saw_counts(self) -> None:
         tracker = Trackers().at(make_entry("e-1"))
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -49,6 +49,18 @@
         self.upstreams.put(ENTRY)
         self.assertEqual(self.ids(), [])
 
+    def test_next_start_under_the_same_id_is_not_leaving(self) -> None:
+        leaving = msgspec.structs.replace(ENTRY, leaving=True, born_ms=1000)
+        self.upstreams.put(leaving)
+        self.upstreams.put(msgspec.structs.replace(ENTRY, born_ms=2000))
+        self.assertEqual(self.ids(), [ENTRY.id])
+
+    def test_late_entry_of_an_earlier_start_changes_nothing(self) -> None:
+        later = msgspec.structs.replace(ENTRY, born_ms=2000)
+        self.upstreams.put(later)
+        self.upstreams.put(msgspec.structs.replace(ENTRY, leaving=True, born_ms=1000))
+        self.assertEqual(self.upstreams.of_pool(ENTRY.pool), [later])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -81,6 +81,8 @@
     """What was heard of the upstream until it ended."""
     expected_s: float = 0.0
     """Where it was sent: the time within which something should be heard."""
+    born_ms: int | None = None
+    """Which start of the upstream it concerns; None where that is not told."""
 
 
 class Tracker:
@@ -173,6 +175,12 @@
 
     def take_notice(self, host: str, notice: Notice) -> None:
         """Take how far a request of this host or another one is."""
+        if (
+            None not in (notice.born_ms, self.entry.born_ms)
+            and notice.born_ms != self.entry.born_ms
+        ):
+            # Said of the end of an earlier start, it would take this one out for good.
+            return
         number = (host, notice.number)
         now = time.monotonic()
         match notice.progress:
@@ -252,7 +260,11 @@
     def at(self, entry: UpstreamEntry) -> Tracker:
         """Return the tracker of an entry."""
         tracker = self.by_id.get(entry.id)
-        if tracker is None:
+        if tracker is None or entry.is_later_than(tracker.entry):
+            # Nothing that is known of an earlier start holds for this one. Runs that are still
+            # under way there keep the tracker that they began with.
+            if tracker is not None:
+                tracker.connections.close()
             tracker = Tracker(entry, self._memory_tokens(entry))
             tracker.load.pace.factor = self._usual_pace(entry.pool)
             self._note_predecessors(tracker)
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -21,7 +21,7 @@
 """Oldest list that counts as complete; hosts hear of others' reads within 1.9 s."""
 
 
-class UpstreamStart(msgspec.Struct, frozen=True, array_like=True, order=True):
+class UpstreamStart(msgspec.Struct, frozen=True, array_like=True):
     """One start of an upstream; under one id there may be several."""
 
     id: UpstreamId
@@ -50,6 +50,12 @@
         """Which start of the upstream this is."""
         return UpstreamStart(self.id, self.born_ms)
 
+    def is_later_than(self, other: "UpstreamEntry") -> bool:
+        """Return whether this is a later start under the same id than another entry's."""
+        if self.born_ms is None or other.born_ms is None:
+            return False
+        return self.born_ms > other.born_ms
+
 
 class UpstreamList:
     """The entries by id. Times are of the steady clock, in seconds."""
@@ -91,8 +97,12 @@
     def put(self, entry: UpstreamEntry) -> None:
         """Take one entry."""
         known = self.by_id.get(entry.id)
+        if known is not None and known.is_later_than(entry):
+            logger.info("Entry of %s is of an earlier start than the known one.", entry.start)
+            return
         self._lapse_by_id.pop(entry.id, None)
-        if known is not None and known.leaving and not entry.leaving:
+        is_same = known is not None and not entry.is_later_than(known)
+        if is_same and known.leaving and not entry.leaving:
             # A leave is never taken back within one start of an upstream.
             entry = msgspec.structs.replace(entry, leaving=True)
         self.by_id[entry.id] = entry
