--- a/libs/base/ruddersaddle_base/failures.py
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -58,6 +58,8 @@
     """Records that were asked for are no longer kept."""
     STALE_CONFIGURATION = "stale_configuration"
     """The configuration is not confirmed to be young enough to let a caller's key in."""
+    CRASHES_UPSTREAMS = "crashes_upstreams"
+    """Too many upstreams have ended while they ran this request."""
     INTERNAL = "internal"
 
 
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -0,0 +1,242 @@
+"""How hosts share which requests crash upstreams.
+
+Messages between hosts carry each crash within some milliseconds, but may be dropped without a word,
+and a host may be cut off from the others. What counts is therefore kept in the platform's store as
+well: a host needs nothing but its way to the store to know whom to refuse.
+"""
+
+import logging
+import time
+
+import eventlet
+import msgspec
+from ruddersaddle_base.codecs import decode_json, encode_json
+from ruddersaddle_base.failures import Failure, Step
+
+from ruddersaddle_serving.crash_records import SHARED_MIN, Crash, CrashRecord, CrashRecords
+from ruddersaddle_serving.fingerprints import Fingerprint
+from ruddersaddle_serving.hosts import Hosts
+from ruddersaddle_serving.load_shares import DIRECT_HOSTS_MAX
+from ruddersaddle_serving.peers import Peers
+from ruddersaddle_serving.ports import MetadataStore, Record, Topic
+from ruddersaddle_serving.tasks import spawn_forever
+
+logger = logging.getLogger(__name__)
+
+TELL_S = 0.01
+"""Pause between messages about crashes: one crash ends runs of many requests at a time."""
+WRITE_PAUSE_S = 0.2
+"""Least pause between writes of one host. What has to be written meanwhile goes in one call."""
+WRITES_PER_S = 100.0
+"""Writes of all hosts together, a quarter of what the store takes (400 a second)."""
+LATER_S = 1.0
+"""A host that did not see the last crash itself writes after this time, if the one that did has
+not: its write is read within half a second."""
+SWEEP_S = 5.0
+"""Pause between looks for records that are over."""
+OUT_MAX = 512
+"""Records that are told in one message or kept in the store; some 100 bytes each."""
+MS_PER_S = 1000
+
+
+class CrashNews(msgspec.Struct, frozen=True, tag="crash_news"):
+    """Tells crashes that were seen, and suspects that ended whole; it is not answered."""
+
+    address: str
+    crashes: tuple[Crash, ...]
+    cleared: tuple[Fingerprint, ...]
+    hops: int = 0
+    """How often it was passed on by readers, where hosts are too many to tell each other."""
+
+
+class CrashShares:
+    """Tells and takes crashes, and keeps the records of the store."""
+
+    def __init__(
+        self, hosts: Hosts, peers: Peers, store: MetadataStore, records: CrashRecords
+    ) -> None:
+        self.hosts = hosts
+        self.peers = peers
+        self.store = store
+        self.records = records
+        self.confirmed_at = float("-inf")
+        """When the store, or a host that follows it, was asked for what was taken last."""
+        self.writes = 0
+        self._unsent_crashes: list[Crash] = []
+        self._unsent_cleared: list[Fingerprint] = []
+        self._stored: dict[Fingerprint, CrashRecord] = {}
+        """What the store has, as far as this host knows."""
+        self._unwritten: set[Fingerprint] = set()
+        self._is_telling = False
+        self._is_writing = False
+
+    def start(self) -> None:
+        """Start the task that takes records that are over out of the store."""
+        spawn_forever("crash records", self._sweep)
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the records were last confirmed."""
+        return time.monotonic() - self.confirmed_at
+
+    # Between hosts
+
+    def tell_crash(self, crash: Crash) -> None:
+        """Take a crash that this host has seen, and tell it."""
+        self._note(crash, True)
+        self._unsent_crashes.append(crash)
+        self._tell_soon()
+
+    def tell_cleared(self, fingerprint: Fingerprint) -> None:
+        """Tell that a suspect ended whole; the records have it already."""
+        self._unsent_cleared.append(fingerprint)
+        self._tell_soon()
+        self._write_soon(fingerprint, 0.0)
+
+    def _tell_soon(self) -> None:
+        if not self._is_telling:
+            self._is_telling = True
+            eventlet.spawn_after(TELL_S, self._tell)
+
+    def _tell(self) -> None:
+        self._is_telling = False
+        own = self.hosts.own.address
+        news = CrashNews(own, tuple(self._unsent_crashes), tuple(self._unsent_cleared))
+        self._unsent_crashes = []
+        self._unsent_cleared = []
+        self._send(news, own)
+
+    def _send(self, news: CrashNews, sender: str) -> None:
+        """Send a message of this host, or pass another one's on."""
+        targets = self._targets(news.hops)
+        self.peers.tell_all([each for each in targets if each != sender], news)
+
+    def _targets(self, hops: int) -> list[str]:
+        hosts = self.hosts
+        if hosts.count <= DIRECT_HOSTS_MAX:
+            return hosts.addresses() if hops == 0 else []
+        reader = hosts.hall_reader()
+        if reader != hosts.own.address:
+            return [reader] if hops == 0 else []
+        others = set(hosts.reader_by_hall().values()) - {reader}
+        return [*hosts.hall_addresses(), *(sorted(others) if hops < 2 else ())]
+
+    def take(self, news: CrashNews) -> None:
+        """Take what another host tells, and pass it on where that is this host's to do."""
+        now_ms = _now_ms()
+        for crash in news.crashes:
+            self._note(crash, False)
+            whole = [each for each in crash.fingerprints if self.records.was_whole(each, now_ms)]
+            for fingerprint in whole:
+                self.tell_cleared(fingerprint)
+        for fingerprint in news.cleared:
+            self.records.clear(fingerprint, now_ms)
+        if self.hosts.count > DIRECT_HOSTS_MAX and news.hops < 2:
+            self._send(msgspec.structs.replace(news, hops=news.hops + 1), news.address)
+
+    def _note(self, crash: Crash, is_own: bool) -> None:
+        delay_s = 0.0 if is_own else LATER_S
+        for record in self.records.note_crash(crash, _now_ms()):
+            if len(record.starts) >= SHARED_MIN:
+                self._write_soon(record.fingerprint, delay_s)
+
+    # With the store
+
+    def confirm(self, asked_at: float) -> None:
+        """Note that the records are as new as a question sent at `asked_at`."""
+        self.confirmed_at = max(self.confirmed_at, asked_at)
+
+    def take_record(self, record: Record) -> None:
+        """Take one record of the store."""
+        fingerprint = Fingerprint(record.key)
+        if not record.value:
+            self._stored.pop(fingerprint, None)
+            self.records.clear(fingerprint, _now_ms())
+            return
+        decoded = decode_json(record.value, CrashRecord, Step.READ, record.key)
+        if isinstance(decoded, Failure) or decoded.fingerprint != fingerprint:
+            detail = decoded.detail if isinstance(decoded, Failure) else "it names another request"
+            logger.error("Crash record %s is unreadable. %s", record.key, detail)
+            return
+        self._stored[fingerprint] = decoded
+        self.take_records((decoded,))
+
+    def take_records(self, records: tuple[CrashRecord, ...]) -> None:
+        """Take what others know, and write what the store lacks of it."""
+        for told in records:
+            merged = self.records.merge(told, _now_ms())
+            if merged.starts != told.starts and len(merged.starts) >= SHARED_MIN:
+                self._write_soon(merged.fingerprint, LATER_S)
+
+    def take_cleared(self, cleared: tuple[Fingerprint, ...]) -> None:
+        """Take which requests were cleared a short while ago."""
+        for fingerprint in cleared:
+            self.records.clear(fingerprint, _now_ms())
+
+    def _write_soon(self, fingerprint: Fingerprint, delay_s: float) -> None:
+        eventlet.spawn_after(delay_s, self._add_unwritten, fingerprint)
+
+    def _add_unwritten(self, fingerprint: Fingerprint) -> None:
+        if not self._lacks(fingerprint):
+            return
+        self._unwritten.add(fingerprint)
+        if not self._is_writing:
+            self._is_writing = True
+            eventlet.spawn(self._write)
+
+    def _lacks(self, fingerprint: Fingerprint) -> bool:
+        """Return whether the store should have something else of a request."""
+        stored = self._stored.get(fingerprint)
+        known = self.records.by_fingerprint.get(fingerprint)
+        if known is None or len(known.starts) < SHARED_MIN:
+            return stored is not None
+        if stored is None:
+            return known.is_verdict or len(self._stored) < OUT_MAX
+        return not set(known.starts) <= set(stored.starts)
+
+    def _write(self) -> None:
+        """Write until the store has what it lacked; a store that is away is tried again."""
+        try:
+            while self._unwritten:
+                self._unwritten = {each for each in self._unwritten if self._lacks(each)}
+                batch = list(self._unwritten)[:OUT_MAX]
+                if batch:
+                    self._write_batch(batch)
+                pause_s = max(WRITE_PAUSE_S, self.hosts.count / WRITES_PER_S)
+                eventlet.sleep(pause_s)
+        finally:
+            self._is_writing = False
+
+    def _write_batch(self, batch: list[Fingerprint]) -> None:
+        records = {each: self.records.by_fingerprint.get(each) for each in batch}
+        values = {
+            each: None if record is None else encode_json(record)
+            for each, record in records.items()
+        }
+        self.writes += 1
+        failure = self.store.put_all(Topic.CRASHES, values)
+        if failure is not None:
+            logger.info("Crash records were not written. %s", failure.detail)
+            return
+        self._unwritten -= set(batch)
+        for fingerprint, record in records.items():
+            if record is None:
+                self._stored.pop(fingerprint, None)
+            else:
+                self._stored[fingerprint] = record
+
+    def _sweep(self) -> None:
+        while True:
+            eventlet.sleep(SWEEP_S)
+            now_ms = _now_ms()
+            self.records.sweep(now_ms)
+            over = [key for key, record in self._stored.items() if record.is_over(now_ms)]
+            for fingerprint in over:
+                if self.hosts.is_reader():
+                    self._write_soon(fingerprint, 0.0)
+                else:
+                    del self._stored[fingerprint]
+
+
+def _now_ms() -> int:
+    return int(time.time() * MS_PER_S)
--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -1,15 +1,18 @@
-"""Finds out whether an upstream has ended under runs that broke off.
+"""Finds out whether upstreams have ended under runs that broke off, and refuses what ends them.
 
 To a run, the crash of its upstream and the reset of one connection look alike. The upstream's
 address tells them apart: after a crash it refuses connections until the next start answers.
 """
 
 import logging
+import time
 from collections.abc import Callable
 
 import eventlet
-import msgspec
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.ids import PoolId
 
+from ruddersaddle_serving.crash_records import CRASHES_MAX, Crash, CrashRecords
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.ports import Engines, Presence
 from ruddersaddle_serving.trackers import Tracker
@@ -25,27 +28,70 @@
 any further one; some 0.1 s later there is room."""
 FINGERPRINTS_MAX = 256
 """Broken runs that are remembered for one start; an upstream runs 128 at once."""
-
-
-class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """One start of an upstream that ended without notice, and what it ran or had queued."""
-
-    start: UpstreamStart
-    fingerprints: tuple[Fingerprint, ...]
+SETTLE_S = 0.5
+"""Longest wait for the outcome of a look; two looks that find nobody take 0.1 s."""
+SETTLE_STEP_S = 0.01
+MS_PER_S = 1000
 
 
 class CrashWatch:
-    """Watches the upstreams under which this host's runs broke off."""
-
-    def __init__(self, engines: Engines, note_crash: Callable[[Crash], None]) -> None:
+    """Watches the upstreams under which this host's runs broke off, and refuses their causes."""
+
+    def __init__(
+        self,
+        engines: Engines,
+        records: CrashRecords,
+        tell_crash: Callable[[Crash], None],
+        tell_cleared: Callable[[Fingerprint], None],
+    ) -> None:
         self.engines = engines
-        self.note_crash = note_crash
-        self.crashes = 0
-        """Starts of upstreams that ended under runs of this host."""
-        self.resets = 0
-        """Upstreams that lived on after a run had broken off."""
+        self.records = records
+        self.tell_crash = tell_crash
+        self.tell_cleared = tell_cleared
+        self.counts = {"crash": 0, "reset": 0, "refused": 0}
+        """Upstreams that ended under runs of this host, upstreams that lived on after a run had
+        broken off, and requests that were refused for the crashes they caused."""
         self._broken_by_start: dict[UpstreamStart, dict[Fingerprint, None]] = {}
 
+    # What is decided
+
+    def check(self, fingerprint: Fingerprint, pool: PoolId) -> Failure | None:
+        """Refuse a request under which too many upstreams have ended.
+
+        Each further send costs one more upstream with all its runs: 16 ended under one request.
+        """
+        now_ms = int(time.time() * MS_PER_S)
+        record = self.records.find_verdict(fingerprint, now_ms)
+        if record is None:
+            return None
+        self.counts["refused"] += 1
+        names = ", ".join(map(str, record.starts[:CRASHES_MAX]))
+        ago_s = (now_ms - record.last_ms) / MS_PER_S
+        detail = (
+            f"{len(record.starts)} upstreams ended under it, the last {ago_s:.1f} s ago: {names}"
+        )
+        left_s = (record.until_ms - now_ms) / MS_PER_S
+        return Failure(Code.CRASHES_UPSTREAMS, Step.ADMIT, pool, detail, retry_after_s=left_s)
+
+    def settle(self, fingerprint: Fingerprint) -> None:
+        """Wait until it is known whether a broken run was the crash that refuses its request.
+
+        Upstreams are looked at for some 0.1 s; a second try in that time ended a fourth upstream.
+        """
+        until = time.monotonic() + SETTLE_S
+        while self._may_decide(fingerprint) and time.monotonic() < until:
+            eventlet.sleep(SETTLE_STEP_S)
+
+    def _may_decide(self, fingerprint: Fingerprint) -> bool:
+        return self.records.count(fingerprint) >= CRASHES_MAX - 1 and self.is_open(fingerprint)
+
+    # What is seen
+
+    def note_whole(self, fingerprint: Fingerprint) -> None:
+        """Take that a run ended whole, which clears its request."""
+        if self.records.note_whole(fingerprint, int(time.time() * MS_PER_S)):
+            self.tell_cleared(fingerprint)
+
     def note_broken(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
         """Take that a run broke off, and look what became of its upstream."""
         entry = tracker.entry
@@ -69,13 +115,13 @@
         finally:
             broken = tuple(self._broken_by_start.pop(start))
         if not has_ended:
-            self.resets += 1
+            self.counts["reset"] += 1
             logger.info("Upstream %s lives; %d runs there broke off.", start, len(broken))
             return
-        self.crashes += 1
+        self.counts["crash"] += 1
         fields = {"fingerprints": broken}
         logger.warning("Upstream %s ended under %d runs.", start, len(broken), extra=fields)
-        self.note_crash(Crash(start, broken))
+        self.tell_crash(Crash(start, broken))
 
     def _has_ended(self, tracker: Tracker, start: UpstreamStart) -> bool:
         down = 0
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -21,6 +21,7 @@
 from ruddersaddle_serving.caller_listeners import LastingListener, find_room
 from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
+from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
@@ -46,8 +47,10 @@
 from ruddersaddle_serving.silent_peers import watch_callers
 from ruddersaddle_serving.standstills import Standstills
 from ruddersaddle_serving.store_followers import (
+    CRASH_WAIT_S,
     OPERATOR_WAIT_S,
     UPSTREAM_PAUSE_S,
+    CrashFollower,
     OperatorFollower,
     StoreLink,
     UpstreamFollower,
@@ -114,7 +117,13 @@
         self.kept = KeptParts(engines)
         self.budget = RetryBudget(settings.number("bounds.retry_share") * BUDGET_SHARE)
         self.publications.listeners += [self.trackers.take_table, self.kept.take_table]
-        self.crashes = CrashWatch(engines, lambda crash: None)
+        self.crash_records = CrashRecords()
+        self.crashes = CrashWatch(
+            engines,
+            self.crash_records,
+            lambda crash: self.neighbours.crashes.tell_crash(crash),
+            lambda fingerprint: self.neighbours.crashes.tell_cleared(fingerprint),
+        )
         self._build_request_path(wire)
         self._build_tasks()
 
@@ -187,6 +196,7 @@
             self.upstreams,
             self.trackers,
             self.kept,
+            self.crash_records,
         )
         self.forwarder.placement.belief_lag_s = lambda: self.neighbours.loads.lag_s
         self.probes = Probes(self.neighbours.hosts, self.trackers, self.engines, self._tell_notice)
@@ -261,6 +271,8 @@
         is_reader = self.neighbours.hosts.is_reader
         spawn_forever("operator", operator.run, OPERATOR_WAIT_S, 0.0, is_reader)
         spawn_forever("entries", entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
+        crashes = CrashFollower(self.store, self.neighbours.crashes)
+        spawn_forever("crashes", crashes.run, CRASH_WAIT_S, 0.0, is_reader)
         self.neighbours.start()
         self.probes.start()
         self.parts.start()
@@ -297,6 +309,8 @@
 
     def metrics(self) -> str:
         """Return the metrics page."""
+        records = self.crash_records
+        suspects = len(records.by_fingerprint)
         opened = sum(each.connections.opened for each in self.trackers.by_id.values())
         gauges = (
             ("requests_active", "requests under way", self.front.active),
@@ -309,6 +323,9 @@
             ("peer_sent_bytes", "bytes sent to peers", self.neighbours.peers.sent_bytes),
             ("upstreams_silent", "upstreams that nobody hears of", self._silent_count()),
             ("upstream_probes", "probes of silent upstreams", self.probes.count),
+            ("crash_suspects", "requests under which an upstream ended", suspects),
+            ("crash_records_shared", "of these, known to all hosts", len(records.shared())),
+            ("crash_suspects_cleared", "suspects that ended whole", records.cleared),
             ("stood_still_seconds", "standstill since the start", self.standstills.total_s),
         )
         budget = {"spent": self.budget.spent, "denied": self.budget.denied}
@@ -317,8 +334,7 @@
         lines += format_counters("requests_ended", "requests by how they ended", self.front.ends)
         lines += format_counters("dropped_writes", "log lines, other texts", count_dropped())
         lines += format_counters("retries", "retries by outcome", budget)
-        broken = {"crash": self.crashes.crashes, "reset": self.crashes.resets}
-        lines += format_counters("upstream_breaks", "upstreams after broken runs", broken)
+        lines += format_counters("crashes", "broken runs and what followed", self.crashes.counts)
         lines += format_counters("contexts", "kept context by action", self.kept.counts)
         lines += format_counters("orders", "orders to engines", self.rollouts.counts)
         lines += format_histograms(self.histograms)
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -42,6 +42,12 @@
 """With less time than this left nothing is sent any more."""
 
 
+FINAL_CODES = frozenset(
+    {Code.STALE_CONFIGURATION, Code.NO_UPSTREAM, Code.DEADLINE, Code.CRASHES_UPSTREAMS}
+)
+"""After these another upstream would not do better."""
+
+
 class Whole(msgspec.Struct, frozen=True):
     """A whole answer."""
 
@@ -180,7 +186,11 @@
         placement = self.forwarder.placement
         began = time.monotonic()
         patience = Patience.REFUSE if self._sent_count == 0 else Patience.SEND
+        self.forwarder.crashes.settle(self.request.fingerprint)
         while True:
+            refusal = self._check_crashes()
+            if refusal is not None:
+                return refusal
             choice = placement.choose(self.request, self.pool, self._excluded, patience)
             self.trail.held_s = time.monotonic() - began
             if not isinstance(choice, Full):
@@ -189,16 +199,20 @@
             if patience is Patience.HOLD:
                 eventlet.sleep(HELD_LOOK_S)
 
+    def _check_crashes(self) -> Failure | None:
+        """Refuse a request that crashes upstreams, also while it waits."""
+        return self.forwarder.crashes.check(self.request.fingerprint, self.pool)
+
     def _may_be_held(self, full: Full) -> bool:
         """Return whether the request could still be in time if it were sent at the next look."""
         elapsed_s = time.monotonic() - self.request.began
         return elapsed_s + HELD_LOOK_S + full.first_s < self.request.route.target_latency_s
 
     def _send(self) -> AnswerHead | Failure:
-        stale = self.forwarder.check_key_age(self.request)
-        if stale is not None:
-            self._end_attempt(None, "configuration too old")
-            return stale
+        refusal = self.forwarder.check_key_age(self.request) or self._check_crashes()
+        if refusal is not None:
+            self._end_attempt(None, f"not sent: {refusal.detail}")
+            return refusal
         self._sent_count += 1
         upstream = self.attempt.choice.tracker.id
         self._excluded.add(upstream)
@@ -229,6 +243,8 @@
             self._end_attempt(True, f"{upstream} {body.detail}")
             return body
         failed = head.status >= 500
+        if head.status < 300:
+            self.forwarder.crashes.note_whole(self.request.fingerprint)
         self._end_attempt(failed, f"{upstream} status {head.status}")
         if failed and self._may_repeat():
             again = self._try_again_after_error()
@@ -282,6 +298,7 @@
                 continue
             if not data:
                 rest = self.splitter.take_rest()
+                self.forwarder.crashes.note_whole(self.request.fingerprint)
                 self._end_attempt(False, "whole")
                 if rest:
                     yield rest
@@ -311,7 +328,7 @@
 
     def _may_try_again(self, failure: Failure) -> bool:
         """Return whether another upstream may get the request after this failure."""
-        if failure.code in (Code.STALE_CONFIGURATION, Code.NO_UPSTREAM, Code.DEADLINE):
+        if failure.code in FINAL_CODES:
             return False
         if failure.ran is not Ran.NOT_RUN and not self._may_repeat():
             return False
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -12,6 +12,9 @@
 from ruddersaddle_base.ids import HostId, ModelId, StoreId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
 
+from ruddersaddle_serving.crash_records import CrashRecord, CrashRecords
+from ruddersaddle_serving.crash_shares import OUT_MAX, CrashNews, CrashShares
+from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
@@ -62,6 +65,8 @@
     """Revision of the peer's own entries that the asker has; -1 for none."""
     hosts_digest: int
     """Digest of the list of hosts that the asker knows."""
+    crashes_revision: int = -1
+    """Revision of the peer's own crash records that the asker has."""
 
 
 class News(msgspec.Struct, frozen=True, tag="news"):
@@ -79,6 +84,12 @@
     """None where the asker knows the same hosts, or the peer reads no list."""
     namings: tuple[NamingAge, ...] = ()
     """How long ago weights were named."""
+    crashes: tuple[CrashRecord, ...] | None = None
+    """Requests under which two or more upstreams ended; None if the asker has them."""
+    cleared: tuple[Fingerprint, ...] = ()
+    """Requests of which a run ended whole a short while ago."""
+    crashes_revision: int = -1
+    crashes_age_s: float = float("inf")
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
@@ -122,6 +133,7 @@
     | AskParts
     | PartsNews
     | StoreLost
+    | CrashNews
     | Noted
 )
 
@@ -137,6 +149,7 @@
         upstreams: UpstreamList,
         trackers: Trackers,
         kept: KeptParts,
+        crashes: CrashRecords,
     ) -> None:
         self.hosts = hosts
         self.address = hosts.own.address
@@ -147,7 +160,9 @@
         self.kept = kept
         self.peers = Peers(self.address, self._answer, NeighbourMessage)
         self.loads = LoadShares(hosts, self.peers, trackers)
+        self.crashes = CrashShares(hosts, self.peers, store, crashes)
         self._revision_by_address: dict[str, int] = {}
+        self._crashes_revision_by_address: dict[str, int] = {}
         self._asked_at = float("-inf")
         self._seen = (0, 0)
         self.news_at = 0.0
@@ -162,6 +177,7 @@
         spawn_forever("beliefs", self._keep_young)
         spawn_forever("checks", self._check_connections)
         self.loads.start()
+        self.crashes.start()
 
     @property
     def live_hosts(self) -> list[str]:
@@ -265,7 +281,12 @@
         revision = self._revision_by_address.get(address, -1)
         hosts = self.hosts
         question = AskNews(
-            hosts.own_id, hosts.own, self.publications.version, revision, hosts.digest
+            hosts.own_id,
+            hosts.own,
+            self.publications.version,
+            revision,
+            hosts.digest,
+            self._crashes_revision_by_address.get(address, -1),
         )
         answer = self.peers.ask(address, question, ASK_S)
         if not isinstance(answer, News):
@@ -274,6 +295,7 @@
         hosts.note_heard(address)
         self._take(answer, asked_at)
         self._revision_by_address[address] = answer.entries_revision
+        self._crashes_revision_by_address[address] = answer.crashes_revision
         return True
 
     def _take(self, news: News, asked_at: float) -> None:
@@ -287,6 +309,7 @@
             self.publications.confirm(asked_at - news.age_s, news.end)
         if news.hosts is not None:
             self._take_hosts(news.hosts)
+        self._take_crashes(news, asked_at)
         entries_at = asked_at - news.entries_age_s
         if entries_at <= self.upstreams.confirmed_at:
             return
@@ -295,6 +318,11 @@
         else:
             self.upstreams.replace(news.entries, entries_at)
 
+    def _take_crashes(self, news: News, asked_at: float) -> None:
+        self.crashes.take_cleared(news.cleared)
+        self.crashes.take_records(news.crashes or ())
+        self.crashes.confirm(asked_at - news.crashes_age_s)
+
     def _answer(self, message: NeighbourMessage) -> NeighbourMessage:
         match message:
             case AskNews():
@@ -309,6 +337,8 @@
                 self.loads.take_notices(message)
             case LoadSums():
                 self.loads.take_sums(message)
+            case CrashNews():
+                self.crashes.take(message)
             case AskParts():
                 return tell_parts(self.kept, message)
             case StoreLost():
@@ -326,6 +356,8 @@
         is_newer = table is not None and publications.version > question.version
         has_entries = question.entries_revision == upstreams.revision or not upstreams.complete
         versions = publications.version_by_model
+        records = self.crashes.records
+        knows_crashes = question.crashes_revision == records.revision
         return News(
             age_s=publications.age_s,
             end=publications.end,
@@ -336,6 +368,10 @@
             entries_age_s=upstreams.age_s,
             hosts=None if knows_hosts else {**hosts.by_id, hosts.own_id: hosts.own},
             namings=publications.naming_ages(),
+            crashes=None if knows_crashes else records.shared()[:OUT_MAX],
+            cleared=records.recently_cleared(),
+            crashes_revision=records.revision,
+            crashes_age_s=self.crashes.age_s,
         )
 
     def _note_changed(self, message: Changed) -> None:
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -1,5 +1,6 @@
 """What the serving core needs of the platform; an adapter implements it and decides nothing."""
 
+from collections.abc import Mapping
 from enum import Enum
 from typing import Protocol
 
@@ -20,6 +21,8 @@
     UPSTREAMS = "upstreams"
     HOSTS = "hosts"
     LEASE = "lease"
+    CRASHES = "crashes"
+    """Requests under which upstreams ended."""
 
 
 class Record(msgspec.Struct, frozen=True):
@@ -77,6 +80,9 @@
     def put(self, topic: Topic, key: str, value: bytes | None) -> Failure | None:
         """Set or drop the value of a key."""
 
+    def put_all(self, topic: Topic, values: Mapping[str, bytes | None]) -> Failure | None:
+        """Set or drop the values of some keys, all or none of them, in one call."""
+
     def decode_operator(self, record: Record) -> Published | ModelVersion | None | Failure:
         """Return what an operator published, or None for a key that has no meaning here."""
 
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -9,6 +9,7 @@
 from ruddersaddle_base.failures import Code, Failure
 from ruddersaddle_base.ids import UpstreamId
 
+from ruddersaddle_serving.crash_shares import CrashShares
 from ruddersaddle_serving.ports import MetadataStore, Page, Record, Topic
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
@@ -25,6 +26,11 @@
 """A host that is no reader asks the store by itself when what others told it is older than this. On
 an ordinary day that is 1.9 s at most: the reader's waiting question (1 s) and the host's own pause.
 A key needs a confirmation within 4.7 s."""
+CRASH_WAIT_S = 1.0
+"""How long one question for crash records waits at the store; a new record is answered at once."""
+CRASH_FALLBACK_S = 2.4
+"""The same as `FALLBACK_S` for crash records, which bind 3 s after a crash also a host that is cut
+off from the others. Told by others they are 1.9 s old at most."""
 LOOK_S = 0.25
 """Pause of a host that is no reader until it looks again whether it should ask the store."""
 RETRY_S = 0.3
@@ -34,7 +40,8 @@
 class StoreLink:
     """Whether the store answers this host, told in the log once for each change."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "Store") -> None:
+        self.name = name
         self.lost_since: float | None = None
         self.answered_at = float("-inf")
 
@@ -43,18 +50,20 @@
         if isinstance(answer, Failure) and answer.code is not Code.GAP:
             if self.lost_since is None:
                 self.lost_since = time.monotonic()
-                logger.warning("Store is lost. %s: %s", answer.step.value, answer.detail)
+                logger.warning("%s is lost. %s: %s", self.name, answer.step.value, answer.detail)
             return
         self.answered_at = time.monotonic()
         if self.lost_since is not None:
             away_s = time.monotonic() - self.lost_since
-            logger.info("Store is regained after %.1f s.", away_s)
+            logger.info("%s is regained after %.1f s.", self.name, away_s)
             self.lost_since = None
 
 
 class TopicFollower:
     """Reads one keyed topic whole, then what changes."""
 
+    fallback_s = FALLBACK_S
+
     def __init__(self, store: MetadataStore, topic: Topic, link: StoreLink) -> None:
         self.store = store
         self.topic = topic
@@ -64,7 +73,7 @@
     def run(self, wait_s: float, pause_s: float, is_reader: Callable[[], bool]) -> None:
         """Follow the topic for good, while this host is a reader or knows nothing newer."""
         while True:
-            if not is_reader() and self.age_s < FALLBACK_S:
+            if not is_reader() and self.age_s < self.fallback_s:
                 eventlet.sleep(LOOK_S)
                 continue
             page = self._read(wait_s)
@@ -169,3 +178,26 @@
     def note_outage(self) -> None:
         """Entries may lapse while the store is away."""
         self.upstreams.note_outage()
+
+
+class CrashFollower(TopicFollower):
+    """Follows the records of requests that crash upstreams."""
+
+    fallback_s = CRASH_FALLBACK_S
+
+    def __init__(self, store: MetadataStore, shares: CrashShares) -> None:
+        # What this topic does says nothing of the others, so that it has a link of its own.
+        super().__init__(store, Topic.CRASHES, StoreLink("Topic of crash records"))
+        self.shares = shares
+
+    def take(self, page: Page, whole: bool, asked_at: float) -> bool:
+        """Take records, then confirm them as of the question."""
+        for record in page.records:
+            self.shares.take_record(record)
+        self.shares.confirm(asked_at)
+        return True
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the records were last confirmed."""
+        return self.shares.age_s
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_records.py
@@ -0,0 +1,160 @@
+"""Tests of which request is taken for the cause of crashes, and for how long."""
+
+import unittest
+
+from ruddersaddle_base.ids import UpstreamId
+
+from ruddersaddle_serving.crash_records import (
+    CRASHES_MAX,
+    STARTS_MAX,
+    SUSPECTS_MAX,
+    VERDICT_MS,
+    WHOLE_TRUST_MS,
+    Crash,
+    CrashRecord,
+    CrashRecords,
+)
+from ruddersaddle_serving.fingerprints import Fingerprint
+from ruddersaddle_serving.upstream_lists import UpstreamStart
+
+BAD, OTHER, COMMON = Fingerprint("bad"), Fingerprint("other"), Fingerprint("common")
+
+
+def start(number: int) -> UpstreamStart:
+    """Return a start of an upstream."""
+    return UpstreamStart(UpstreamId(f"e-{number}"), 1000 + number)
+
+
+class CrashRecordsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.records = CrashRecords()
+        self.now_ms = 1_800_000_000_000
+
+    def crash(self, number: int, *fingerprints: Fingerprint) -> None:
+        self.now_ms += 100
+        self.records.note_crash(Crash(start(number), fingerprints), self.now_ms)
+
+    def is_refused(self, fingerprint: Fingerprint) -> bool:
+        return self.records.find_verdict(fingerprint, self.now_ms) is not None
+
+    def refuse(self, fingerprint: Fingerprint, first: int = 0) -> None:
+        for number in range(CRASHES_MAX):
+            self.crash(first + number, fingerprint)
+
+    def test_third_start_that_ends_refuses_the_request(self) -> None:
+        self.crash(0, BAD)
+        self.crash(1, BAD)
+        self.assertFalse(self.is_refused(BAD))
+        self.crash(2, BAD)
+        self.assertTrue(self.is_refused(BAD))
+
+    def test_one_end_told_by_three_hosts_counts_once(self) -> None:
+        for _ in range(CRASHES_MAX):
+            self.crash(0, BAD)
+        self.assertFalse(self.is_refused(BAD))
+
+    def test_later_start_under_the_same_id_counts_by_itself(self) -> None:
+        for born_ms in range(CRASHES_MAX):
+            crash = Crash(UpstreamStart(UpstreamId("e"), born_ms), (BAD,))
+            self.records.note_crash(crash, self.now_ms)
+        self.assertTrue(self.is_refused(BAD))
+
+    def test_bystander_that_ends_whole_is_cleared(self) -> None:
+        """Of eight prompts in three crashes or more of one day, seven ended whole."""
+        self.crash(0, BAD, OTHER)
+        self.crash(1, BAD, OTHER)
+        self.assertTrue(self.records.note_whole(OTHER, self.now_ms))
+        self.crash(2, BAD, OTHER)
+        self.assertTrue(self.is_refused(BAD))
+        self.assertFalse(self.is_refused(OTHER))
+
+    def test_request_that_everybody_sends_is_in_each_crash_and_no_suspect(self) -> None:
+        for number in range(CRASHES_MAX):
+            self.records.note_whole(COMMON, self.now_ms)
+            self.crash(number, COMMON, BAD)
+        self.assertFalse(self.is_refused(COMMON))
+        self.assertTrue(self.is_refused(BAD))
+
+    def test_request_that_begins_to_crash_upstreams_is_found_all_the_same(self) -> None:
+        self.records.note_whole(BAD, self.now_ms)
+        self.now_ms += WHOLE_TRUST_MS
+        self.refuse(BAD)
+        self.assertTrue(self.is_refused(BAD))
+
+    def test_crashes_that_a_refused_request_explains_count_against_nobody(self) -> None:
+        self.crash(0, BAD)
+        self.crash(1, BAD, OTHER)
+        self.crash(2, BAD, OTHER)
+        self.crash(3, BAD, OTHER)
+        self.crash(4, OTHER)
+        self.crash(5, OTHER)
+        self.assertFalse(self.is_refused(OTHER))
+        self.crash(6, OTHER)
+        self.assertTrue(self.is_refused(OTHER))
+
+    def test_other_hosts_report_of_an_explained_crash_counts_against_nobody(self) -> None:
+        self.refuse(BAD)
+        self.crash(2, OTHER)
+        self.assertEqual(self.records.count(OTHER), 0)
+
+    def test_told_record_of_explained_crashes_counts_against_nobody(self) -> None:
+        self.refuse(BAD)
+        self.records.merge(CrashRecord(OTHER, (start(0), start(1)), self.now_ms), self.now_ms)
+        self.assertEqual(self.records.count(OTHER), 0)
+
+    def test_hosts_that_saw_different_crashes_find_the_cause_together(self) -> None:
+        self.crash(0, BAD)
+        self.records.merge(CrashRecord(BAD, (start(1), start(2)), self.now_ms), self.now_ms)
+        self.assertTrue(self.is_refused(BAD))
+
+    def test_refusal_lasts_twice_as_long_with_each_further_crash(self) -> None:
+        self.refuse(BAD)
+        self.now_ms += VERDICT_MS
+        self.assertFalse(self.is_refused(BAD))
+        self.crash(3, BAD)
+        self.now_ms += VERDICT_MS
+        self.assertTrue(self.is_refused(BAD))
+        self.now_ms += VERDICT_MS
+        self.assertFalse(self.is_refused(BAD))
+
+    def test_request_that_a_new_release_runs_is_taken_again(self) -> None:
+        self.refuse(BAD)
+        self.now_ms += VERDICT_MS
+        self.records.note_whole(BAD, self.now_ms)
+        self.now_ms += WHOLE_TRUST_MS
+        self.crash(3, BAD)
+        self.assertFalse(self.is_refused(BAD))
+
+    def test_old_records_are_forgotten(self) -> None:
+        self.refuse(BAD)
+        self.crash(3, OTHER)
+        self.now_ms += VERDICT_MS
+        self.records.sweep(self.now_ms)
+        self.assertEqual(self.records.count(OTHER), 0)
+        self.assertEqual(self.records.count(BAD), CRASHES_MAX)
+        self.now_ms += VERDICT_MS
+        self.records.sweep(self.now_ms)
+        self.assertEqual(self.records.by_fingerprint, {})
+        self.assertEqual(self.records._cause_by_start, {})
+
+    def test_flood_of_crashing_requests_takes_bounded_memory(self) -> None:
+        self.refuse(BAD)
+        for number in range(SUSPECTS_MAX + 10):
+            self.crash(100 + number, Fingerprint(f"f-{number}"))
+        self.assertEqual(len(self.records.by_fingerprint), SUSPECTS_MAX)
+        self.assertTrue(self.is_refused(BAD))
+        for number in range(2 * STARTS_MAX):
+            self.crash(9000 + number, BAD)
+        self.assertEqual(self.records.count(BAD), STARTS_MAX)
+
+    def test_stale_word_of_a_cleared_request_is_passed_over(self) -> None:
+        record = CrashRecord(OTHER, (start(0), start(1)), self.now_ms)
+        self.records.merge(record, self.now_ms)
+        self.now_ms += 1
+        self.records.clear(OTHER, self.now_ms)
+        self.records.merge(record, self.now_ms)
+        self.assertEqual(self.records.count(OTHER), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
@@ -0,0 +1,118 @@
+"""Tests of what tells the end of an upstream from a broken connection, and who is refused."""
+
+import time
+import unittest
+from unittest import mock
+
+import eventlet
+from ruddersaddle_base.failures import Code
+from ruddersaddle_base.ids import HallId, PoolId, UpstreamId
+
+from ruddersaddle_serving import crash_watches
+from ruddersaddle_serving.crash_records import CRASHES_MAX, Crash, CrashRecords
+from ruddersaddle_serving.crash_watches import CrashWatch
+from ruddersaddle_serving.fingerprints import Fingerprint
+from ruddersaddle_serving.ports import Presence
+from ruddersaddle_serving.trackers import Tracker
+from ruddersaddle_serving.upstream_lists import UpstreamEntry
+
+BAD, OTHER = Fingerprint("bad"), Fingerprint("other")
+POOL = PoolId("p")
+
+
+class CrashWatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        patch = mock.patch.object(crash_watches, "LOOK_PAUSES_S", (0.0, 0.01, 0.02, 0.02))
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.records = CrashRecords()
+        self.engines = mock.Mock()
+        self.cleared: list[Fingerprint] = []
+        self.crashes: list[Crash] = []
+        self.watch = CrashWatch(self.engines, self.records, self.take, self.cleared.append)
+
+    def take(self, crash: Crash) -> None:
+        self.crashes.append(crash)
+        self.records.note_crash(crash, int(time.time() * 1000))
+
+    def make_tracker(self, number: int = 0, leaving: bool = False) -> Tracker:
+        name = UpstreamId(f"e-{number}")
+        address = f"10.0.0.{number}:80"
+        return Tracker(UpstreamEntry(name, POOL, address, HallId("h"), 8, leaving, {}, 1000))
+
+    def seen(self, *presences: Presence, tracker: Tracker | None = None) -> int:
+        """Return how many crashes are told after a broken run and these looks."""
+        self.engines.presence.side_effect = [*presences, *[presences[-1]] * 9]
+        self.watch.note_broken(tracker or self.make_tracker(), BAD)
+        eventlet.sleep(0.1)
+        return len(self.crashes)
+
+    def test_address_that_refuses_connections_shows_a_crash(self) -> None:
+        self.assertEqual(self.seen(Presence.DOWN), 1)
+        self.assertEqual(self.crashes[0].fingerprints, (BAD,))
+
+    def test_next_start_at_the_address_shows_a_crash(self) -> None:
+        self.assertEqual(self.seen(Presence.UNKNOWN, Presence.REPLACED), 1)
+
+    def test_upstream_that_answers_has_lost_a_connection_only(self) -> None:
+        self.assertEqual(self.seen(Presence.HERE), 0)
+        self.assertEqual(self.watch.counts["reset"], 1)
+
+    def test_upstream_with_all_its_connections_taken_resets_one_look(self) -> None:
+        self.assertEqual(self.seen(Presence.DOWN, Presence.HERE), 0)
+
+    def test_silence_behind_a_cut_is_no_crash(self) -> None:
+        self.assertEqual(self.seen(Presence.UNKNOWN), 0)
+
+    def test_planned_end_is_no_crash(self) -> None:
+        self.assertEqual(self.seen(Presence.DOWN, tracker=self.make_tracker(0, True)), 0)
+
+    def test_one_look_serves_all_runs_that_broke_off(self) -> None:
+        tracker = self.make_tracker()
+        self.engines.presence.return_value = Presence.DOWN
+        self.watch.note_broken(tracker, BAD)
+        self.watch.note_broken(tracker, OTHER)
+        eventlet.sleep(0.1)
+        (crash,) = self.crashes
+        self.assertEqual(set(crash.fingerprints), {BAD, OTHER})
+        self.assertEqual(self.engines.presence.call_count, crash_watches.DOWN_MIN)
+
+    def test_third_crash_refuses_the_request_with_its_own_code(self) -> None:
+        self.engines.presence.return_value = Presence.DOWN
+        for number in range(CRASHES_MAX):
+            self.assertIsNone(self.watch.check(BAD, POOL))
+            self.watch.note_broken(self.make_tracker(number), BAD)
+            eventlet.sleep(0.1)
+        failure = self.watch.check(BAD, POOL)
+        self.assertEqual(failure.code, Code.CRASHES_UPSTREAMS)
+        self.assertIn("e-2 of 1000", failure.detail)
+        self.assertGreater(failure.retry_after_s, 500)
+        self.assertIsNone(self.watch.check(OTHER, POOL))
+
+    def test_second_try_waits_while_the_third_crash_is_looked_at(self) -> None:
+        """Sent at once it ended a fourth upstream."""
+        self.engines.presence.return_value = Presence.DOWN
+        for number in range(CRASHES_MAX):
+            self.watch.note_broken(self.make_tracker(number), BAD)
+            self.watch.settle(BAD)
+            if number < CRASHES_MAX - 1:
+                eventlet.sleep(0.1)
+        self.assertIsNotNone(self.watch.check(BAD, POOL))
+
+    def test_first_retry_after_a_crash_waits_for_nothing(self) -> None:
+        self.engines.presence.return_value = Presence.DOWN
+        self.watch.note_broken(self.make_tracker(), BAD)
+        began = time.monotonic()
+        self.watch.settle(BAD)
+        self.assertLess(time.monotonic() - began, crash_watches.SETTLE_STEP_S)
+
+    def test_whole_run_clears_a_suspect_and_tells_it(self) -> None:
+        self.seen(Presence.DOWN)
+        self.watch.note_whole(BAD)
+        self.watch.note_whole(OTHER)
+        self.assertEqual(self.cleared, [BAD])
+        self.assertEqual(self.records.count(BAD), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -9,6 +9,8 @@
 from ruddersaddle_base.ids import PoolId, RequestId
 from ruddersaddle_routing.retries import RetryBudget
 
+from ruddersaddle_serving.crash_records import CrashRecords
+from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.forwarders import HELD_LOOK_S, Forwarder, Forwarding
 from ruddersaddle_serving.placements import Choice, Full, Patience
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
@@ -54,7 +56,7 @@
             RetryBudget(0.1),
             5.0,
             mock.Mock(),
-            mock.Mock(),
+            CrashWatch(mock.Mock(), CrashRecords(), mock.Mock(), mock.Mock()),
         )
         return Forwarding(forwarder, request)
 
--- a/libs/serving/ruddersaddle_serving/tests/test_part_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_part_relays.py
@@ -7,6 +7,7 @@
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId, StoreId
 
+from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.neighbours import Neighbours
@@ -30,7 +31,13 @@
         kept = KeptParts(engines)
         hosts = Hosts(HostId("a"), HostRecord("10.0.0.2:1", HALL), [])
         neighbours = Neighbours(
-            hosts, mock.Mock(), Publications(), UpstreamList(), Trackers(), kept
+            hosts,
+            mock.Mock(),
+            Publications(),
+            UpstreamList(),
+            Trackers(),
+            kept,
+            CrashRecords(),
         )
         PartRelay(kept, neighbours).start()
         kept.start()
