--- a/libs/serving/ruddersaddle_serving/crash_records.py
+++ b/libs/serving/ruddersaddle_serving/crash_records.py
@@ -37,7 +37,7 @@
 """A request that ended whole so shortly before a crash did not cause it. Longer would hide one that
 has only begun to crash upstreams from its first crashes."""
 SUSPECTS_MAX = 4096
-"""Requests that are remembered: 32 engines with 128 runs each, about 2 MB of memory."""
+"""Requests that are remembered: 32 engines with 128 runs each; 0.6 MB of memory (tracemalloc)."""
 STARTS_MAX = 12
 """Crashes of one request that are remembered; more make its refusal no longer."""
 CLEARED_MS = 60_000
