--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -35,7 +35,7 @@
 SWEEP_S = 5.0
 """Pause between looks for records that are over."""
 OUT_MAX = 512
-"""Records that are told in one message or kept in the store; 114 to 145 bytes each with three crashes."""
+"""Records that are told in one message or kept in the store; 114 to 145 bytes each."""
 MS_PER_S = 1000
 
 
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_records.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_records.py
@@ -75,6 +75,13 @@
         self.assertFalse(self.is_refused(COMMON))
         self.assertTrue(self.is_refused(BAD))
 
+    def test_three_crashes_within_a_second_of_its_whole_run_refuse_no_common_request(self) -> None:
+        self.records.note_whole(COMMON, self.now_ms)
+        for number in range(CRASHES_MAX):
+            self.crash(number, COMMON, BAD)
+        self.assertFalse(self.is_refused(COMMON))
+        self.assertTrue(self.is_refused(BAD))
+
     def test_request_that_begins_to_crash_upstreams_is_found_all_the_same(self) -> None:
         self.records.note_whole(BAD, self.now_ms)
         self.now_ms += WHOLE_TRUST_MS
