--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -113,6 +113,7 @@
         self.link = StoreLink()
         self.publications = Publications()
         self.upstreams = UpstreamList()
+        self.entries = UpstreamFollower(store, self.link, self.upstreams)
         self.trackers = Trackers()
         self.kept = KeptParts(engines)
         self.budget = RetryBudget(settings.number("bounds.retry_share") * BUDGET_SHARE)
@@ -267,10 +268,9 @@
 
     def _start_tasks(self) -> None:
         operator = OperatorFollower(self.store, self.link, self.publications)
-        entries = UpstreamFollower(self.store, self.link, self.upstreams)
         is_reader = self.neighbours.hosts.is_reader
         spawn_forever("operator", operator.run, OPERATOR_WAIT_S, 0.0, is_reader)
-        spawn_forever("entries", entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
+        spawn_forever("entries", self.entries.run, 0.0, UPSTREAM_PAUSE_S, is_reader)
         crashes = CrashFollower(self.store, self.neighbours.crashes)
         spawn_forever("crashes", crashes.run, CRASH_WAIT_S, 0.0, is_reader)
         self.neighbours.start()
@@ -317,6 +317,7 @@
             ("configuration_version", "version in force", self.publications.version),
             ("configuration_age_seconds", "age of its confirmation", self.publications.age_s),
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
+            ("upstream_entries_unusable", "entries read that name none", self.entries.unusable),
             ("upstream_connections_opened", "connections opened", opened),
             ("ready", "1 if the balancer should send callers here", self.is_ready()),
             ("hosts_known", "hosts, this one included", self.neighbours.hosts.count),
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -146,6 +146,8 @@
     def __init__(self, store: MetadataStore, link: StoreLink, upstreams: UpstreamList) -> None:
         super().__init__(store, Topic.UPSTREAMS, link)
         self.upstreams = upstreams
+        self.unusable = 0
+        """Entries that were read and name no upstream to use."""
 
     def take(self, page: Page, whole: bool, asked_at: float) -> bool:
         """Take entries and their ends."""
@@ -158,7 +160,10 @@
             entry = self._decode(record) if record.value else None
             if entry is not None:
                 self.upstreams.put(entry)
-            elif not record.value:
+            elif record.value:
+                # A whole list leaves it out, too; its upstream writes it again with its heartbeat.
+                self.upstreams.drop(UpstreamId(record.key))
+            else:
                 self.upstreams.remove(UpstreamId(record.key))
         self.upstreams.confirm(asked_at)
         return True
@@ -166,7 +171,8 @@
     def _decode(self, record: Record) -> UpstreamEntry | None:
         entry = self.store.decode_upstream(record)
         if isinstance(entry, Failure):
-            logger.error("Entry of %s is unreadable. %s", record.key, entry.detail)
+            self.unusable += 1
+            logger.error("Entry of %s names no upstream. %s", record.key, entry.detail)
             return None
         return entry
 
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -128,7 +128,7 @@
                 logger.info("Entry of %s is gone after an outage of the store.", upstream)
             self._lapse_by_id.setdefault(upstream, now + LAPSE_GRACE_S)
             return
-        self._drop(upstream)
+        self.drop(upstream)
 
     def confirm(self, asked_at: float) -> None:
         """Note that the list is as new as a question sent at `asked_at`; drop what lapsed."""
@@ -136,10 +136,11 @@
         now = time.monotonic()
         for upstream, until in list(self._lapse_by_id.items()):
             if now >= until:
-                del self._lapse_by_id[upstream]
-                self._drop(upstream)
+                self.drop(upstream)
 
-    def _drop(self, upstream: UpstreamId) -> None:
+    def drop(self, upstream: UpstreamId) -> None:
+        """Take an entry out at once."""
+        self._lapse_by_id.pop(upstream, None)
         entry = self.by_id.pop(upstream, None)
         if entry is not None:
             self.revision += 1
