--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -2,10 +2,10 @@
 
 import itertools
 import logging
-import time
 from collections.abc import Callable
 from typing import Any
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
 from ruddersaddle_serving.placements import Choice
@@ -75,7 +75,7 @@
         )
         remaining_s = request.remaining_s
         headers = self.wire.write_delivery(delivery, remaining_s)
-        self.sent_at = time.monotonic()
+        self.sent_at = clocks.now_s()
         failure = self.exchange.send(
             request.method, request.target, request.body, headers, remaining_s
         )
--- a/libs/serving/ruddersaddle_serving/caller_listeners.py
+++ b/libs/serving/ruddersaddle_serving/caller_listeners.py
@@ -8,12 +8,12 @@
 import logging
 import os
 import resource
-import time
 from typing import Any
 
 import eventlet
 from eventlet import GreenPool
 from eventlet.greenio import GreenSocket
+from ruddersaddle_base import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -121,7 +121,7 @@
 
     def _note_refused(self, reason: str) -> None:
         self._refused += 1
-        now = time.monotonic()
+        now = clocks.now_s()
         if now - self._logged_at < LOG_PAUSE_S:
             return
         self._logged_at = now
--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -1,10 +1,10 @@
 """HTTP from callers: eventlet's WSGI protocol with stricter framing and time limits."""
 
 import re
-import time
 
 from eventlet import wsgi
 from eventlet.wsgi import STATE_IDLE, STATE_REQUEST, HttpProtocol
+from ruddersaddle_base import clocks
 
 from ruddersaddle_serving.caller_pools import STATE
 from ruddersaddle_serving.patient_timeouts import PatientTimeout
@@ -117,7 +117,7 @@
         environ["caller.target"] = self.path
         environ["caller.connection"] = self.connection
         environ["caller.protocol"] = self
-        environ["caller.began"] = time.monotonic()
+        environ["caller.began"] = clocks.now_s()
         return environ
 
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
--- a/libs/serving/ruddersaddle_serving/context_stores.py
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -2,10 +2,10 @@
 
 import logging
 import random
-import time
 from collections import deque
 from collections.abc import Iterable
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, ModelId
 
@@ -67,7 +67,7 @@
     @property
     def is_trusted(self) -> bool:
         """Whether the listing is young enough to fetch by it, and the store answered since."""
-        oldest_at = max(self.lost_at, time.monotonic() - TRUST_S)
+        oldest_at = max(self.lost_at, clocks.now_s() - TRUST_S)
         return self.confirmed_at > oldest_at and self.knows_clock
 
     def note_lost(self) -> None:
@@ -77,7 +77,7 @@
         listing was still believed, one lost store of nineteen delayed every prompt that begins
         with a part kept there, for the whole 2 s of `TRUST_S`.
         """
-        self.lost_at = time.monotonic()
+        self.lost_at = clocks.now_s()
 
     def note_answer(self, failure: Failure | None) -> None:
         """Tell once that the store is lost or regained."""
@@ -92,7 +92,7 @@
     @property
     def takes_saves(self) -> bool:
         """Whether parts may be saved here now."""
-        settled = time.monotonic() - self.epoch_seen_at > QUIET_S
+        settled = clocks.now_s() - self.epoch_seen_at > QUIET_S
         return self.is_trusted and settled
 
     def has_room(self, tokens: int) -> bool:
@@ -145,7 +145,7 @@
         """
         if epoch != self.epoch:
             is_settled = self.epoch is None and has_parts
-            self.epoch_seen_at = float("-inf") if is_settled else time.monotonic()
+            self.epoch_seen_at = float("-inf") if is_settled else clocks.now_s()
             logger.info("Store %s is at epoch %s, before %s.", self.spec.id, epoch, self.epoch)
         self.epoch = epoch
         self.next = next_number
@@ -162,7 +162,7 @@
         """Learn the engines' clock; it is never estimated ahead of itself."""
         if clock_ms is None:
             return
-        self.clock_offset_ms = clock_ms - time.monotonic() * 1000.0
+        self.clock_offset_ms = clock_ms - clocks.now_s() * 1000.0
         self.knows_clock = True
 
     def parts_before(self, model: ModelId, version: int) -> tuple[StoreChange, ...]:
@@ -176,7 +176,7 @@
     @property
     def clock_ms(self) -> float:
         """The engines' clock now, by what was last heard of it."""
-        return time.monotonic() * 1000.0 + self.clock_offset_ms
+        return clocks.now_s() * 1000.0 + self.clock_offset_ms
 
     @property
     def fetch_until_ms(self) -> int:
--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -6,10 +6,10 @@
 """
 
 import logging
-import time
 
 import eventlet
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_json, encode_json
 from ruddersaddle_base.failures import Failure, Step
 
@@ -36,7 +36,6 @@
 """Pause between looks for records that are over."""
 OUT_MAX = 512
 """Records that are told in one message or kept in the store; 114 to 145 bytes each."""
-MS_PER_S = 1000
 
 
 class CrashNews(msgspec.Struct, frozen=True, tag="crash_news"):
@@ -77,7 +76,7 @@
     @property
     def age_s(self) -> float:
         """Seconds since the records were last confirmed."""
-        return time.monotonic() - self.confirmed_at
+        return clocks.now_s() - self.confirmed_at
 
     # Between hosts
 
@@ -123,7 +122,7 @@
 
     def take(self, news: CrashNews) -> None:
         """Take what another host tells, and pass it on where that is this host's to do."""
-        now_ms = _now_ms()
+        now_ms = clocks.unix_ms()
         for crash in news.crashes:
             self._note(crash, False)
             whole = [each for each in crash.fingerprints if self.records.was_whole(each, now_ms)]
@@ -136,7 +135,7 @@
 
     def _note(self, crash: Crash, is_own: bool) -> None:
         delay_s = 0.0 if is_own else LATER_S
-        for record in self.records.note_crash(crash, _now_ms()):
+        for record in self.records.note_crash(crash, clocks.unix_ms()):
             if len(record.starts) >= SHARED_MIN:
                 self._write_soon(record.fingerprint, delay_s)
 
@@ -151,7 +150,7 @@
         fingerprint = Fingerprint(record.key)
         if not record.value:
             self._stored.pop(fingerprint, None)
-            self.records.clear(fingerprint, _now_ms())
+            self.records.clear(fingerprint, clocks.unix_ms())
             return
         decoded = decode_json(record.value, CrashRecord, Step.READ, record.key)
         if isinstance(decoded, Failure) or decoded.fingerprint != fingerprint:
@@ -164,14 +163,14 @@
     def take_records(self, records: tuple[CrashRecord, ...]) -> None:
         """Take what others know, and write what the store lacks of it."""
         for told in records:
-            merged = self.records.merge(told, _now_ms())
+            merged = self.records.merge(told, clocks.unix_ms())
             if merged.starts != told.starts and len(merged.starts) >= SHARED_MIN:
                 self._write_soon(merged.fingerprint, LATER_S)
 
     def take_cleared(self, cleared: tuple[Fingerprint, ...]) -> None:
         """Take which requests were cleared a short while ago."""
         for fingerprint in cleared:
-            self.records.clear(fingerprint, _now_ms())
+            self.records.clear(fingerprint, clocks.unix_ms())
 
     def _write_soon(self, fingerprint: Fingerprint, delay_s: float) -> None:
         eventlet.spawn_after(delay_s, self._add_unwritten, fingerprint)
@@ -228,7 +227,7 @@
     def _sweep(self) -> None:
         while True:
             eventlet.sleep(SWEEP_S)
-            now_ms = _now_ms()
+            now_ms = clocks.unix_ms()
             self.records.sweep(now_ms)
             over = [key for key, record in self._stored.items() if record.is_over(now_ms)]
             for fingerprint in over:
@@ -236,7 +235,3 @@
                     self._write_soon(fingerprint, 0.0)
                 else:
                     del self._stored[fingerprint]
-
-
-def _now_ms() -> int:
-    return int(time.time() * MS_PER_S)
--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -5,10 +5,10 @@
 """
 
 import logging
-import time
 from collections.abc import Callable
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import PoolId
 
@@ -60,7 +60,7 @@
 
         Each further send costs one more upstream with all its runs: 16 ended under one request.
         """
-        now_ms = int(time.time() * MS_PER_S)
+        now_ms = clocks.unix_ms()
         record = self.records.find_verdict(fingerprint, now_ms)
         if record is None:
             return None
@@ -78,8 +78,8 @@
 
         Upstreams are looked at for some 0.1 s; a second try in that time ended a fourth upstream.
         """
-        until = time.monotonic() + SETTLE_S
-        while self._may_decide(fingerprint) and time.monotonic() < until:
+        until = clocks.now_s() + SETTLE_S
+        while self._may_decide(fingerprint) and clocks.now_s() < until:
             eventlet.sleep(SETTLE_STEP_S)
 
     def _may_decide(self, fingerprint: Fingerprint) -> bool:
@@ -89,7 +89,7 @@
 
     def note_whole(self, fingerprint: Fingerprint) -> None:
         """Take that a run ended whole, which clears its request."""
-        if self.records.note_whole(fingerprint, int(time.time() * MS_PER_S)):
+        if self.records.note_whole(fingerprint, clocks.unix_ms()):
             self.tell_cleared(fingerprint)
 
     def note_broken(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -4,10 +4,10 @@
 What was sent and has no first event yet is what the engine still has to read.
 """
 
-import time
 from collections import OrderedDict
 
 import msgspec
+from ruddersaddle_base import clocks
 
 from ruddersaddle_serving.admissions import Standing
 from ruddersaddle_serving.paces import Pace
@@ -108,10 +108,10 @@
         """Take a sum of requests that were sent elsewhere; it counts for `TOLD_TRUST_S`."""
         if includes_own and self.by_number:
             told = _subtract(told, self.own_sum())
-        self._others_by_source[source] = (told, time.monotonic())
+        self._others_by_source[source] = (told, clocks.now_s())
 
     def _others(self) -> list[LoadSum]:
-        oldest_at = time.monotonic() - TOLD_TRUST_S
+        oldest_at = clocks.now_s() - TOLD_TRUST_S
         return [told for told, at in self._others_by_source.values() if at > oldest_at]
 
     def _others_tokens(self) -> list[int]:
@@ -143,7 +143,7 @@
         has_room = capacity_tokens <= 0 or self.tokens + tokens <= capacity_tokens
         nominal_s = self._reading_s(priority) + fetch_s + work_s if has_room else None
         own = max(0, tokens - sum(part.tokens for part in parts))
-        now = time.monotonic()
+        now = clocks.now_s()
         self.by_number[number] = Sent(priority, work_s, own, salt, parts, now, nominal_s)
         self._work_by_priority[priority] += work_s
         self._tokens_by_priority[priority] += own
@@ -174,7 +174,7 @@
         """Take that the first event of a request came, so that its prompt was read."""
         sent = self.by_number.get(number)
         if sent is not None and sent.first_at is None:
-            sent.first_at = time.monotonic()
+            sent.first_at = clocks.now_s()
             if sent.nominal_s is not None:
                 self.pace.note(sent.nominal_s, sent.first_at - sent.at)
             self._drop_work(sent)
@@ -200,7 +200,7 @@
             self._drop_work(sent)
         else:
             tokens = sent.tokens + sum(part.tokens for part in sent.parts)
-            self._note_run(time.monotonic() - sent.first_at, tokens)
+            self._note_run(clocks.now_s() - sent.first_at, tokens)
         del self.by_number[number]
         for part in sent.parts:
             self._leave_part((sent.salt, part.id))
@@ -226,7 +226,7 @@
         return sum(self._work_by_priority[:steps]) + sum(self._others_work()[:steps])
 
     def _forget_old(self) -> None:
-        oldest_at = time.monotonic() - FORGET_S
+        oldest_at = clocks.now_s() - FORGET_S
         while self.by_number:
             number, sent = next(iter(self.by_number.items()))
             if sent.at > oldest_at:
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -4,7 +4,6 @@
 import math
 import os
 import signal
-import time
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -12,6 +11,7 @@
 import eventlet
 import eventlet.wsgi
 from eventlet.greenthread import GreenThread
+from ruddersaddle_base import clocks
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import HallId, HostId, Incarnation, new_incarnation
 from ruddersaddle_base.loggers import count_dropped
@@ -287,7 +287,7 @@
             self.trackers.close_expired()
             slack = self.settings.number("bounds.retry_slack") * BUDGET_SHARE
             self.budget.most = max(1.0, slack / self.neighbours.hosts.count)
-            slept_at = time.monotonic()
+            slept_at = clocks.now_s()
             eventlet.sleep(HOUSEKEEPING_S)
             self.standstills.check(slept_at, HOUSEKEEPING_S)
 
@@ -374,7 +374,7 @@
         latest = self.signals.first_at + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
         # The runner ends after its last connection. Requests not read yet, and the last bytes of a
         # stream, don't count as active.
-        while (self.front.active or not callers.server.dead) and time.monotonic() < latest:
+        while (self.front.active or not callers.server.dead) and clocks.now_s() < latest:
             eventlet.sleep(STOP_STEP_S)
         fields = cut_fields(self.front.under_way())
         level = logging.WARNING if fields["cut"] else logging.INFO
@@ -382,4 +382,4 @@
         logger.log(level, "Host %s has stopped.", self.incarnation, extra=fields)
 
     def _sleep_until(self, moment: float) -> None:
-        eventlet.sleep(max(0.0, moment - time.monotonic()))
+        eventlet.sleep(max(0.0, moment - clocks.now_s()))
--- a/libs/serving/ruddersaddle_serving/fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/fence_leases.py
@@ -9,9 +9,9 @@
 
 import logging
 import secrets
-import time
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_json
 from ruddersaddle_base.failures import Failure, Step
 from ruddersaddle_base.ids import Incarnation
@@ -53,7 +53,7 @@
     @property
     def may_order(self) -> bool:
         """Whether an order may leave right now."""
-        return time.monotonic() < self._orders_until
+        return clocks.now_s() < self._orders_until
 
     @property
     def is_holder(self) -> bool:
@@ -72,7 +72,7 @@
 
     def watch(self) -> None:
         """Read who holds the lease, so that the wait of a successor has begun when it is needed."""
-        now = time.monotonic()
+        now = clocks.now_s()
         if not self.is_holder and now - self._watched_at >= WATCH_S:
             self._watched_at = now
             self._read()
@@ -80,7 +80,7 @@
     def _is_held_by_other(self) -> bool:
         if self._last is None:
             return False
-        return time.monotonic() - self._last_seen_at < self.lease_s + MARGIN_S
+        return clocks.now_s() - self._last_seen_at < self.lease_s + MARGIN_S
 
     def _read(self) -> bool:
         """Read what other holders appended; return whether the store answered."""
@@ -102,12 +102,12 @@
         if self._last is None or record.holder != self._last.holder:
             logger.info("Lease: %s holds it at offset %d.", record.holder, end - 1)
         self._last = record
-        self._last_seen_at = time.monotonic()
+        self._last_seen_at = clocks.now_s()
         self._end = end
 
     def _append(self) -> bool:
         mine = LeaseRecord(self.holder, secrets.token_hex(8))
-        sent_at = time.monotonic()
+        sent_at = clocks.now_s()
         result = self.store.append(Topic.LEASE, msgspec.json.encode(mine), self._end)
         if isinstance(result, Failure):
             logger.info("Append to the lease has no answer. %s", result.detail)
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -1,11 +1,11 @@
 """Sends a request to an upstream, and to another one where that is allowed."""
 
 import logging
-import time
 from collections.abc import Callable, Iterator
 
 import eventlet
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, UpstreamId
 from ruddersaddle_routing.retries import RetryBudget
@@ -184,7 +184,7 @@
     def _choose(self) -> Choice | Failure:
         """Return the upstream for the next try; wait a little while all engines are full."""
         placement = self.forwarder.placement
-        began = time.monotonic()
+        began = clocks.now_s()
         patience = Patience.REFUSE if self._sent_count == 0 else Patience.SEND
         self.forwarder.crashes.settle(self.request.fingerprint)
         while True:
@@ -192,7 +192,7 @@
             if refusal is not None:
                 return refusal
             choice = placement.choose(self.request, self.pool, self._excluded, patience)
-            self.trail.held_s = time.monotonic() - began
+            self.trail.held_s = clocks.now_s() - began
             if not isinstance(choice, Full):
                 return choice
             patience = Patience.HOLD if self._may_be_held(choice) else Patience.SEND
@@ -205,7 +205,7 @@
 
     def _may_be_held(self, full: Full) -> bool:
         """Return whether the request could still be in time if it were sent at the next look."""
-        elapsed_s = time.monotonic() - self.request.began
+        elapsed_s = clocks.now_s() - self.request.began
         return elapsed_s + HELD_LOOK_S + full.first_s < self.request.route.target_latency_s
 
     def _send(self) -> AnswerHead | Failure:
@@ -280,7 +280,7 @@
 
     def _note_first(self) -> None:
         if self.trail.first_s is None:
-            self.trail.first_s = time.monotonic() - self.request.began
+            self.trail.first_s = clocks.now_s() - self.request.began
 
     def events(self) -> Iterator[bytes | Failure]:
         """Yield whole events as they arrive; a failure, if any, comes last."""
@@ -356,5 +356,5 @@
         sent_at = self.attempt.sent_at
         if sent_at is None or self.trail.first_s is not None:
             return False
-        silent_s = time.monotonic() - sent_at
+        silent_s = clocks.now_s() - sent_at
         return silent_s > SILENT_FACTOR * self.request.route.target_latency_s
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -1,12 +1,12 @@
 """The callers' side of a host: takes requests, finds route and workspace, answers."""
 
 import logging
-import time
 from collections.abc import Callable, Iterable, Iterator
 from http.client import responses
 from typing import Any
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.histograms import Histograms, Measure
 
@@ -294,7 +294,7 @@
         request = None if self.head is None else self.head.id
         route = None if self.request is None else self.request.route.name
         upstream = None if self.forwarding is None else self.forwarding.trail.upstream
-        return CutRequest(request, route, upstream, time.monotonic() - self.began)
+        return CutRequest(request, route, upstream, clocks.now_s() - self.began)
 
     def _note_fault(self) -> None:
         cut = self.describe()
@@ -309,7 +309,7 @@
         front = self.front
         front.count(f"answers_{self.status or 'none'}")
         count_end(front.ends, word)
-        total_s = time.monotonic() - self.began
+        total_s = clocks.now_s() - self.began
         fields: dict[str, Any] = {
             "status": self.status,
             "outcome": word,
@@ -348,13 +348,13 @@
         fields["fetched_parts"] = trail.fetched
         fields["saved_parts"] = trail.saved
         fields["tries"] = trail.tries
-        entries_s = time.monotonic() - self.front.forwarder.placement.upstreams.confirmed_at
+        entries_s = clocks.now_s() - self.front.forwarder.placement.upstreams.confirmed_at
         fields["entries_age_ms"] = _milliseconds(entries_s)
         if trail.first_s is not None:
             fields["first_ms"] = round(trail.first_s * 1000)
             self._record(Measure.FIRST_TOKEN, trail.first_s)
         if self.status == 200:
-            self._record(Measure.WHOLE, time.monotonic() - self.began)
+            self._record(Measure.WHOLE, clocks.now_s() - self.began)
 
     def _record(self, measure: Measure, elapsed_s: float) -> None:
         request = self.request
--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -6,10 +6,10 @@
 """
 
 import logging
-import time
 from zlib import crc32
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import HallId, HostId
 from ruddersaddle_routing.rendezvous import rank_names
 
@@ -79,7 +79,7 @@
 
     def note_silent(self, address: str) -> None:
         """Take that a host did not answer."""
-        now = time.monotonic()
+        now = clocks.now_s()
         if now < self._silent_until.get(address, now):
             return
         failures = self._failures_by_address.get(address, 0)
@@ -117,7 +117,7 @@
 
     def live(self) -> list[HostRecord]:
         """Return the hosts that are not known to be silent, this one first."""
-        now = time.monotonic()
+        now = clocks.now_s()
         silent = {address for address, until in self._silent_until.items() if now < until}
         return [self.own, *(each for each in self.others() if each.address not in silent)]
 
@@ -143,7 +143,7 @@
         return first_by_hall
 
     def _by_width(self) -> list[HostRecord]:
-        now = time.monotonic()
+        now = clocks.now_s()
         if now >= self._ranked_until:
             live = self.live()
             names = rank_names(READERS_KEY, [each.address for each in live])
--- a/libs/serving/ruddersaddle_serving/kept_parts.py
+++ b/libs/serving/ruddersaddle_serving/kept_parts.py
@@ -8,10 +8,10 @@
 """
 
 import logging
-import time
 from collections.abc import Callable
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure, Step
 from ruddersaddle_base.ids import HallId, ModelId, StoreId, WorkspaceId
 from ruddersaddle_routing.rendezvous import rank_names
@@ -93,12 +93,12 @@
 
     def follow_once(self, kept: KeptStore) -> float:
         """Ask a store for what has changed; return the pause until the next question."""
-        asked_at = time.monotonic()
+        asked_at = clocks.now_s()
         revision = kept.revision
         failure = self._read(kept)
         if failure is not None and failure.step is Step.SEND:
             # The kept connection broke; a store that lives takes a new one.
-            asked_at = time.monotonic()
+            asked_at = clocks.now_s()
             failure = self._read(kept)
         kept.note_answer(failure)
         if failure is not None:
@@ -188,7 +188,7 @@
 
     def _place(self, salt: str, part: Part, hall: HallId) -> str | None:
         """Return the store that an engine in a hall saves a part to, or None."""
-        now = time.monotonic()
+        now = clocks.now_s()
         key = (salt, part.id)
         if self._saving_until.get(key, 0.0) > now:
             return None
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -6,10 +6,10 @@
 """
 
 import itertools
-import time
 
 import eventlet
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.engine_loads import LoadSum
@@ -159,7 +159,7 @@
         return [address for hall, address in by_hall.items() if hall != own_hall]
 
     def _sums(self, is_total: bool) -> tuple[EngineSum, ...]:
-        now = time.monotonic()
+        now = clocks.now_s()
         return tuple(_sum_of(each, is_total, now) for each in self.trackers.by_id.values())
 
     def take_sums(self, message: LoadSums) -> None:
@@ -201,7 +201,7 @@
 
 def _take_silence(silence: Silence, source: str, told: EngineSum) -> None:
     """Take when others last heard of an upstream, and since when they find it silent."""
-    now = time.monotonic()
+    now = clocks.now_s()
     if told.heard_ms < NEVER_MS:
         silence.note_heard(now - told.heard_ms / 1000)
     since = None if told.silent_ms is None else now - told.silent_ms / 1000
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -2,11 +2,11 @@
 
 import logging
 import random
-import time
 from collections.abc import Callable
 
 import eventlet
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_json
 from ruddersaddle_base.failures import Failure, Step
 from ruddersaddle_base.ids import HostId, ModelId, StoreId, UpstreamId
@@ -188,7 +188,7 @@
 
     def _follow_hosts(self) -> None:
         registered = False
-        settled_at = time.monotonic() + SETTLE_S
+        settled_at = clocks.now_s() + SETTLE_S
         while True:
             if not registered:
                 record = msgspec.json.encode(self.hosts.own)
@@ -205,7 +205,7 @@
                 continue
             self._take_hosts(_decode_hosts(page.records))
             # At a common start the first to read the list find nobody on it yet.
-            is_settled = self.hosts.by_id or time.monotonic() > settled_at
+            is_settled = self.hosts.by_id or clocks.now_s() > settled_at
             pause_s = HOSTS_READ_S if is_settled else HOSTS_LOOK_S
             eventlet.sleep(pause_s * (0.75 + 0.5 * random.random()))
 
@@ -232,7 +232,7 @@
             eventlet.sleep(LOOK_S)
             self._tell_changes()
             age_s = max(self.publications.age_s, self.upstreams.age_s)
-            since_s = time.monotonic() - self._asked_at
+            since_s = clocks.now_s() - self._asked_at
             if since_s > ASK_PAUSE_S and (age_s > OLD_S or not self.hosts.is_reader()):
                 self._ask_reader()
 
@@ -251,7 +251,7 @@
 
     def _ask_reader(self) -> None:
         """Ask the readers in turn until one has something young to tell."""
-        self._asked_at = time.monotonic()
+        self._asked_at = clocks.now_s()
         others = [each for each in self.hosts.readers() if each != self.address]
         known = self.hosts.addresses()
         if not others and known:
@@ -277,7 +277,7 @@
 
     def _ask(self, address: str) -> bool:
         """Ask one peer; return whether it answered."""
-        asked_at = time.monotonic()
+        asked_at = clocks.now_s()
         revision = self._revision_by_address.get(address, -1)
         hosts = self.hosts
         question = AskNews(
@@ -394,14 +394,14 @@
 
     def note_loading(self, message: Loading) -> None:
         """Send no new work to an engine for a while."""
-        self.news_at = time.monotonic()
+        self.news_at = clocks.now_s()
         tracker = self.trackers.by_id.get(message.upstream)
         if tracker is not None:
-            tracker.avoided_until = time.monotonic() + message.seconds
+            tracker.avoided_until = clocks.now_s() + message.seconds
 
     def note_loaded(self, message: Loaded) -> None:
         """Take that an engine has new weights and takes work again."""
-        self.news_at = time.monotonic()
+        self.news_at = clocks.now_s()
         tracker = self.trackers.by_id.get(message.upstream)
         if tracker is not None:
             tracker.take_version(message.model, message.version)
--- a/libs/serving/ruddersaddle_serving/part_news.py
+++ b/libs/serving/ruddersaddle_serving/part_news.py
@@ -1,8 +1,7 @@
 """What hosts tell one another of context stores, so that few of them ask each store."""
 
-import time
-
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import StoreId
 
 from ruddersaddle_serving.context_stores import KeptStore
@@ -76,7 +75,7 @@
         epoch=store.epoch,
         next=store.next,
         revision=store.revision,
-        age_s=time.monotonic() - store.confirmed_at,
+        age_s=clocks.now_s() - store.confirmed_at,
         clock_ms=store.clock_ms,
         used_tokens=store.used_tokens,
         is_whole=changes is None,
--- a/libs/serving/ruddersaddle_serving/part_relays.py
+++ b/libs/serving/ruddersaddle_serving/part_relays.py
@@ -1,9 +1,9 @@
 """The task by which a host is told of context stores by the reader of its hall."""
 
 import logging
-import time
 
 import eventlet
+from ruddersaddle_base import clocks
 
 from ruddersaddle_serving.kept_parts import SPARE_WATCHERS, KeptParts
 from ruddersaddle_serving.neighbours import ASK_S, Neighbours
@@ -70,7 +70,7 @@
         positions = tuple(
             Position(spec.id, self._revision_by_source.get((reader, spec.id), -1)) for spec in specs
         )
-        asked_at = time.monotonic()
+        asked_at = clocks.now_s()
         answer = self.neighbours.peers.ask(reader, AskParts(positions), ASK_S)
         if not isinstance(answer, PartsNews):
             logger.info("Reader %s tells nothing of context stores.", reader)
--- a/libs/serving/ruddersaddle_serving/probes.py
+++ b/libs/serving/ruddersaddle_serving/probes.py
@@ -5,11 +5,11 @@
 """
 
 import logging
-import time
 from collections.abc import Callable
 
 import eventlet
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.hosts import Hosts
@@ -79,7 +79,7 @@
 
     def _begin(self, upstream: UpstreamId) -> bool:
         """Return whether the upstream's next probe is due, and date the one after it."""
-        now = time.monotonic()
+        now = clocks.now_s()
         state = self._state_by_id.setdefault(upstream, ProbeState())
         if state.reached_at is not None:
             self._slow_down(state, now)
@@ -110,7 +110,7 @@
                 logger.info("Upstream %s is silent: %s.", tracker.id, presence.value)
 
     def _note_reached(self, tracker: Tracker) -> None:
-        self._state_by_id.setdefault(tracker.id, ProbeState()).reached_at = time.monotonic()
+        self._state_by_id.setdefault(tracker.id, ProbeState()).reached_at = clocks.now_s()
         logger.info("Upstream %s answers again.", tracker.id)
         self._tell(tracker, Progress.REACHED)
 
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -1,10 +1,10 @@
 """Requests of callers, in the terms that decisions are made in."""
 
-import time
 from functools import cached_property
 from typing import NewType
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId, RequestId
 
 from ruddersaddle_serving.fingerprints import Fingerprint, make_fingerprint
@@ -90,7 +90,7 @@
     @property
     def remaining_s(self) -> float:
         """Seconds that are left of the caller's time and the route's."""
-        return self.began + self.budget_s - time.monotonic()
+        return self.began + self.budget_s - clocks.now_s()
 
     @property
     def priority(self) -> int:
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -1,10 +1,10 @@
 """What this host believes of what operators published, and how young that belief is."""
 
 import logging
-import time
 from collections.abc import Callable, Iterable
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
 
 from ruddersaddle_serving.ports import ModelVersion
@@ -65,7 +65,7 @@
     @property
     def age_s(self) -> float:
         """Seconds since the belief was last known to be the newest."""
-        return time.monotonic() - self.confirmed_at
+        return clocks.now_s() - self.confirmed_at
 
     def take(self, item: Published | ModelVersion) -> None:
         """Take one published item if it is newer than what is known."""
@@ -89,12 +89,12 @@
             return
         logger.info("Weights %d of %s are named, after %d.", named.version, named.model, known)
         self.version_by_model[named.model] = named.version
-        naming = Naming(named.version, self.confirmed_at, time.monotonic())
+        naming = Naming(named.version, self.confirmed_at, clocks.now_s())
         self.namings_by_model.setdefault(named.model, []).append(naming)
 
     def naming_ages(self) -> tuple[NamingAge, ...]:
         """Return the ages of all namings that this host has seen come."""
-        now = time.monotonic()
+        now = clocks.now_s()
         return tuple(
             NamingAge(model, each.version, now - each.heard_at, now - each.not_before)
             for model, namings in self.namings_by_model.items()
@@ -119,7 +119,7 @@
     def replaced_at_least_s(self, model: ModelId, version: int) -> float:
         """Return the time for which this host has known that newer weights are named."""
         naming = self._first_after(model, version)
-        return 0.0 if naming is None else time.monotonic() - naming.heard_at
+        return 0.0 if naming is None else clocks.now_s() - naming.heard_at
 
     def is_replaced_for(self, model: ModelId, version: int, bound_s: float) -> bool:
         """Return whether newer weights may have been named longer ago than a bound.
@@ -131,7 +131,7 @@
             return False
         was_known_at_start = naming.not_before == float("-inf")
         allowed_s = min(bound_s, START_GRACE_S) if was_known_at_start else bound_s
-        return time.monotonic() - naming.heard_at >= allowed_s
+        return clocks.now_s() - naming.heard_at >= allowed_s
 
     def _first_after(self, model: ModelId, version: int) -> "Naming | None":
         namings = self.namings_by_model.get(model, ())
--- a/libs/serving/ruddersaddle_serving/replaced_parts.py
+++ b/libs/serving/ruddersaddle_serving/replaced_parts.py
@@ -6,9 +6,9 @@
 """
 
 import logging
-import time
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
 
 from ruddersaddle_serving.context_stores import FETCH_S, TRUST_S, KeptStore
@@ -75,7 +75,7 @@
     def _unused_before(self, model: ModelId) -> int:
         """Return the oldest weights whose parts may still be fetched, or 0 if that is unknown."""
         oldest = self._oldest_in_use(model)
-        now = time.monotonic()
+        now = clocks.now_s()
         known, since = self._oldest_by_model.get(model, (0, now))
         if oldest != known:
             since = now
--- a/libs/serving/ruddersaddle_serving/standstills.py
+++ b/libs/serving/ruddersaddle_serving/standstills.py
@@ -1,7 +1,8 @@
 """Notices that the whole process stood still: frozen, short of processor, or blocked by a call."""
 
 import logging
-import time
+
+from ruddersaddle_base import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -18,7 +19,7 @@
 
     def check(self, slept_at: float, pause_s: float) -> None:
         """Compare a pause with how long it took; call it when the pause is over."""
-        late_s = time.monotonic() - slept_at - pause_s
+        late_s = clocks.now_s() - slept_at - pause_s
         if late_s < TOLD_S:
             return
         self.total_s += late_s
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -2,10 +2,10 @@
 
 import logging
 import random
-import time
 from collections.abc import Callable
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure
 from ruddersaddle_base.ids import UpstreamId
 
@@ -49,12 +49,12 @@
         """Take the answer to any call."""
         if isinstance(answer, Failure) and answer.code is not Code.GAP:
             if self.lost_since is None:
-                self.lost_since = time.monotonic()
+                self.lost_since = clocks.now_s()
                 logger.warning("%s is lost. %s: %s", self.name, answer.step.value, answer.detail)
             return
-        self.answered_at = time.monotonic()
+        self.answered_at = clocks.now_s()
         if self.lost_since is not None:
-            away_s = time.monotonic() - self.lost_since
+            away_s = clocks.now_s() - self.lost_since
             logger.info("%s is regained after %.1f s.", self.name, away_s)
             self.lost_since = None
 
@@ -85,7 +85,7 @@
             eventlet.sleep(pause_s)
 
     def _read(self, wait_s: float) -> Page | Failure:
-        asked_at = time.monotonic()
+        asked_at = clocks.now_s()
         if self.position is None:
             page = self.store.newest(self.topic)
         else:
--- a/libs/serving/ruddersaddle_serving/taken_signals.py
+++ b/libs/serving/ruddersaddle_serving/taken_signals.py
@@ -1,9 +1,10 @@
 """Signals that asked for a planned stop, and how late they were noticed."""
 
 import signal
-import time
 from typing import Any
 
+from ruddersaddle_base import clocks
+
 
 class TakenSignals:
     """What a signal's handler may leave behind: handlers run in the event loop and only set this.
@@ -20,12 +21,12 @@
         """Note a signal."""
         if self.first is None:
             self.first = number
-            self.first_at = time.monotonic()
+            self.first_at = clocks.now_s()
         self.count += 1
 
     def fields(self) -> dict[str, Any]:
         """Return a log line's fields about the first signal."""
         if self.first is None:
             return {}
-        late_s = time.monotonic() - self.first_at
+        late_s = clocks.now_s() - self.first_at
         return {"signal": signal.Signals(self.first).name, "noticed_ms": round(late_s * 1000)}
--- a/libs/serving/ruddersaddle_serving/tests/fixed_clocks.py
+++ b/libs/serving/ruddersaddle_serving/tests/fixed_clocks.py
@@ -1,15 +1,16 @@
 """A steady clock that stands still until a test moves it."""
 
-import time
 import unittest
 from unittest import mock
 
+from ruddersaddle_base import clocks
+
 
 class FixedClockTest(unittest.TestCase):
-    """A test whose `time.monotonic` returns `self.now`."""
+    """A test whose `clocks.now_s` returns `self.now`."""
 
     def setUp(self) -> None:
         self.now = 100.0
-        patch = mock.patch.object(time, "monotonic", lambda: self.now)
+        patch = mock.patch.object(clocks, "now_s", lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
--- a/libs/serving/ruddersaddle_serving/tests/load_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/load_replays.py
@@ -9,12 +9,12 @@
 import heapq
 import itertools
 import random
-import time
 from collections import OrderedDict
 from collections.abc import Callable
 from unittest import mock
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, RequestId, UpstreamId
 
@@ -246,7 +246,7 @@
 
     @property
     def has_idle(self) -> bool:
-        return self.host.connected_until.get(self.upstream, 0.0) > time.monotonic()
+        return self.host.connected_until.get(self.upstream, 0.0) > clocks.now_s()
 
 
 class ReplayHost:
@@ -274,7 +274,7 @@
 
     def connects(self, upstream: UpstreamId) -> bool:
         """Return whether a request needs a new connection; it is kept for the next one."""
-        now = time.monotonic()
+        now = clocks.now_s()
         is_new = self.connected_until.get(upstream, 0.0) < now
         self.connected_until[upstream] = now + IDLE_S
         return is_new
@@ -287,7 +287,7 @@
         self.replay = replay
         self.kind = kind
         self.subject = f"{kind.name}-{replay.draw.randrange(kind.subjects)}"
-        self.began = time.monotonic()
+        self.began = clocks.now_s()
         self.tries = 0
         self.runs = 0
         self.number = 0
@@ -318,7 +318,7 @@
             (Target(POOL),),
             priority=self.kind.priority,
         )
-        self.request = CallerRequest(head, "POST", "/", b"", route, None, time.monotonic())
+        self.request = CallerRequest(head, "POST", "/", b"", route, None, clocks.now_s())
         self._choose()
 
     def _choose(self) -> None:
@@ -327,7 +327,7 @@
             case Choice():
                 self._send(choice)
             case Full():
-                waited_s = time.monotonic() - self.request.began
+                waited_s = clocks.now_s() - self.request.began
                 in_time = waited_s + HELD_LOOK_S + choice.first_s < self.kind.target_s
                 self.patience = Patience.HOLD if in_time else Patience.SEND
                 self.replay.after(HELD_LOOK_S if in_time else 0.0, self._choose)
@@ -373,14 +373,14 @@
 
     def _give_up(self, outcome: str) -> None:
         setattr(self.tally, outcome, getattr(self.tally, outcome) + 1)
-        self.tally.unserved_s += time.monotonic() - self.began
+        self.tally.unserved_s += clocks.now_s() - self.began
 
     def take_first(self, run: int) -> None:
         if self.ended or self.runs != run:
             return
         self.ended = True
         self._tell(Progress.FIRST)
-        first_s = time.monotonic() - self.began
+        first_s = clocks.now_s() - self.began
         self.tally.firsts.append(first_s)
         if first_s <= self.kind.target_s:
             self.tally.in_time += 1
@@ -392,7 +392,7 @@
         """Take that the engine preempted the run; a stream that had begun has a long pause now."""
         if (
             self.ended
-            and time.monotonic() - self.began > 0
+            and clocks.now_s() - self.began > 0
             and self.tally.in_time > self.tally.broken
         ):
             self.tally.broken += 1
@@ -419,7 +419,7 @@
         """Play the load and return what became of its callers."""
         eventlet_path = "ruddersaddle_serving.load_shares.eventlet.spawn_after"
         with (
-            mock.patch.object(time, "monotonic", lambda: self.now),
+            mock.patch.object(clocks, "now_s", lambda: self.now),
             mock.patch(eventlet_path),
         ):
             random.seed(self.load.seed)
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -1,9 +1,9 @@
 """Tests of when a request counts at its engine."""
 
-import time
 import unittest
 from unittest import mock
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, PoolId, RequestId, UpstreamId
 
@@ -23,7 +23,7 @@
     def setUp(self) -> None:
         self.tracker = Tracker(ENTRY)
         head = CallerHead(RequestId("q"), None, None, None, None, ())
-        request = CallerRequest(head, "POST", "/", b"", ROUTE, None, time.monotonic())
+        request = CallerRequest(head, "POST", "/", b"", ROUTE, None, clocks.now_s())
         choice = Choice(self.tracker, 1, None, 1, Assignment("m/1", (), 0.3, 500, 1))
         self.attempt = Attempt(request, choice, mock.Mock(), None, self.take)
 
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
@@ -1,10 +1,10 @@
 """Tests of how all hosts come to refuse a request that crashes upstreams."""
 
-import time
 import unittest
 from unittest import mock
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId, UpstreamId
 
@@ -94,7 +94,7 @@
         eventlet.sleep(0.05)
 
     def refusing(self, fleet: list[CrashShares], fingerprint: Fingerprint = BAD) -> int:
-        now_ms = int(time.time() * 1000)
+        now_ms = clocks.unix_ms()
         found = [each.records.find_verdict(fingerprint, now_ms) for each in fleet]
         return sum(each is not None for each in found)
 
@@ -168,7 +168,7 @@
         for number in range(3):
             fleet[0].tell_crash(Crash(start(number), (BAD,)))
         self.settle()
-        self.assertTrue(fleet[2].records.note_whole(BAD, int(time.time() * 1000)))
+        self.assertTrue(fleet[2].records.note_whole(BAD, clocks.unix_ms()))
         fleet[2].tell_cleared(BAD)
         self.settle()
         self.assertEqual(self.refusing(fleet), 0)
@@ -176,7 +176,7 @@
 
     def test_host_where_it_ended_whole_clears_a_common_request_that_another_suspects(self) -> None:
         fleet = self.make_fleet(1, 2)
-        fleet[1].records.note_whole(COMMON, int(time.time() * 1000))
+        fleet[1].records.note_whole(COMMON, clocks.unix_ms())
         for number in range(3):
             fleet[0].tell_crash(Crash(start(number), (COMMON,)))
             self.settle()
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
@@ -1,10 +1,10 @@
 """Tests of what tells the end of an upstream from a broken connection, and who is refused."""
 
-import time
 import unittest
 from unittest import mock
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code
 from ruddersaddle_base.ids import HallId, PoolId, UpstreamId
 
@@ -33,7 +33,7 @@
 
     def take(self, crash: Crash) -> None:
         self.crashes.append(crash)
-        self.records.note_crash(crash, int(time.time() * 1000))
+        self.records.note_crash(crash, clocks.unix_ms())
 
     def make_tracker(self, number: int = 0, leaving: bool = False) -> Tracker:
         name = UpstreamId(f"e-{number}")
@@ -102,9 +102,9 @@
     def test_first_retry_after_a_crash_waits_for_nothing(self) -> None:
         self.engines.presence.return_value = Presence.DOWN
         self.watch.note_broken(self.make_tracker(), BAD)
-        began = time.monotonic()
+        began = clocks.now_s()
         self.watch.settle(BAD)
-        self.assertLess(time.monotonic() - began, crash_watches.SETTLE_STEP_S)
+        self.assertLess(clocks.now_s() - began, crash_watches.SETTLE_STEP_S)
 
     def test_whole_run_clears_a_suspect_and_tells_it(self) -> None:
         self.seen(Presence.DOWN)
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -1,10 +1,10 @@
 """Tests of how long a request is held while engines are full."""
 
-import time
 import unittest
 from unittest import mock
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, RequestId
 from ruddersaddle_routing.retries import RetryBudget
@@ -27,7 +27,7 @@
     def setUp(self) -> None:
         self.now = 100.0
         for target, name, fake in (
-            (time, "monotonic", lambda: self.now),
+            (clocks, "now_s", lambda: self.now),
             (eventlet, "sleep", self.sleep),
         ):
             patch = mock.patch.object(target, name, fake)
--- a/libs/serving/ruddersaddle_serving/tests/test_patient_timeouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_patient_timeouts.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet.hubs import trampoline
+from ruddersaddle_base import clocks
 
 from ruddersaddle_serving.patient_timeouts import PatientTimeout
 
@@ -38,9 +39,9 @@
         eventlet.sleep(TIME_S)
 
     def test_time_ends_where_nothing_arrives(self) -> None:
-        began = time.monotonic()
+        began = clocks.now_s()
         self.assertFalse(self.wait())
-        self.assertGreaterEqual(time.monotonic() - began, TIME_S)
+        self.assertGreaterEqual(clocks.now_s() - began, TIME_S)
 
     def test_cancelled_between_its_two_steps_it_is_not_raised(self) -> None:
         timeout = PatientTimeout(TIME_S)
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -1,9 +1,9 @@
 """Tests of the choice of an upstream."""
 
-import time
 import unittest
 from unittest import mock
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, RequestId, UpstreamId
 
@@ -32,7 +32,7 @@
 def make_request(tokens: int) -> CallerRequest:
     parts = (Part(PartId("shared"), tokens - 10), Part(PartId("own"), 10))
     head = CallerHead(RequestId("q"), None, None, Prompt(MODEL, parts, tokens, 0), None, ())
-    return CallerRequest(head, "POST", "/", b"", ROUTE, None, time.monotonic())
+    return CallerRequest(head, "POST", "/", b"", ROUTE, None, clocks.now_s())
 
 
 class PlacementTest(FixedClockTest):
--- a/libs/serving/ruddersaddle_serving/tests/test_publications.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_publications.py
@@ -1,8 +1,8 @@
 """Tests of what a host believes of published items."""
 
-import time
 import unittest
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
 
 from ruddersaddle_serving.ports import ModelVersion
@@ -28,7 +28,7 @@
 
     def test_age_counts_from_the_question(self) -> None:
         publications = Publications()
-        asked_at = time.monotonic() - 2.0
+        asked_at = clocks.now_s() - 2.0
         self.assertTrue(publications.confirm(asked_at, 4))
         self.assertGreaterEqual(publications.age_s, 2.0)
         publications.confirm(asked_at - 1.0, 4)
@@ -36,8 +36,8 @@
 
     def test_answer_that_lags_confirms_nothing(self) -> None:
         publications = Publications()
-        publications.confirm(time.monotonic() - 9.0, 7)
-        self.assertFalse(publications.confirm(time.monotonic(), 6))
+        publications.confirm(clocks.now_s() - 9.0, 7)
+        self.assertFalse(publications.confirm(clocks.now_s(), 6))
         self.assertGreater(publications.age_s, 8.0)
 
 
--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -1,10 +1,10 @@
 """Tests of bringing engines to new weights."""
 
-import time
 import unittest
 from unittest import mock
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, Incarnation, ModelId, PoolId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
@@ -105,10 +105,10 @@
         rollouts = self.make(4, set())
         self.lease.is_holder = False
         for tracker in rollouts._engines_of(MODEL):
-            tracker.avoided_until = time.monotonic() + 7.0
+            tracker.avoided_until = clocks.now_s() + 7.0
         self.run_for(rollouts, 2)
         self.assertEqual(self.engines.orders, [])
-        rollouts._moved_at = time.monotonic() - weight_rollouts.STALLED_S - 0.1
+        rollouts._moved_at = clocks.now_s() - weight_rollouts.STALLED_S - 0.1
         rollouts._look(MODEL, 2)
         self.lease.is_holder = True
         self.run_for(rollouts, 12)
@@ -138,7 +138,7 @@
 
     def test_second_in_line_takes_over_within_half_of_the_bound(self) -> None:
         now = 100.0
-        with mock.patch.object(time, "monotonic", lambda: now):
+        with mock.patch.object(clocks, "now_s", lambda: now):
             store = LogStore()
             self.assertTrue(FenceLease(store, Incarnation("frozen"), 3.0).take())
             lease = FenceLease(store, Incarnation("second"), 3.0)
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -1,11 +1,11 @@
 """What this host knows of each upstream from its own requests."""
 
 import logging
-import time
 from enum import Enum
 from statistics import median_low
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import PoolId, UpstreamId
 
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
@@ -99,14 +99,14 @@
         """The holder of the lease has it load weights until then, on the steady clock."""
         self.silence = Silence()
         self._failing = 0.0
-        self._noted_at = time.monotonic()
+        self._noted_at = clocks.now_s()
         self._told_failing = 0.0
         self._told_at = float("-inf")
         self._refusals = 0
         self._off_until = 0.0
         self.is_replaced = False
         """Whether another upstream answers at its address: this start of it has ended for good."""
-        self.created_at = time.monotonic()
+        self.created_at = clocks.now_s()
 
     @property
     def id(self) -> UpstreamId:
@@ -116,45 +116,45 @@
     @property
     def failing_share(self) -> float:
         """About the share of recent requests that failed, here or as others told."""
-        told_s = time.monotonic() - self._told_at
+        told_s = clocks.now_s() - self._told_at
         told = self._told_failing if told_s < TOLD_TRUST_S else 0.0
         return max(self.observed_failing, told)
 
     @property
     def observed_failing(self) -> float:
         """About the share of recent requests that failed, of those that this host hears of."""
-        idle_s = time.monotonic() - self._noted_at
+        idle_s = clocks.now_s() - self._noted_at
         return self._failing * 0.5 ** (idle_s / FORGET_S)
 
     @property
     def is_sound(self) -> bool:
         """Whether requests to it are likely to be answered."""
-        if self.is_replaced or time.monotonic() < self._off_until:
+        if self.is_replaced or clocks.now_s() < self._off_until:
             return False
         return not self.is_silent and self.failing_share < FAILING_SHARE
 
     @property
     def is_silent(self) -> bool:
         """Whether it was sent requests, and no host has heard of it since."""
-        return self.silence.since(time.monotonic()) is not None
+        return self.silence.since(clocks.now_s()) is not None
 
     @property
     def is_avoided(self) -> bool:
         """Whether it is about to load weights, or loads them."""
-        return time.monotonic() < self.avoided_until
+        return clocks.now_s() < self.avoided_until
 
     def note_outcome(self, failed: bool) -> None:
         """Count how a request ended."""
         share = self.observed_failing
         self._failing = share + OUTCOME_WEIGHT * (float(failed) - share)
-        self._noted_at = time.monotonic()
+        self._noted_at = clocks.now_s()
         if not failed:
             self._refusals = 0
 
     def note_told_failing(self, share: float) -> None:
         """Take about the share of failures that another host observed."""
         self._told_failing = share
-        self._told_at = time.monotonic()
+        self._told_at = clocks.now_s()
 
     def note_replaced(self) -> None:
         """Take that another upstream answers at this one's address.
@@ -171,7 +171,7 @@
         """Count a connection that did not come about."""
         off_s = min(OFF_MAX_S, OFF_AFTER_CONNECT_S * 2**self._refusals)
         self._refusals += 1
-        self._off_until = time.monotonic() + off_s
+        self._off_until = clocks.now_s() + off_s
 
     def take_notice(self, host: str, notice: Notice) -> None:
         """Take how far a request of this host or another one is."""
@@ -182,7 +182,7 @@
             # Said of the end of an earlier start, it would take this one out for good.
             return
         number = (host, notice.number)
-        now = time.monotonic()
+        now = clocks.now_s()
         match notice.progress:
             case Progress.SENT:
                 self.silence.note_sent(number, now, notice.expected_s)
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -5,10 +5,10 @@
 """
 
 import socket
-import time
 from collections.abc import Mapping
 from http.client import HTTPException
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from urllib3.exceptions import HTTPError, ProtocolError
 from urllib3.exceptions import TimeoutError as TimeoutErrorOfLibrary
@@ -54,7 +54,7 @@
     @property
     def is_usable(self) -> bool:
         """Whether it is young enough and nothing has arrived on it."""
-        return time.monotonic() < self.until and self.connection.is_quiet
+        return clocks.now_s() < self.until and self.connection.is_quiet
 
 
 class Exchange:
@@ -221,7 +221,7 @@
         if kept_s <= IDLE_MARGIN_S or len(self._idle) >= IDLE_MAX:
             connection.close()
             return
-        until = time.monotonic() + kept_s - IDLE_MARGIN_S
+        until = clocks.now_s() + kept_s - IDLE_MARGIN_S
         self._idle.append(IdleConnection(connection, until))
 
     def close_expired(self) -> None:
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -2,10 +2,10 @@
 
 import logging
 import random
-import time
 from collections.abc import Iterable
 
 import msgspec
+from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
 
 logger = logging.getLogger(__name__)
@@ -73,16 +73,16 @@
     @property
     def age_s(self) -> float:
         """Seconds since the list was last known to be the newest."""
-        return time.monotonic() - self.confirmed_at
+        return clocks.now_s() - self.confirmed_at
 
     @property
     def is_certain(self) -> bool:
         """Whether every upstream that lives is listed: the list is young, the store was there."""
-        return self.age_s < CERTAIN_S and time.monotonic() >= self._outage_until
+        return self.age_s < CERTAIN_S and clocks.now_s() >= self._outage_until
 
     def note_outage(self) -> None:
         """Remember that the store does not answer; entries may lapse meanwhile."""
-        self._outage_until = time.monotonic() + OUTAGE_MEMORY_S
+        self._outage_until = clocks.now_s() + OUTAGE_MEMORY_S
 
     def replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
         """Take a whole list."""
@@ -122,7 +122,7 @@
         """Take that an entry is gone, at once or after the grace that follows an outage."""
         if upstream not in self.by_id:
             return
-        now = time.monotonic()
+        now = clocks.now_s()
         if now < self._outage_until:
             if upstream not in self._lapse_by_id:
                 logger.info("Entry of %s is gone after an outage of the store.", upstream)
@@ -133,7 +133,7 @@
     def confirm(self, asked_at: float) -> None:
         """Note that the list is as new as a question sent at `asked_at`; drop what lapsed."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
-        now = time.monotonic()
+        now = clocks.now_s()
         for upstream, until in list(self._lapse_by_id.items()):
             if now >= until:
                 self.drop(upstream)
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -7,9 +7,9 @@
 
 import logging
 import math
-import time
 
 import eventlet
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import ModelId, UpstreamId
 
@@ -80,7 +80,7 @@
         self._failed_at: dict[UpstreamId, float] = {}
         """When an engine was last tried in vain."""
         self._left: dict[ModelId, int] = {}
-        self._moved_at = time.monotonic()
+        self._moved_at = clocks.now_s()
         self._fenced_until = float("-inf")
 
     def start(self) -> None:
@@ -149,18 +149,18 @@
         Its marks hold up nobody once it can give no orders any more, because this host has the
         lease, or once it has done nothing for a while: it may be frozen or gone.
         """
-        is_stalled = time.monotonic() - self._moved_at > STALLED_S
+        is_stalled = clocks.now_s() - self._moved_at > STALLED_S
         return tracker.is_avoided and not self.lease.is_holder and not is_stalled
 
     def _note_progress(self, model: ModelId, left: int) -> None:
         if self._left.get(model, 0) != left:
             self._left[model] = left
-            self._moved_at = time.monotonic()
+            self._moved_at = clocks.now_s()
         self._moved_at = max(self._moved_at, self.neighbours.news_at)
 
     def _is_in_turn(self, model: ModelId) -> bool:
         """Return whether this host is first in line, or those before it do nothing."""
-        now = time.monotonic()
+        now = clocks.now_s()
         if self.stopping or now < self._fenced_until:
             return False
         if self.lease.is_holder:
@@ -182,7 +182,7 @@
                 self.counts["loads"] += 1
                 self.neighbours.tell_all(Loaded(tracker.id, model, version))
                 return
-            self._failed_at[tracker.id] = time.monotonic()
+            self._failed_at[tracker.id] = clocks.now_s()
             # It takes work again on the weights that it has, until it is tried again.
             held = tracker.version_by_model.get(model, 0)
             self.neighbours.tell_all(Loaded(tracker.id, model, held))
@@ -221,7 +221,7 @@
         )
         if outcome is OrderOutcome.FENCED:
             self.counts["orders_fenced"] += 1
-            self._fenced_until = time.monotonic() + 2 * self.lease.lease_s
+            self._fenced_until = clocks.now_s() + 2 * self.lease.lease_s
         return isinstance(outcome, Failure) or outcome in (
             OrderOutcome.TAKEN,
             OrderOutcome.HOLDS,
@@ -230,8 +230,8 @@
 
     def _await_version(self, tracker: Tracker, model: ModelId, version: int) -> bool:
         """Wait for the new weights; return whether the engine shows them."""
-        began = time.monotonic()
-        while time.monotonic() - began < LOAD_MAX_S:
+        began = clocks.now_s()
+        while clocks.now_s() - began < LOAD_MAX_S:
             eventlet.sleep(REPORT_S)
             report = self.engines.report(tracker.entry.address)
             if tracker.id not in self.upstreams.by_id:
@@ -241,6 +241,6 @@
             if report.version_by_model.get(model, 0) >= version:
                 tracker.take_version(model, report.version_by_model[model])
                 return True
-            if not report.loading and time.monotonic() - began > UNANSWERED_S:
+            if not report.loading and clocks.now_s() - began > UNANSWERED_S:
                 return False
         return False
