--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -16,7 +16,7 @@
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.ports import Engines, Presence
 from ruddersaddle_serving.trackers import Tracker
-from ruddersaddle_serving.upstream_lists import UpstreamStart
+from ruddersaddle_serving.upstream_lists import UpstreamList, UpstreamStart
 
 logger = logging.getLogger(__name__)
 
@@ -40,11 +40,13 @@
     def __init__(
         self,
         engines: Engines,
+        upstreams: UpstreamList,
         records: CrashRecords,
         tell_crash: Callable[[Crash], None],
         tell_cleared: Callable[[Fingerprint], None],
     ) -> None:
         self.engines = engines
+        self.upstreams = upstreams
         self.records = records
         self.tell_crash = tell_crash
         self.tell_cleared = tell_cleared
@@ -95,8 +97,9 @@
     def note_broken(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
         """Take that a run broke off, and look what became of its upstream."""
         entry = tracker.entry
-        if entry.leaving:
-            # It said that it would end.
+        listed = self.upstreams.by_id.get(entry.id)
+        if listed is None or listed.leaving:
+            # Its end was planned: it said so, or took its entry back and served on a while.
             return
         is_watched = entry.start in self._broken_by_start
         broken = self._broken_by_start.setdefault(entry.start, {})
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -121,6 +121,7 @@
         self.crash_records = CrashRecords()
         self.crashes = CrashWatch(
             engines,
+            self.upstreams,
             self.crash_records,
             lambda crash: self.neighbours.crashes.tell_crash(crash),
             lambda fingerprint: self.neighbours.crashes.tell_cleared(fingerprint),
