--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 from enum import Enum
 
 import eventlet
@@ -21,6 +22,7 @@
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import MetadataStore, Record, Topic
 from ruddersaddle_serving.tasks import spawn_forever
+from ruddersaddle_serving.upstream_lists import UpstreamStart
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +61,14 @@
     hop: Hop = Hop.FIRST
 
 
+class Unsent:
+    """What waits to be told."""
+
+    def __init__(self) -> None:
+        self.fingerprints_by_start: dict[UpstreamStart, dict[Fingerprint, None]] = {}
+        self.cleared: dict[Fingerprint, None] = {}
+
+
 class CrashShares:
     """Tells and takes crashes, and keeps the records of the store."""
 
@@ -72,12 +82,10 @@
         self.confirmed_at = float("-inf")
         """When the store, or a host that follows it, was asked for what was taken last."""
         self.writes = 0
-        self._unsent_crashes: list[Crash] = []
-        self._unsent_cleared: list[Fingerprint] = []
+        self._unsent_by_hop: dict[Hop, Unsent] = {}
         self._stored: dict[Fingerprint, CrashRecord] = {}
         """What the store has, as far as this host knows."""
         self._unwritten: set[Fingerprint] = set()
-        self._is_telling = False
         self._is_writing = False
 
     def start(self) -> None:
@@ -94,33 +102,41 @@
     def tell_crash(self, crash: Crash) -> None:
         """Take a crash that this host has seen, and tell it."""
         self._note(crash, True)
-        self._unsent_crashes.append(crash)
-        self._tell_soon()
+        self._tell_soon(self._first_hop, (crash,), ())
 
     def tell_cleared(self, fingerprint: Fingerprint) -> None:
         """Tell that a suspect ended whole; the records have it already."""
-        self._unsent_cleared.append(fingerprint)
-        self._tell_soon()
+        self._tell_soon(self._first_hop, (), (fingerprint,))
         self._write_soon(fingerprint, 0.0)
 
-    def _tell_soon(self) -> None:
-        if not self._is_telling:
-            self._is_telling = True
-            eventlet.spawn_after(TELL_S, self._tell)
-
-    def _tell(self) -> None:
-        self._is_telling = False
-        own = self.hosts.own.address
-        crashes, cleared = tuple(self._unsent_crashes), tuple(self._unsent_cleared)
-        self._unsent_crashes = []
-        self._unsent_cleared = []
-        hop = Hop.TO_READERS if self._is_reader_of_many else Hop.FIRST
-        self._send(CrashNews(own, crashes, cleared, hop))
-
-    def _send(self, news: CrashNews) -> None:
-        """Send a message of this host, or pass another one's on."""
-        targets = self._targets(news.hop)
-        self.peers.tell_all([each for each in targets if each != news.address], news)
+    @property
+    def _first_hop(self) -> Hop:
+        return Hop.TO_READERS if self._is_reader_of_many else Hop.FIRST
+
+    def _tell_soon(
+        self, hop: Hop, crashes: Iterable[Crash], cleared: Iterable[Fingerprint]
+    ) -> None:
+        """Send a message after a pause, with all that comes until then.
+
+        Hundreds of hosts may lose runs at one upstream. A reader that passed on each one's word by
+        itself would make 37,800 messages of one crash with 195 hosts in five halls; these are 990.
+        """
+        unsent = self._unsent_by_hop.get(hop)
+        if unsent is None:
+            unsent = self._unsent_by_hop[hop] = Unsent()
+            eventlet.spawn_after(TELL_S, self._tell, hop)
+        for crash in crashes:
+            found = unsent.fingerprints_by_start.setdefault(crash.start, {})
+            found.update(dict.fromkeys(crash.fingerprints))
+        unsent.cleared.update(dict.fromkeys(cleared))
+
+    def _tell(self, hop: Hop) -> None:
+        unsent = self._unsent_by_hop.pop(hop)
+        crashes = tuple(
+            Crash(start, tuple(found)) for start, found in unsent.fingerprints_by_start.items()
+        )
+        news = CrashNews(self.hosts.own.address, crashes, tuple(unsent.cleared), hop)
+        self.peers.tell_all(self._targets(hop), news)
 
     @property
     def _is_reader_of_many(self) -> bool:
@@ -153,7 +169,7 @@
             self.records.clear(fingerprint, now_ms)
         if self._is_reader_of_many and news.hop is not Hop.TO_HALL:
             next_hop = Hop.TO_READERS if news.hop is Hop.FIRST else Hop.TO_HALL
-            self._send(msgspec.structs.replace(news, hop=next_hop))
+            self._tell_soon(next_hop, news.crashes, news.cleared)
 
     def _note(self, crash: Crash, is_own: bool) -> None:
         delay_s = 0.0 if is_own else LATER_S
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
@@ -113,6 +113,14 @@
         self.assertEqual(self.refusing(fleet), 40)
         self.assertLessEqual(self.peers.sent, 3 * 40)
 
+    def test_crash_that_many_hosts_saw_is_passed_on_together(self) -> None:
+        fleet = self.make_fleet(4, 10)
+        for number, shares in enumerate(fleet):
+            shares.tell_crash(Crash(start(0), (BAD, Fingerprint(f"f-{number}"))))
+        self.settle()
+        self.assertEqual({len(each.records.by_fingerprint) for each in fleet}, {41})
+        self.assertLess(self.peers.sent, 40 * 10)
+
     def test_hosts_cut_off_from_one_another_refuse_it_by_the_store(self) -> None:
         """Each saw one crash; the next one of any host goes to the store with its first."""
         fleet = self.make_fleet(3, 1)
