--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -87,7 +87,7 @@
     crashes: tuple[CrashRecord, ...] | None = None
     """Requests under which two or more upstreams ended; None if the asker has them."""
     cleared: tuple[Fingerprint, ...] = ()
-    """Requests of which a run ended whole a short while ago."""
+    """Requests of which a run ended whole a short while ago; told with `crashes`."""
     crashes_revision: int = -1
     crashes_age_s: float = float("inf")
 
@@ -369,7 +369,7 @@
             hosts=None if knows_hosts else {**hosts.by_id, hosts.own_id: hosts.own},
             namings=publications.naming_ages(),
             crashes=None if knows_crashes else records.shared()[:OUT_MAX],
-            cleared=records.recently_cleared(),
+            cleared=() if knows_crashes else records.recently_cleared()[:OUT_MAX],
             crashes_revision=records.revision,
             crashes_age_s=self.crashes.age_s,
         )
