--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -15,7 +15,13 @@
 from ruddersaddle_base.codecs import decode_json, encode_json
 from ruddersaddle_base.failures import Failure, Step
 
-from ruddersaddle_serving.crash_records import SHARED_MIN, Crash, CrashRecord, CrashRecords
+from ruddersaddle_serving.crash_records import (
+    SHARED_MIN,
+    SUSPECTS_MAX,
+    Crash,
+    CrashRecord,
+    CrashRecords,
+)
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.load_shares import DIRECT_HOSTS_MAX
@@ -34,7 +40,7 @@
 """Writes of all hosts together, a quarter of what the store takes (400 a second)."""
 LATER_S = 1.0
 """A host that did not see the last crash itself writes after this time, if the one that did has
-not: its write is read within half a second."""
+not written yet; readers read a write within some milliseconds."""
 SWEEP_S = 5.0
 """Pause between looks for records that are over."""
 OUT_MAX = 512
@@ -85,6 +91,8 @@
         self._unsent_by_hop: dict[Hop, Unsent] = {}
         self._stored: dict[Fingerprint, CrashRecord] = {}
         """What the store has, as far as this host knows."""
+        self._seen_here: dict[Fingerprint, None] = {}
+        """Requests of which this host itself saw a crash, the oldest first."""
         self._unwritten: set[Fingerprint] = set()
         self._is_writing = False
 
@@ -101,7 +109,10 @@
 
     def tell_crash(self, crash: Crash) -> None:
         """Take a crash that this host has seen, and tell it."""
-        self._note(crash, True)
+        self._seen_here.update(dict.fromkeys(crash.fingerprints))
+        while len(self._seen_here) > SUSPECTS_MAX:
+            del self._seen_here[next(iter(self._seen_here))]
+        self._note(crash, 0.0)
         self._tell_soon(self._first_hop, (crash,), ())
 
     def tell_cleared(self, fingerprint: Fingerprint) -> None:
@@ -161,22 +172,28 @@
         """Take what another host tells, and pass it on where that is this host's to do."""
         now_ms = clocks.unix_ms()
         for crash in news.crashes:
-            self._note(crash, False)
+            self._note(crash, LATER_S)
             whole = [each for each in crash.fingerprints if self.records.was_whole(each, now_ms)]
             for fingerprint in whole:
                 self.tell_cleared(fingerprint)
-        for fingerprint in news.cleared:
-            self.records.clear(fingerprint, now_ms)
+        self.take_cleared(news.cleared)
         if self._is_reader_of_many and news.hop is not Hop.TO_HALL:
             next_hop = Hop.TO_READERS if news.hop is Hop.FIRST else Hop.TO_HALL
             self._tell_soon(next_hop, news.crashes, news.cleared)
 
-    def _note(self, crash: Crash, is_own: bool) -> None:
-        delay_s = 0.0 if is_own else LATER_S
+    def _note(self, crash: Crash, delay_s: float) -> None:
         for record in self.records.note_crash(crash, clocks.unix_ms()):
-            if len(record.starts) >= SHARED_MIN:
+            if len(record.starts) >= SHARED_MIN and self._may_write(record.fingerprint):
                 self._write_soon(record.fingerprint, delay_s)
 
+    def _may_write(self, fingerprint: Fingerprint) -> bool:
+        """Return whether this host looks after the store's record of a request.
+
+        One that has only heard of it, and doesn't follow the store, can't know what is written: of
+        40 hosts 37 wrote what one had.
+        """
+        return fingerprint in self._seen_here or self.hosts.is_reader()
+
     # With the store
 
     def confirm(self, asked_at: float) -> None:
@@ -202,13 +219,19 @@
         """Take what others know, and write what the store lacks of it."""
         for told in records:
             merged = self.records.merge(told, clocks.unix_ms())
-            if merged.starts != told.starts and len(merged.starts) >= SHARED_MIN:
+            is_more = merged.starts != told.starts and len(merged.starts) >= SHARED_MIN
+            if is_more and self._may_write(merged.fingerprint):
                 self._write_soon(merged.fingerprint, LATER_S)
 
     def take_cleared(self, cleared: tuple[Fingerprint, ...]) -> None:
-        """Take which requests were cleared a short while ago."""
+        """Take which requests were cleared a short while ago; readers clear the store's records.
+
+        The host that saw it may not know that there is one.
+        """
         for fingerprint in cleared:
             self.records.clear(fingerprint, clocks.unix_ms())
+            if self.hosts.is_reader():
+                self._write_soon(fingerprint, 0.0)
 
     def _write_soon(self, fingerprint: Fingerprint, delay_s: float) -> None:
         eventlet.spawn_after(delay_s, self._add_unwritten, fingerprint)
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
@@ -170,6 +170,29 @@
         self.assertEqual(len(self.store.value_by_key), 200)
         self.assertLessEqual(self.store.calls, 3)
 
+    def test_hosts_that_do_not_follow_the_store_write_nothing_of_what_they_only_heard(self) -> None:
+        """Each of 195 hosts wrote what it couldn't know to be written."""
+        fleet = self.make_fleet(4, 10)
+        self.store.followers = [each for each in fleet if each.hosts.is_reader()]
+        for number in range(3):
+            fleet[number].tell_crash(Crash(start(number), (BAD,)))
+            self.settle()
+        self.assertEqual(self.refusing(fleet), 40)
+        self.assertLessEqual(self.store.calls, 5)
+
+    def test_record_of_a_request_that_ended_whole_goes_whoever_saw_it(self) -> None:
+        fleet = self.make_fleet(4, 10)
+        self.store.followers = [each for each in fleet if each.hosts.is_reader()]
+        (other, *_) = [each for each in fleet if not each.hosts.is_reader()]
+        for number in range(3):
+            fleet[0].tell_crash(Crash(start(number), (BAD,)))
+        self.settle()
+        self.assertEqual(list(self.store.value_by_key), [BAD])
+        other.records.note_whole(BAD, clocks.unix_ms())
+        other.tell_cleared(BAD)
+        self.settle()
+        self.assertEqual(self.store.value_by_key, {})
+
     def test_run_that_ends_whole_clears_it_everywhere(self) -> None:
         fleet = self.make_fleet(1, 3)
         self.store.followers = fleet
