--- a/libs/serving/ruddersaddle_serving/tests/load_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/load_replays.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -59,6 +60,10 @@
     """Worth of an answer in time; a late one is worth `LATE_SHARE` of it."""
     subjects: int
     """Shared parts that are asked for, alike often."""
+    spread: float = 0.0
+    """Spread of own tokens, log-normal around `own_tokens`; 0 where all are alike."""
+    own_tokens_most: int = 24_000
+    """Most own tokens that are drawn."""
 
     @property
     def tokens(self) -> int:
@@ -66,6 +71,15 @@
         return self.shared_tokens + self.own_tokens + self.tokens_out
 
 
+def draw_size(kind: Kind, draw: random.Random) -> Kind:
+    """Return the kind with the own tokens of one request."""
+    if not kind.spread:
+        return kind
+    drawn = draw.lognormvariate(math.log(kind.own_tokens), kind.spread)
+    own_tokens = max(1, min(kind.own_tokens_most, round(drawn)))
+    return msgspec.structs.replace(kind, own_tokens=own_tokens)
+
+
 class Load(msgspec.Struct, frozen=True):
     """A load pattern. Times are in seconds from its start, shares of the engines or the rate."""
 
@@ -104,6 +118,22 @@
     read_tokens: int = 0
     connections: int = 0
     firsts: list[float] = []
+    sizes: list[int] = []
+    """Tokens of each request that was asked for."""
+    served_sizes: list[int] = []
+    """Tokens of those of which a first event came."""
+
+    @property
+    def served_share(self) -> float:
+        """Share of all requests of the kind that were served."""
+        return len(self.served_sizes) / max(1, len(self.sizes))
+
+    def served_between(self, low: float, high: float) -> float:
+        """Return the share served of the requests between two shares of the sizes in order."""
+        bounds = [*sorted(self.sizes), math.inf]
+        least, most = (bounds[round(share * len(self.sizes))] for share in (low, high))
+        asked = sum(least <= size < most for size in self.sizes)
+        return sum(least <= size < most for size in self.served_sizes) / max(1, asked)
 
     @property
     def share(self) -> float:
@@ -285,7 +315,7 @@
 
     def __init__(self, replay: "Replay", kind: Kind) -> None:
         self.replay = replay
-        self.kind = kind
+        self.kind = draw_size(kind, replay.draw)
         self.subject = f"{kind.name}-{replay.draw.randrange(kind.subjects)}"
         self.began = clocks.now_s()
         self.tries = 0
@@ -294,6 +324,7 @@
         self.ended = False
         self.tally = replay.outcome.tally_by_kind[kind.name]
         self.tally.asked += 1
+        self.tally.sizes.append(self.kind.tokens)
         self._try()
 
     def _try(self) -> None:
@@ -382,6 +413,7 @@
         self._tell(Progress.FIRST)
         first_s = clocks.now_s() - self.began
         self.tally.firsts.append(first_s)
+        self.tally.served_sizes.append(self.kind.tokens)
         if first_s <= self.kind.target_s:
             self.tally.in_time += 1
         else:
