Sight: how requests of each size end, and what a refusal counted against its request

Cause: a line told that a request was refused, not what part of the predicted first event was the request's own reading; no metric told large requests from small ones, so that the hypotheses on large requests left unserved could not be told apart without the callers.

Ruled out: fixed sizes, as what is large for one kind is common for another.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -34,6 +34,7 @@
     format_counters,
     format_gauges,
     format_histograms,
+    format_labelled,
 )
 from ruddersaddle_serving.neighbours import Neighbours
 from ruddersaddle_serving.part_relays import PartRelay
@@ -334,6 +335,8 @@
         lines = format_gauges(gauges)
         lines += format_counters("answers", "answers by status", self.front.counts)
         lines += format_counters("requests_ended", "requests by how they ended", self.front.ends)
+        by_size = self.front.sizes.rows()
+        lines += format_labelled("requests_by_size", "prompts by size and end", by_size)
         lines += format_counters("dropped_writes", "log lines, other texts", count_dropped())
         lines += format_counters("retries", "retries by outcome", budget)
         lines += format_counters("crashes", "broken runs and what followed", self.crashes.counts)
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -17,7 +17,8 @@
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
-from ruddersaddle_serving.request_ends import CutRequest, count_end, count_none
+from ruddersaddle_serving.request_ends import CutRequest, count_end, count_none, kind_of_end
+from ruddersaddle_serving.request_sizes import SizeBand, SizeCounts
 from ruddersaddle_serving.routes import CallerLimits, Route, RouteTable, Workspace
 
 logger = logging.getLogger(__name__)
@@ -70,6 +71,7 @@
         self.counts: dict[str, int] = {}
         self.ends = count_none()
         """Requests that have ended, by kind of end."""
+        self.sizes = SizeCounts()
 
     @property
     def active(self) -> int:
@@ -107,6 +109,7 @@
         self.failure: Failure | None = None
         self.request: CallerRequest | None = None
         self.forwarding: Forwarding | None = None
+        self.size_band: SizeBand | None = None
         self.watch: CallerWatch | None = None
         self.timer: RouteTimeout | None = None
         self.status = 0
@@ -119,6 +122,9 @@
             if isinstance(request, Failure):
                 return self._end_with(self._refuse(request))
             self.request = request
+            prompt = request.head.prompt
+            if prompt is not None:
+                self.size_band = self.front.sizes.take(request.route.name, prompt.tokens)
             return self._forward(request)
         except CallerLeftError:
             return self._end_with(self._refuse(self._caller_left()), "caller left")
@@ -309,6 +315,8 @@
         front = self.front
         front.count(f"answers_{self.status or 'none'}")
         count_end(front.ends, word)
+        if self.size_band is not None:
+            front.sizes.count(self.request.route.name, self.size_band, self._size_end(word))
         total_s = clocks.now_s() - self.began
         fields: dict[str, Any] = {
             "status": self.status,
@@ -325,6 +333,12 @@
             self._note_request(fields)
         logger.info("Request ended.", extra=fields)
 
+    def _size_end(self, word: str) -> str:
+        """Return what the end means to the caller: served, or what it was refused or lost for."""
+        if self.failure is not None:
+            return self.failure.code.value
+        return "served" if word == ANSWERED and self.status < 300 else kind_of_end(word)
+
     def _note_request(self, fields: dict[str, Any]) -> None:
         request = self.request
         workspace = PUBLIC if request.workspace is None else request.workspace.id
@@ -342,6 +356,7 @@
         fields["missing_tokens"] = trail.missing_tokens
         if request.head.prompt is not None:
             fields["prompt_tokens"] = request.head.prompt.tokens_in
+            fields["size"] = self.size_band.value
             fields["affinity"] = request.head.prompt.affinity_key
         fields["candidates"] = trail.candidates
         fields["weighed"] = trail.weighed
--- a/libs/serving/ruddersaddle_serving/metric_pages.py
+++ b/libs/serving/ruddersaddle_serving/metric_pages.py
@@ -4,15 +4,25 @@
 
 from ruddersaddle_base.histograms import Histograms
 
+Labels = dict[str, str]
+
 PREFIX = "ruddersaddle"
 TEXT_TYPE = "text/plain; version=0.0.4"
 
 
 def format_counters(name: str, about: str, by_label: Mapping[str, float]) -> list[str]:
     """Return the lines of one counter with a label for each kind of event."""
+    rows = [({"kind": label}, value) for label, value in sorted(by_label.items())]
+    return format_labelled(name, about, rows)
+
+
+def format_labelled(name: str, about: str, rows: Iterable[tuple[Labels, float]]) -> list[str]:
+    """Return the lines of one counter, each row its labels and its value."""
     full = f"{PREFIX}_{name}_total"
     lines = [f"# HELP {full} {about}", f"# TYPE {full} counter"]
-    lines += [f'{full}{{kind="{label}"}} {value:g}' for label, value in sorted(by_label.items())]
+    for labels, value in rows:
+        told = ",".join(f'{label}="{each}"' for label, each in labels.items())
+        lines.append(f"{full}{{{told}}} {value:g}")
     return lines
 
 
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -216,7 +216,11 @@
     def _refuse(self, request: CallerRequest, best: Estimate) -> Failure:
         """Refuse, with the time after which it would be admitted; callers come back spread out."""
         target_s = request.route.target_latency_s
-        detail = f"the first event would take {best.first_s:.2f} s, the target {target_s} s"
+        own_s = best.first_s - best.wait_s
+        detail = (
+            f"the first event would take {best.first_s:.2f} s, {own_s:.2f} s of it to read "
+            f"{best.missing_tokens} tokens, the target {target_s} s; {best.tokens} tokens of memory"
+        )
         spread_s = RETRY_SOON_S * (0.5 + random.random())
         retry_after_s = self._excess_s(request, best) + spread_s
         pool = best.tracker.entry.pool
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -29,6 +29,11 @@
     tokens_in: int
     tokens_out: int
 
+    @property
+    def tokens(self) -> int:
+        """Memory that a run needs at most: what it reads and what it generates."""
+        return self.tokens_in + self.tokens_out
+
     @property
     def shared_parts(self) -> tuple[Part, ...]:
         """The parts that other requests have too; the last one is the request's own."""
--- a/libs/serving/ruddersaddle_serving/request_ends.py
+++ b/libs/serving/ruddersaddle_serving/request_ends.py
@@ -36,9 +36,14 @@
     return dict.fromkeys(KIND_BY_WORD.values(), 0)
 
 
+def kind_of_end(outcome: str) -> str:
+    """Return the kind of an end, by the first words of its outcome."""
+    return KIND_BY_WORD.get(outcome.partition(":")[0], "other")
+
+
 def count_end(counts: dict[str, int], outcome: str) -> None:
     """Count the end of one request."""
-    kind = KIND_BY_WORD.get(outcome.partition(":")[0], "other")
+    kind = kind_of_end(outcome)
     counts[kind] = counts.get(kind, 0) + 1
 
 
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_request_sizes.py
@@ -0,0 +1,72 @@
+"""Tests of how requests are counted by size."""
+
+import random
+import unittest
+from collections import Counter
+
+from ruddersaddle_serving.metric_pages import format_labelled
+from ruddersaddle_serving.request_sizes import (
+    RECENT_SIZES,
+    ROUTES_MAX,
+    RecentSizes,
+    SizeBand,
+    SizeCounts,
+)
+from ruddersaddle_serving.routes import RouteName
+
+ROUTE = RouteName("quotes")
+
+
+class RecentSizesTest(unittest.TestCase):
+    def test_bands_hold_the_shares_that_they_are_named_by_whatever_the_sizes(self) -> None:
+        for median in (100, 10_000):
+            draw = random.Random(median)
+            recent = RecentSizes()
+            sizes = [round(draw.lognormvariate(0, 0.7) * median) for _ in range(2000)]
+            bands = Counter(recent.take(size) for size in sizes)
+            self.assertAlmostEqual(bands[SizeBand.TENTH] / 2000, 0.1, delta=0.03)
+            self.assertAlmostEqual(bands[SizeBand.FIFTH] / 2000, 0.2, delta=0.03)
+            self.assertAlmostEqual(bands[SizeBand.HALF] / 2000, 0.5, delta=0.05)
+
+    def test_equal_sizes_are_none_of_them_large(self) -> None:
+        recent = RecentSizes()
+        self.assertEqual({recent.take(500) for _ in range(50)}, {SizeBand.HALF})
+
+    def test_what_is_large_follows_what_came_lately(self) -> None:
+        recent = RecentSizes()
+        for size in range(RECENT_SIZES):
+            recent.take(size)
+        self.assertIs(recent.take(190), SizeBand.TENTH)
+        for size in range(RECENT_SIZES):
+            recent.take(10 * size)
+        self.assertIs(recent.take(190), SizeBand.HALF)
+
+
+class SizeCountsTest(unittest.TestCase):
+    def test_metrics_tell_ends_by_route_and_size(self) -> None:
+        counts = SizeCounts()
+        for _ in range(2):
+            counts.count(ROUTE, counts.take(ROUTE, 500), "served")
+        counts.count(ROUTE, counts.take(ROUTE, 9000), "overloaded")
+        lines = format_labelled("requests_by_size", "prompts by size and end", counts.rows())
+        name = "ruddersaddle_requests_by_size_total"
+        self.assertEqual(
+            lines[2:],
+            [
+                f'{name}{{route="quotes",size="smallest_half",end="served"}} 2',
+                f'{name}{{route="quotes",size="largest_tenth",end="overloaded"}} 1',
+            ],
+        )
+
+    def test_routes_that_are_gone_are_forgotten(self) -> None:
+        counts = SizeCounts()
+        for number in range(ROUTES_MAX + 5):
+            route = RouteName(f"r-{number}")
+            counts.count(route, counts.take(route, 100), "served")
+        self.assertEqual(len(counts.rows()), ROUTES_MAX)
+        counts.count(RouteName("r-0"), SizeBand.HALF, "served")
+        self.assertEqual(len(counts.rows()), ROUTES_MAX)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/serving/ruddersaddle_serving/weighings.py
+++ b/libs/serving/ruddersaddle_serving/weighings.py
@@ -86,7 +86,7 @@
             prompt, covered, self.holders_by_salt[salt], tracker.entry.hall
         )
         missing = max(0, prompt.tokens_in - covered - fetched)
-        tokens = prompt.tokens_in + prompt.tokens_out
+        tokens = prompt.tokens
         room = Room(tracker.entry.slots, tracker.memory.capacity_tokens)
         standing = tracker.load.standing(priority)
         return Estimate(
