Large requests: not held against what reads them, and refused at once where none fits

An upstream counted as silent when a request had no first event after three targets, whatever was predicted: a large prompt of four targets counted against each engine that read it. Now three times what was predicted, where that is more. 2. A prompt larger than every engine's memory was sent to one after another, refused by each, and its caller told to come back. It is refused at once (fits_no_engine, 503) with no time to come back. Where memory is not known it is sent as before. Tests: both failed first (True is not false; a choice where a refusal is due).

--- a/libs/base/ruddersaddle_base/failures.py
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -60,6 +60,8 @@
     """The configuration is not confirmed to be young enough to let a caller's key in."""
     CRASHES_UPSTREAMS = "crashes_upstreams"
     """Too many upstreams have ended while they ran this request."""
+    FITS_NO_ENGINE = "fits_no_engine"
+    """The prompt is larger than the memory of every engine."""
     INTERNAL = "internal"
 
 
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -36,14 +36,20 @@
 """Pause between looks at engines' room; it comes free with each run that ends, some dozens of them
 in a second."""
 SILENT_FACTOR = 3.0
-"""A request that ends without a first byte after this many latency targets counts against its
-upstream; a caller that leaves earlier says nothing about it."""
+"""A request that ends without a first byte after this many latency targets, or as many times what
+was predicted, counts against its upstream; a caller that leaves earlier says nothing about it."""
 LEAST_REMAINING_S = 0.02
 """With less time than this left nothing is sent any more."""
 
 
 FINAL_CODES = frozenset(
-    {Code.STALE_CONFIGURATION, Code.NO_UPSTREAM, Code.DEADLINE, Code.CRASHES_UPSTREAMS}
+    {
+        Code.STALE_CONFIGURATION,
+        Code.NO_UPSTREAM,
+        Code.DEADLINE,
+        Code.CRASHES_UPSTREAMS,
+        Code.FITS_NO_ENGINE,
+    }
 )
 """After these another upstream would not do better."""
 
@@ -357,4 +363,6 @@
         if sent_at is None or self.trail.first_s is not None:
             return False
         silent_s = clocks.now_s() - sent_at
-        return silent_s > SILENT_FACTOR * self.request.route.target_latency_s
+        # By the target alone a large prompt counts against whatever reads it.
+        due_s = max(self.request.route.target_latency_s, self.attempt.choice.first_s)
+        return silent_s > SILENT_FACTOR * due_s
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -269,7 +269,8 @@
         body = msgspec.json.encode({"error": failure.code.value, "detail": failure.detail})
         headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
         request = None if self.head is None else self.head.id
-        retry_after_s = failure.retry_after_s if status == NOT_RUN_STATUS else None
+        may_come_back = status == NOT_RUN_STATUS and failure.code is not Code.FITS_NO_ENGINE
+        retry_after_s = failure.retry_after_s if may_come_back else None
         headers += self.front.wire.write_refusal(request, retry_after_s)
         if failure.code is Code.TOO_LARGE or failure.step is Step.PARSE:
             # What is left of the body can't be told from a next request.
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -147,7 +147,10 @@
             detail = f"no engine has the newest weights of {prompt.model}"
             peer = trackers[0].entry.pool
             return Failure(Code.OTHER_VERSION, Step.ADMIT, peer, detail, retry_after_s=RETRY_SOON_S)
-        sound = [tracker for tracker in allowed if tracker.is_sound] or allowed
+        roomy = [tracker for tracker in allowed if _may_fit(prompt, tracker)]
+        if not roomy:
+            return _refuse_size(prompt, allowed)
+        sound = [tracker for tracker in roomy if tracker.is_sound] or roomy
         usable = [tracker for tracker in sound if not tracker.is_avoided] or sound
         by_id = {tracker.id: tracker for tracker in usable}
         ranked = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
@@ -244,3 +247,16 @@
             for each in trackers
             if not is_over(model, each.version_by_model.get(model, 0), bound_s)
         ]
+
+
+def _may_fit(prompt: Prompt, tracker: Tracker) -> bool:
+    """Return whether an engine's memory, where it is known, holds the prompt."""
+    capacity_tokens = tracker.memory.capacity_tokens
+    return not capacity_tokens or prompt.tokens_in <= capacity_tokens
+
+
+def _refuse_size(prompt: Prompt, trackers: list[Tracker]) -> Failure:
+    """Refuse a prompt that no engine holds; coming back soon would change nothing."""
+    largest = max(tracker.memory.capacity_tokens for tracker in trackers)
+    detail = f"the prompt has {prompt.tokens_in} tokens, the largest engine's memory {largest}"
+    return Failure(Code.FITS_NO_ENGINE, Step.ADMIT, trackers[0].entry.pool, detail)
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -81,6 +81,21 @@
         self.assertEqual(self.seen[0], Patience.REFUSE)
         self.assertNotIn(Patience.REFUSE, self.seen[1:])
 
+    def silent_after(self, seconds: float, predicted_s: float) -> bool:
+        """Return whether an upstream counts as silent that sent nothing for so long."""
+        forwarding = self.make_forwarding()
+        choice = Choice(mock.Mock(), 1, None, 1, first_s=predicted_s)
+        forwarding.attempt = mock.Mock(choice=choice, sent_at=self.now)
+        self.now += seconds
+        forwarding.finish()
+        return forwarding.attempt.finish.call_args.args[0] is True
+
+    def test_upstream_is_silent_only_long_after_it_was_predicted_to_answer(self) -> None:
+        """A large prompt that takes four targets to read counted against whatever read it."""
+        self.assertTrue(self.silent_after(3.2 * TARGET_S, predicted_s=0.2))
+        self.assertFalse(self.silent_after(3.2 * TARGET_S, predicted_s=4.0 * TARGET_S))
+        self.assertTrue(self.silent_after(13.0 * TARGET_S, predicted_s=4.0 * TARGET_S))
+
     def test_request_that_no_upstream_took_a_connection_for_has_not_run(self) -> None:
         """Seen while a third of the engines came back: callers got a 502 without any promise."""
         lost = Failure(Code.UPSTREAM_FAILED, Step.CONNECT, "e", "refused", Ran.NOT_RUN)
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -121,6 +121,19 @@
         outcomes = self.outcomes_while_engines_fill(drawn, own)
         self.assertEqual(set(outcomes), {(False, False), (True, True)})
 
+    def test_prompt_that_fits_no_engine_is_refused_at_once_and_not_told_to_come_back(self) -> None:
+        for patience in Patience:
+            refusal = self.choose(CAPACITY + 1, patience)
+            self.assertEqual(refusal.code, Code.FITS_NO_ENGINE)
+            self.assertIn(str(CAPACITY + 1), refusal.detail)
+        self.second.memory.capacity_tokens = 2 * CAPACITY
+        self.assertIs(self.choose(CAPACITY + 1).tracker, self.second)
+
+    def test_prompt_is_not_refused_for_its_size_where_engines_memory_is_not_known(self) -> None:
+        for tracker in (self.first, self.second):
+            tracker.memory.capacity_tokens = 0
+        self.assertIsInstance(self.choose(CAPACITY + 1), Choice)
+
     def test_prompt_that_takes_longer_than_its_target_to_read_is_admitted_where_nothing_waits(
         self,
     ) -> None:
