Store eras: what hosts know outlives a store that comes back from an earlier copy

Cause: positions in topics were bare offsets. After a return ends lay lower, so that each answer of the store counted as one that lags: the configuration was confirmed no more and every key was refused until the topic had grown past its old end. A reader whose offset existed again read on and missed what stood before it. Fences were offsets, which are given out again. Entries of upstreams that had left stood in the copy once more.

Change: StorePosition holds era and offset, in all topics. An answer of a newer era, also a failure or a read that hung over the return, begins anew from the newest records; one of an older era changes nothing; hosts tell one another the era they know. Fences have the era as their high part; nobody orders by a turn of an earlier era, and nobody begins one until a whole lease and the margin have passed since it knew of the era. An append that is done late in a later era gives no turn. A host that starts asks up to three others before what the store says counts as the newest. Starts that have left stay out. One reader writes again the hosts and crash records that the copy lacks. Metrics for era, returns and stored version.

Weighed for fences: a number that upstreams have seen (needs a call to each, and a restarted upstream forgets); chosen: era as the high part, which needs nobody.

--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -200,6 +200,17 @@
         """Note that the records are as new as a question sent at `asked_at`."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
+    def note_return(self) -> None:
+        """Take that the store has come back from an earlier copy: what it has is not known."""
+        self._stored.clear()
+
+    def write_missing(self) -> None:
+        """Write what a store that was read whole lacks: one reader, the next one if it doesn't."""
+        delay_s = LATER_S * self.hosts.reader_rank()
+        for record in self.records.shared():
+            if self._lacks(record.fingerprint) and self.hosts.is_reader():
+                self._write_soon(record.fingerprint, delay_s)
+
     def take_record(self, record: Record) -> None:
         """Take one record of the store."""
         fingerprint = Fingerprint(record.key)
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -318,6 +318,13 @@
             ("requests_active", "requests under way", self.front.active),
             ("configuration_version", "version in force", self.publications.version),
             ("configuration_age_seconds", "age of its confirmation", self.publications.age_s),
+            ("store_era", "era of the store", self.store.eras.newest),
+            ("store_returns", "its returns from a copy", self.store.eras.returns),
+            (
+                "configuration_stored",
+                "version that the store has",
+                self.publications.stored_version,
+            ),
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
             ("upstream_entries_unusable", "entries read that name none", self.entries.unusable),
             ("upstream_connections_opened", "connections opened", opened),
--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -164,6 +164,10 @@
             readers += spare[:missing]
         return readers
 
+    def reader_rank(self) -> int:
+        """Return this host's place among the readers, in an order that all hosts agree on."""
+        return sum(each < self.own.address for each in self.readers())
+
     def hall_reader(self) -> str:
         """Return the reader of this hall."""
         return self.reader_by_hall()[self.own.hall]
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -20,12 +20,20 @@
 from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
 from ruddersaddle_serving.part_news import AskParts, PartsNews, StoreLost, tell_parts
 from ruddersaddle_serving.peers import Peers
-from ruddersaddle_serving.ports import MetadataStore, ModelVersion, Record, Topic
+from ruddersaddle_serving.ports import (
+    MetadataStore,
+    ModelVersion,
+    Page,
+    Record,
+    StorePosition,
+    Topic,
+)
 from ruddersaddle_serving.publications import NamingAge, Publications
 from ruddersaddle_serving.routes import Published
+from ruddersaddle_serving.store_eras import UNTOLD
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList, UpstreamStart
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +58,12 @@
 CHECK_PAUSE_S = 1.0
 """Pause between looks at the connections to peers, one at a look: each of nine hosts finds a silent
 one within 8 s. Asking all of them each second would be 72 messages a second on every host."""
+START_HOLD_S = 1.0
+"""Longest wait of a starting host for the list of hosts, which the store answers in milliseconds;
+the hosts on it are asked then, at the same time, which takes `ASK_S` at most."""
+START_LOOK_S = 0.02
+RESTORE_S = 1.0
+"""Pause between readers that write hosts again after the store's return; one call does it."""
 START_ASKS = 3
 """Hosts that a starting host asks beside the readers: after a compaction the store's answers may
 lag, and a peer may know a newer configuration."""
@@ -67,6 +81,8 @@
     """Digest of the list of hosts that the asker knows."""
     crashes_revision: int = -1
     """Revision of the peer's own crash records that the asker has."""
+    era: int = UNTOLD
+    """Newest era of the store that the asker knows."""
 
 
 class News(msgspec.Struct, frozen=True, tag="news"):
@@ -90,6 +106,12 @@
     """Requests of which a run ended whole a short while ago; told with `crashes`."""
     crashes_revision: int = -1
     crashes_age_s: float = float("inf")
+    era: int = UNTOLD
+    """Era of the store that `end` belongs to."""
+    known_era: int = UNTOLD
+    """Newest era of the store that the teller knows."""
+    gone: tuple[UpstreamStart, ...] = ()
+    """Starts of upstreams that have left; told with `entries`."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
@@ -164,6 +186,8 @@
         self._revision_by_address: dict[str, int] = {}
         self._crashes_revision_by_address: dict[str, int] = {}
         self._asked_at = float("-inf")
+        self._hosts_era: int | None = None
+        """Era of the store that the list of hosts was last read in."""
         self._seen = (0, 0)
         self.news_at = 0.0
         """When the last word of an engine being loaded came."""
@@ -172,6 +196,7 @@
 
     def start(self) -> None:
         """Listen, make this host known, and keep beliefs young."""
+        self.publications.held_until = clocks.now_s() + START_HOLD_S
         self.peers.start()
         spawn_forever("hosts", self._follow_hosts)
         spawn_forever("beliefs", self._keep_young)
@@ -203,11 +228,43 @@
                 logger.info("List of hosts can't be read. %s", page.detail)
                 eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
                 continue
-            self._take_hosts(_decode_hosts(page.records))
+            self._take_list(page)
             # At a common start the first to read the list find nobody on it yet.
             is_settled = self.hosts.by_id or clocks.now_s() > settled_at
             pause_s = HOSTS_READ_S if is_settled else HOSTS_LOOK_S
-            eventlet.sleep(pause_s * (0.75 + 0.5 * random.random()))
+            self._pause(pause_s * (0.75 + 0.5 * random.random()))
+
+    def _pause(self, seconds: float) -> None:
+        """Wait until the list is to be read again, which is at once in a new era of the store."""
+        until = clocks.now_s() + seconds
+        while clocks.now_s() < until and self._hosts_era == self.store.eras.newest:
+            eventlet.sleep(min(HOSTS_LOOK_S, max(0.0, until - clocks.now_s())))
+
+    def _take_list(self, page: Page) -> None:
+        """Take the list that the store has; write again what it has lost with its return."""
+        listed = _decode_hosts(page.records)
+        is_return = self._hosts_era not in (None, page.end.era)
+        self._hosts_era = page.end.era
+        if is_return:
+            known = {**self.hosts.by_id, self.hosts.own_id: self.hosts.own}
+            missing = {host: each for host, each in known.items() if host not in listed}
+            listed |= missing
+            eventlet.spawn(self._restore, missing, RESTORE_S * self.hosts.reader_rank())
+        self._take_hosts(listed)
+
+    def _restore(self, missing: dict[HostId, HostRecord], delay_s: float) -> None:
+        """Write hosts that the store lacks; a reader looks first whether one before it has."""
+        eventlet.sleep(delay_s)
+        while missing:
+            page = self.store.newest(Topic.HOSTS)
+            if not isinstance(page, Failure):
+                listed = _decode_hosts(page.records)
+                missing = {host: each for host, each in missing.items() if host not in listed}
+                values = {host: msgspec.json.encode(each) for host, each in missing.items()}
+                if not missing or self.store.put_all(Topic.HOSTS, values) is None:
+                    logger.info("Hosts written again: %s.", ", ".join(sorted(missing)) or "none")
+                    return
+            eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
 
     def _take_hosts(self, records: dict[HostId, HostRecord]) -> None:
         if self.hosts.replace(records):
@@ -224,10 +281,23 @@
 
     # Beliefs
 
-    def _keep_young(self) -> None:
+    def _ask_at_start(self) -> None:
+        """Ask some hosts what they know before what the store says counts as the newest.
+
+        It may have come back from a copy, with a key that was taken away or an upstream that left.
+        """
+        until = self.publications.held_until
+        while not self.hosts.is_known and clocks.now_s() < until:
+            eventlet.sleep(START_LOOK_S)
         others = self.hosts.addresses()
-        for address in random.sample(others, min(START_ASKS, len(others))):
-            self._ask(address)
+        asked = random.sample(others, min(START_ASKS, len(others)))
+        for task in [eventlet.spawn(self._ask, address) for address in asked]:
+            task.wait()
+        self.upstreams.drop_gone()
+        self.publications.held_until = float("-inf")
+
+    def _keep_young(self) -> None:
+        self._ask_at_start()
         while True:
             eventlet.sleep(LOOK_S)
             self._tell_changes()
@@ -287,6 +357,7 @@
             revision,
             hosts.digest,
             self._crashes_revision_by_address.get(address, -1),
+            self.store.eras.newest,
         )
         answer = self.peers.ask(address, question, ASK_S)
         if not isinstance(answer, News):
@@ -300,13 +371,16 @@
 
     def _take(self, news: News, asked_at: float) -> None:
         """Take a peer's beliefs, dated from when the question left."""
+        self._learn_era(news.known_era)
+        self.upstreams.note_gone(news.gone)
         for named in news.named:
             self.publications.take(named)
         self.publications.take_naming_ages(news.namings, asked_at)
         if news.published is not None:
             self.publications.take(news.published)
-        if news.end >= self.publications.end:
-            self.publications.confirm(asked_at - news.age_s, news.end)
+        end = StorePosition(news.era, news.end)
+        if end >= self.publications.end:
+            self.publications.confirm(asked_at - news.age_s, end)
         if news.hosts is not None:
             self._take_hosts(news.hosts)
         self._take_crashes(news, asked_at)
@@ -316,7 +390,11 @@
         if news.entries is None:
             self.upstreams.confirm(entries_at)
         else:
-            self.upstreams.replace(news.entries, entries_at)
+            self.upstreams.replace(news.entries, entries_at, is_told=True)
+
+    def _learn_era(self, era: int) -> None:
+        if era != UNTOLD:
+            self.store.eras.learn(era)
 
     def _take_crashes(self, news: News, asked_at: float) -> None:
         self.crashes.take_cleared(news.cleared)
@@ -346,6 +424,7 @@
         return Noted()
 
     def _tell(self, question: AskNews) -> News:
+        self._learn_era(question.era)
         self.hosts.note_heard(question.record.address)
         self.hosts.add(question.host, question.record)
         hosts = self.hosts
@@ -360,10 +439,13 @@
         knows_crashes = question.crashes_revision == records.revision
         return News(
             age_s=publications.age_s,
-            end=publications.end,
+            end=publications.end.offset,
+            era=publications.end.era,
+            known_era=self.store.eras.newest,
             named=tuple(ModelVersion(model, each) for model, each in versions.items()),
             published=table.published if is_newer else None,
             entries=None if has_entries else tuple(upstreams.by_id.values()),
+            gone=() if has_entries else upstreams.recently_gone(),
             entries_revision=upstreams.revision if upstreams.complete else -1,
             entries_age_s=upstreams.age_s,
             hosts=None if knows_hosts else {**hosts.by_id, hosts.own_id: hosts.own},
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -10,6 +10,7 @@
 
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Headers, PartId
 from ruddersaddle_serving.routes import ContextStore, Published
+from ruddersaddle_serving.store_eras import StoreEras
 from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamStart
 
 
@@ -33,11 +34,26 @@
     offset: int
 
 
+class StorePosition(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A place in a topic; positions of a later era come after all of an earlier one.
+
+    The store may come back from a copy some seconds old. What was appended since is gone and
+    offsets are given out again, so that an offset says nothing outside of its era.
+    """
+
+    era: int
+    offset: int
+
+
+START = StorePosition(0, 0)
+"""The beginning of a topic, and the era of a store that tells none."""
+
+
 class Page(msgspec.Struct, frozen=True):
-    """Records of a topic and the offset that follows the last one."""
+    """Records of a topic and the position that follows the last one."""
 
     records: tuple[Record, ...]
-    end: int
+    end: StorePosition
 
 
 class ModelVersion(msgspec.Struct, frozen=True):
@@ -55,27 +71,33 @@
 
 
 class Appended(msgspec.Struct, frozen=True):
-    """The outcome of an append; `end` is the offset that follows the topic's last record."""
+    """The outcome of an append; `end` is the position that follows the topic's last record."""
 
     outcome: AppendOutcome
-    end: int
+    end: StorePosition
 
 
 class MetadataStore(Protocol):
     """The platform's store."""
 
+    eras: StoreEras
+    """The era of its newest answer; answers of earlier ones are failures."""
+
     def newest(self, topic: Topic) -> Page | Failure:
         """Return the newest record of each key."""
 
-    def changes(self, topic: Topic, since: int, wait_s: float) -> Page | Failure:
-        """Return the records from offset `since`; wait for one if there is none yet.
+    def changes(self, topic: Topic, since: StorePosition, wait_s: float) -> Page | Failure:
+        """Return the records from `since` on; wait for one if there is none yet.
 
         Where some of them are no longer kept, a keyed topic gives a failure with code `GAP`; a
-        plain one gives what it still has.
+        plain one gives what it still has. A position of an earlier era is a `GAP` in both.
         """
 
-    def append(self, topic: Topic, value: bytes, at: int) -> Appended | Failure:
-        """Append one record if the topic ends at `at`."""
+    def append(self, topic: Topic, value: bytes, at: StorePosition) -> Appended | Failure:
+        """Append one record if the topic ends at `at`.
+
+        A failure with code `GAP` says that the era of `at` is over; the record may be there.
+        """
 
     def put(self, topic: Topic, key: str, value: bytes | None) -> Failure | None:
         """Set or drop the value of a key."""
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -7,7 +7,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
 
-from ruddersaddle_serving.ports import ModelVersion
+from ruddersaddle_serving.ports import START, ModelVersion, StorePosition
 from ruddersaddle_serving.routes import Published, RouteTable
 
 logger = logging.getLogger(__name__)
@@ -54,8 +54,14 @@
         self.namings_by_model: dict[ModelId, list[Naming]] = {}
         self.listeners: list[Callable[[RouteTable], None]] = []
         """Called at once with each configuration that comes into force."""
-        self.end = 0
-        """Offset that follows the newest record that was taken into account."""
+        self.end = START
+        """Position that follows the newest record that was taken into account."""
+        self.held_until = float("-inf")
+        """Until then nothing counts as confirmed: a host that has just started asks others first,
+        as the store may have come back from a copy that still has what was taken away."""
+        self.stored_version = 0
+        """Version of the configuration that the store has; one that has come back from an earlier
+        copy has an older one than is in force until operators write theirs again."""
 
     @property
     def version(self) -> int:
@@ -65,7 +71,8 @@
     @property
     def age_s(self) -> float:
         """Seconds since the belief was last known to be the newest."""
-        return clocks.now_s() - self.confirmed_at
+        now = clocks.now_s()
+        return float("inf") if now < self.held_until else now - self.confirmed_at
 
     def take(self, item: Published | ModelVersion) -> None:
         """Take one published item if it is newer than what is known."""
@@ -137,10 +144,10 @@
         namings = self.namings_by_model.get(model, ())
         return next((each for each in namings if each.version > version), None)
 
-    def confirm(self, asked_at: float, end: int) -> bool:
+    def confirm(self, asked_at: float, end: StorePosition) -> bool:
         """Note an answer to a question sent at `asked_at`; refuse one that lags behind."""
         if end < self.end:
-            logger.warning("Answer of the store lags: it ends at %d, known is %d.", end, self.end)
+            logger.warning("Answer of the store lags: it ends at %s, known is %s.", end, self.end)
             return False
         self.end = end
         self.confirmed_at = max(self.confirmed_at, asked_at)
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -10,8 +10,16 @@
 from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.crash_shares import CrashShares
-from ruddersaddle_serving.ports import MetadataStore, Page, Record, Topic
+from ruddersaddle_serving.ports import (
+    MetadataStore,
+    ModelVersion,
+    Page,
+    Record,
+    StorePosition,
+    Topic,
+)
 from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.routes import Published
 from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
 
 logger = logging.getLogger(__name__)
@@ -68,7 +76,9 @@
         self.store = store
         self.topic = topic
         self.link = link
-        self.position: int | None = None
+        self.position: StorePosition | None = None
+        self._era: int | None = None
+        """Era of the last page; None before the first."""
 
     def run(self, wait_s: float, pause_s: float, is_reader: Callable[[], bool]) -> None:
         """Follow the topic for good, while this host is a reader or knows nothing newer."""
@@ -93,13 +103,16 @@
         if isinstance(page, Failure):
             return page
         whole = self.position is None
+        if self._era not in (None, page.end.era):
+            self.note_return()
+        self._era = page.end.era
         if self.take(page, whole, asked_at):
             self.position = page.end
         return page
 
     def _note_failure(self, failure: Failure) -> None:
         if failure.code is Code.GAP:
-            logger.info("Topic %s has dropped records; it is read whole.", self.topic.value)
+            logger.info("Topic %s is read whole. %s", self.topic.value, failure.detail)
             self.position = None
         else:
             self.note_outage()
@@ -116,6 +129,9 @@
     def note_outage(self) -> None:
         """Take that the store did not answer."""
 
+    def note_return(self) -> None:
+        """Take that the next page is of a store that has come back from an earlier copy."""
+
 
 class OperatorFollower(TopicFollower):
     """Follows what operators publish."""
@@ -132,8 +148,22 @@
                 logger.error("Record %d of %s is unreadable. %s", record.offset, record.key, item)
             elif item is not None:
                 self.publications.take(item)
+                self._note_stored(item)
         return self.publications.confirm(asked_at, page.end)
 
+    def _note_stored(self, item: Published | ModelVersion) -> None:
+        """Tell once when the store has an older configuration than the one in force."""
+        if not isinstance(item, Published) or item.version == self.publications.stored_version:
+            return
+        self.publications.stored_version = item.version
+        known = self.publications.version
+        if item.version < known:
+            logger.warning(
+                "Store has configuration %d, %d stays in force; operators have to write it again.",
+                item.version,
+                known,
+            )
+
     @property
     def age_s(self) -> float:
         """Seconds since the configuration was last confirmed."""
@@ -185,6 +215,10 @@
         """Entries may lapse while the store is away."""
         self.upstreams.note_outage()
 
+    def note_return(self) -> None:
+        """Entries written since the copy are missing; of those that are there some are over."""
+        self.upstreams.note_return()
+
 
 class CrashFollower(TopicFollower):
     """Follows the records of requests that crash upstreams."""
@@ -200,6 +234,8 @@
         """Take records, then confirm them as of the question."""
         for record in page.records:
             self.shares.take_record(record)
+        if whole:
+            self.shares.write_missing()
         self.shares.confirm(asked_at)
         return True
 
@@ -207,3 +243,7 @@
     def age_s(self) -> float:
         """Seconds since the records were last confirmed."""
         return self.shares.age_s
+
+    def note_return(self) -> None:
+        """What was written since the copy is gone."""
+        self.shares.note_return()
--- a/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
@@ -5,8 +5,9 @@
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import Incarnation
 
-from ruddersaddle_serving.fence_leases import FenceLease
-from ruddersaddle_serving.ports import Appended, AppendOutcome, Page, Record, Topic
+from ruddersaddle_serving.fence_leases import FENCES_OF_ERA, MARGIN_S, FenceLease
+from ruddersaddle_serving.ports import Appended, AppendOutcome, Page, Record, StorePosition, Topic
+from ruddersaddle_serving.store_eras import StoreEras
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 
 LEASE_S = 3.0
@@ -19,28 +20,52 @@
         self.values: list[bytes] = []
         self.lose_answers = 0
         self.down = False
+        self.era = 0
+
+    @property
+    def end(self) -> StorePosition:
+        return StorePosition(self.era, len(self.values))
+
+    def come_back(self, count: int) -> None:
+        """Begin a new era with the first so many records."""
+        self.values = self.values[:count]
+        self.era += 1
 
-    def changes(self, topic: Topic, since: int, wait_s: float) -> Page | Failure:
-        if self.down:
-            return self._failure()
-        records = [
-            Record("", value, since + number) for number, value in enumerate(self.values[since:])
-        ]
-        return Page(tuple(records), len(self.values))
 
-    def append(self, topic: Topic, value: bytes, at: int) -> Appended | Failure:
-        if self.down:
+class StoreView:
+    """The store as one host knows it."""
+
+    def __init__(self, log: LogStore) -> None:
+        self.log = log
+        self.eras = StoreEras()
+
+    def changes(self, topic: Topic, since: StorePosition, wait_s: float) -> Page | Failure:
+        if self.log.down:
+            return self._failure()
+        self.eras.learn(self.log.era)
+        if since.era != self.log.era:
+            return self._failure(Code.GAP)
+        values = self.log.values[since.offset :]
+        records = [Record("", value, since.offset + at) for at, value in enumerate(values)]
+        return Page(tuple(records), self.log.end)
+
+    def append(self, topic: Topic, value: bytes, at: StorePosition) -> Appended | Failure:
+        if self.log.down:
             return self._failure()
-        if at != len(self.values):
-            return Appended(AppendOutcome.CONFLICT, len(self.values))
-        self.values.append(value)
-        if self.lose_answers:
-            self.lose_answers -= 1
+        is_at_end = at.offset == len(self.log.values)
+        if is_at_end:
+            self.log.values.append(value)
+        if self.log.lose_answers:
+            self.log.lose_answers -= 1
             return self._failure()
-        return Appended(AppendOutcome.DONE, len(self.values))
+        self.eras.learn(self.log.era)
+        if at.era != self.log.era:
+            return self._failure(Code.GAP)
+        outcome = AppendOutcome.DONE if is_at_end else AppendOutcome.CONFLICT
+        return Appended(outcome, self.log.end)
 
-    def _failure(self) -> Failure:
-        return Failure(Code.LOG_UNAVAILABLE, Step.APPEND, "log")
+    def _failure(self, code: Code = Code.LOG_UNAVAILABLE) -> Failure:
+        return Failure(code, Step.APPEND, "log")
 
 
 class FenceLeaseTest(FixedClockTest):
@@ -48,8 +73,12 @@
         super().setUp()
         self.store = LogStore()
         self.first, self.second = (
-            FenceLease(self.store, Incarnation(name), LEASE_S) for name in ("first", "second")
+            FenceLease(StoreView(self.store), Incarnation(name), LEASE_S)
+            for name in ("first", "second")
         )
+        for each in (self.first, self.second):
+            each.store.eras.learn(0)
+        self.now += LEASE_S + MARGIN_S
 
     def test_one_holder_at_a_time_and_fences_rise(self) -> None:
         self.assertTrue(self.first.take())
@@ -90,6 +119,67 @@
         self.assertFalse(self.first.take())
         self.assertFalse(self.first.may_order)
 
+    def wait_for(self, lease: FenceLease) -> float:
+        """Return how long a host waits for the lease."""
+        began = self.now
+        while not lease.take():
+            self.now += 0.01
+        return self.now - began
+
+    def test_fences_rise_where_the_store_gives_offsets_out_again(self) -> None:
+        """Two holders had the same fence, or the later one the lower."""
+        for _ in range(3):
+            self.wait_for(self.first)
+            self.now += 1.0
+        before = self.first.fence
+        self.store.come_back(1)
+        self.wait_for(self.second)
+        self.assertGreater(self.second.fence, before)
+        self.assertEqual(self.second.fence, FENCES_OF_ERA + 1)
+
+    def test_successor_waits_a_whole_lease_though_the_holders_record_is_gone(self) -> None:
+        self.second.watch()
+        self.first.take()
+        last_order = self.now
+        self.store.come_back(0)
+        while not self.second.take():
+            if self.first.may_order:
+                last_order = self.now
+            self.now += 0.01
+        self.assertGreater(self.now - last_order, LEASE_S)
+
+    def test_host_that_has_just_started_waits_a_whole_lease_in_an_era_that_it_can_not_date(
+        self,
+    ) -> None:
+        self.store.come_back(0)
+        third = FenceLease(StoreView(self.store), Incarnation("third"), LEASE_S)
+        self.assertGreaterEqual(self.wait_for(third), LEASE_S)
+
+    def test_holder_gives_no_order_once_a_later_era_is_known(self) -> None:
+        self.first.take()
+        self.first.store.eras.learn(1)
+        self.assertFalse(self.first.may_order)
+        self.assertFalse(self.first.take())
+
+    def test_append_that_is_done_in_a_later_era_gives_no_turn(self) -> None:
+        """Its offset was given out again, so that its condition held by chance."""
+        self.first.take()
+        self.second.watch()
+        self.now += 2.0
+        self.store.values.append(b"{}")
+        self.store.come_back(1)
+        self.assertFalse(self.first.take())
+        self.assertEqual(len(self.store.values), 2)
+        self.assertFalse(self.first.is_holder)
+        self.assertGreaterEqual(self.wait_for(self.first), LEASE_S)
+
+    def test_no_host_is_kept_from_the_lease_by_an_old_end(self) -> None:
+        for _ in range(5):
+            self.first.take()
+            self.now += 1.0
+        self.store.come_back(0)
+        self.assertLess(self.wait_for(self.first), LEASE_S + MARGIN_S + 0.1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -15,7 +15,7 @@
     Patience,
     Placement,
 )
-from ruddersaddle_serving.ports import ModelVersion
+from ruddersaddle_serving.ports import ModelVersion, StorePosition
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Part, PartId, Prompt
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
@@ -170,7 +170,7 @@
         self.assertIsInstance(self.choose(2000, Patience.SEND), Choice)
 
     def test_old_weights_are_left_before_their_bound(self) -> None:
-        self.publications.confirm(self.now, 1)
+        self.publications.confirm(self.now, StorePosition(0, 1))
         self.publications.take(ModelVersion(MODEL, 2))
         self.first.take_version(MODEL, 2)
         self.now += 9.0
@@ -181,7 +181,7 @@
 
     def test_bound_counts_from_the_first_newer_weights(self) -> None:
         """Found in a hunt: a second version named 4 s later let the oldest weights go on."""
-        self.publications.confirm(self.now, 1)
+        self.publications.confirm(self.now, StorePosition(0, 1))
         self.publications.take(ModelVersion(MODEL, 2))
         self.now += 4.0
         self.publications.take(ModelVersion(MODEL, 3))
--- a/libs/serving/ruddersaddle_serving/tests/test_publications.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_publications.py
@@ -5,7 +5,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
 
-from ruddersaddle_serving.ports import ModelVersion
+from ruddersaddle_serving.ports import ModelVersion, StorePosition
 from ruddersaddle_serving.publications import START_GRACE_S, Publications
 from ruddersaddle_serving.routes import Published, Route, RouteKind, RouteName, RouteTable
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
@@ -29,15 +29,15 @@
     def test_age_counts_from_the_question(self) -> None:
         publications = Publications()
         asked_at = clocks.now_s() - 2.0
-        self.assertTrue(publications.confirm(asked_at, 4))
+        self.assertTrue(publications.confirm(asked_at, StorePosition(0, 4)))
         self.assertGreaterEqual(publications.age_s, 2.0)
-        publications.confirm(asked_at - 1.0, 4)
+        publications.confirm(asked_at - 1.0, StorePosition(0, 4))
         self.assertLess(publications.age_s, 2.5)
 
     def test_answer_that_lags_confirms_nothing(self) -> None:
         publications = Publications()
-        publications.confirm(clocks.now_s() - 9.0, 7)
-        self.assertFalse(publications.confirm(clocks.now_s(), 6))
+        publications.confirm(clocks.now_s() - 9.0, StorePosition(0, 7))
+        self.assertFalse(publications.confirm(clocks.now_s(), StorePosition(0, 6)))
         self.assertGreater(publications.age_s, 8.0)
 
 
@@ -66,7 +66,7 @@
         return self.publications.replaced_at_least_s(MODEL, version)
 
     def test_weights_were_replaced_between_the_last_confirmation_and_the_news(self) -> None:
-        self.publications.confirm(99.0, 1)
+        self.publications.confirm(99.0, StorePosition(0, 1))
         self.publications.take(ModelVersion(MODEL, 2))
         self.now += 3.0
         self.assertEqual((self.replaced_s(1), self.replaced_s(2)), (3.0, 0.0))
@@ -81,7 +81,7 @@
         """Found in a hunt: after a common restart the bound on old weights began anew."""
         publications = Publications()
         publications.take(ModelVersion(MODEL, 2))
-        publications.confirm(self.now, 1)
+        publications.confirm(self.now, StorePosition(0, 1))
         self.assertFalse(publications.is_replaced_for(MODEL, 1, 9.5))
         self.now += START_GRACE_S
         self.assertTrue(publications.is_replaced_for(MODEL, 1, 9.5))
@@ -94,14 +94,14 @@
 
     def test_host_that_has_just_started_learns_from_others_when_weights_were_replaced(self) -> None:
         """Found in reading: it left old weights after 2 s, when few engines had newer ones."""
-        self.publications.confirm(self.now, 1)
+        self.publications.confirm(self.now, StorePosition(0, 1))
         for version in (2, 3):
             self.publications.take(ModelVersion(MODEL, version))
             self.now += 4.0
-            self.publications.confirm(self.now, version)
+            self.publications.confirm(self.now, StorePosition(0, version))
         started = Publications()
         started.take(ModelVersion(MODEL, 3))
-        started.confirm(self.now, 3)
+        started.confirm(self.now, StorePosition(0, 3))
         started.take_naming_ages(self.publications.naming_ages(), self.now)
         self.now += START_GRACE_S - 1.0
         self.assertFalse(started.is_replaced_for(MODEL, 1, 9.5))
@@ -116,7 +116,7 @@
 
     def test_the_first_newer_weights_count(self) -> None:
         for version in (2, 3):
-            self.publications.confirm(self.now, version)
+            self.publications.confirm(self.now, StorePosition(0, version))
             self.publications.take(ModelVersion(MODEL, version))
             self.now += 5.0
         self.assertEqual((self.replaced_s(1), self.replaced_s(2)), (10.0, 5.0))
--- a/libs/serving/ruddersaddle_serving/tests/test_suspensions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_suspensions.py
@@ -20,11 +20,12 @@
 import ruddersaddle_serving
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
-from ruddersaddle_serving.ports import Appended, AppendOutcome, ModelVersion
+from ruddersaddle_serving.ports import Appended, AppendOutcome, ModelVersion, Page, StorePosition
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Workspace
 from ruddersaddle_serving.standstills import Standstills
+from ruddersaddle_serving.store_eras import StoreEras
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
 SUSPENDED_S = 6.0
@@ -46,7 +47,7 @@
             patch.start()
             self.addCleanup(patch.stop)
         self.publications = Publications()
-        self.publications.confirm(clocks.now_s(), 1)
+        self.publications.confirm(clocks.now_s(), StorePosition(0, 1))
 
     def suspend(self) -> None:
         """Stand still while the time goes on."""
@@ -73,9 +74,9 @@
         self.assertEqual(forwarder.check_key_age(request).code, Code.STALE_CONFIGURATION)
 
     def test_lease_has_run_out(self) -> None:
-        store = mock.Mock()
-        store.changes.return_value = mock.Mock(records=(), end=0)
-        store.append.return_value = Appended(AppendOutcome.DONE, 1)
+        store = mock.Mock(eras=StoreEras())
+        store.changes.return_value = Page((), StorePosition(0, 0))
+        store.append.return_value = Appended(AppendOutcome.DONE, StorePosition(0, 1))
         lease = FenceLease(store, Incarnation(HostId("h")), 3.0)
         self.assertTrue(lease.take())
         self.suspend()
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -6,7 +6,12 @@
 from ruddersaddle_base.ids import HallId, PoolId, UpstreamId
 
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_lists import (
+    LAPSE_GRACE_S,
+    RETOLD_S,
+    UpstreamEntry,
+    UpstreamList,
+)
 
 ENTRY = UpstreamEntry(UpstreamId("u"), PoolId("p"), "10.0.0.1:80", HallId("h"), 4, False, {})
 
@@ -61,6 +66,51 @@
         self.upstreams.put(msgspec.structs.replace(ENTRY, leaving=True, born_ms=1000))
         self.assertEqual(self.upstreams.of_pool(ENTRY.pool), [later])
 
+    def test_list_of_a_host_that_keeps_a_lapsed_entry_does_not_put_it_back(self) -> None:
+        """Two readers: one has read the leave, the other is just out of an outage."""
+        other = UpstreamList()
+        other.replace([ENTRY], self.now)
+        other.note_outage()
+        for each in (self.upstreams, other):
+            each.remove(ENTRY.id)
+        self.assertEqual(list(other.by_id), [ENTRY.id])
+        until = self.now + LAPSE_GRACE_S
+        while self.now < until:
+            self.upstreams.replace(other.by_id.values(), self.now, is_told=True)
+            self.assertEqual(self.ids(), [])
+            self.now += 0.1
+            other.confirm(self.now)
+        self.upstreams.put(ENTRY)
+        self.assertEqual(self.ids(), [ENTRY.id])
+
+    def test_entry_that_another_host_has_again_comes_back(self) -> None:
+        self.upstreams.remove(ENTRY.id)
+        self.now += RETOLD_S
+        self.upstreams.replace([ENTRY], self.now, is_told=True)
+        self.assertEqual(self.ids(), [ENTRY.id])
+
+    def test_copy_of_the_store_names_starts_that_have_left(self) -> None:
+        self.upstreams.remove(ENTRY.id)
+        self.upstreams.note_return()
+        self.upstreams.replace([ENTRY], self.now)
+        self.assertEqual(self.ids(), [])
+        later = msgspec.structs.replace(ENTRY, born_ms=5)
+        self.upstreams.replace([later], self.now)
+        self.assertEqual(self.ids(), [ENTRY.id])
+
+    def test_entries_that_a_copy_lacks_are_kept_until_they_are_written_again(self) -> None:
+        self.upstreams.note_return()
+        self.upstreams.replace([], self.now)
+        self.assertEqual(self.ids(), [ENTRY.id])
+
+    def test_what_others_know_to_have_left_is_taken_out_by_a_host_that_has_just_started(
+        self,
+    ) -> None:
+        self.upstreams.note_gone([ENTRY.start])
+        self.assertEqual(self.ids(), [ENTRY.id])
+        self.upstreams.drop_gone()
+        self.assertEqual(self.ids(), [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -17,6 +17,16 @@
 OUTAGE_MEMORY_S = 4.0
 """How long after the store's return a missing entry may be one that lapsed: two seconds until
 upstreams write again, and two for this host to read it."""
+RETOLD_S = 2.5
+"""An entry that was taken out comes back with another host's list after this time at the earliest:
+`LAPSE_GRACE_S`, and a reader's pause between reads. With a change that is read it comes at once."""
+RETURN_MEMORY_S = 10.0
+"""How long after the store's return from a copy a whole list may still name starts that are gone:
+what upstreams don't write again lapses after three reports of silence (3.6 s)."""
+GONE_MAX = 1000
+"""Starts that are remembered as gone; a release of 450 upstreams ends as many."""
+GONE_TOLD_MAX = 50
+"""Of these as many are told to another host, about 1 KB."""
 CERTAIN_S = 3.0
 """Oldest list that counts as complete; hosts hear of others' reads within 1.9 s."""
 
@@ -69,6 +79,9 @@
         """When the question was sent whose answer was last taken."""
         self._lapse_by_id: dict[UpstreamId, float] = {}
         self._outage_until = 0.0
+        self._copy_until = float("-inf")
+        self._gone: dict[UpstreamStart, float] = {}
+        """When the entries of starts were taken out, the latest last."""
 
     @property
     def age_s(self) -> float:
@@ -84,9 +97,20 @@
         """Remember that the store does not answer; entries may lapse meanwhile."""
         self._outage_until = clocks.now_s() + OUTAGE_MEMORY_S
 
-    def replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
-        """Take a whole list."""
-        found = {entry.id: entry for entry in entries}
+    def note_return(self) -> None:
+        """Remember that the store has come back from a copy some seconds old.
+
+        What upstreams wrote since is missing until they write it again; starts that have left
+        since are named there once more, and take nothing any more.
+        """
+        self.note_outage()
+        self._copy_until = clocks.now_s() + RETURN_MEMORY_S
+
+    def replace(
+        self, entries: Iterable[UpstreamEntry], asked_at: float, is_told: bool = False
+    ) -> None:
+        """Take a whole list, of the store or told by another host."""
+        found = {entry.id: entry for entry in entries if self._counts(entry.start, is_told)}
         for gone in set(self.by_id) - set(found):
             self.remove(gone)
         for entry in found.values():
@@ -94,6 +118,18 @@
         self.complete = True
         self.confirm(asked_at)
 
+    def _counts(self, start: UpstreamStart, is_told: bool) -> bool:
+        """Return whether a whole list can say that a start is there.
+
+        A host that was cut off from the store keeps entries for their grace, and its list put back
+        what this one had dropped: seen 0.2 s after a leave, for 0.36 s.
+        """
+        gone_at = self._gone.get(start)
+        if gone_at is None:
+            return True
+        now = clocks.now_s()
+        return now >= self._copy_until and not (is_told and now < gone_at + RETOLD_S)
+
     def put(self, entry: UpstreamEntry) -> None:
         """Take one entry."""
         known = self.by_id.get(entry.id)
@@ -101,6 +137,7 @@
             logger.info("Entry of %s is of an earlier start than the known one.", entry.start)
             return
         self._lapse_by_id.pop(entry.id, None)
+        self._gone.pop(entry.start, None)
         is_same = known is not None and not entry.is_later_than(known)
         if is_same and known.leaving and not entry.leaving:
             # A leave is never taken back within one start of an upstream.
@@ -144,8 +181,30 @@
         entry = self.by_id.pop(upstream, None)
         if entry is not None:
             self.revision += 1
+            self._remember_gone(entry.start)
             logger.info("Upstream %s of %s at %s is gone.", upstream, entry.pool, entry.address)
 
+    def recently_gone(self) -> tuple[UpstreamStart, ...]:
+        """Return the starts that were taken out last, for hosts that have just started."""
+        return tuple(self._gone)[-GONE_TOLD_MAX:]
+
+    def note_gone(self, starts: Iterable[UpstreamStart]) -> None:
+        """Take which starts have left, as another host knows."""
+        for start in starts:
+            self._remember_gone(start)
+
+    def drop_gone(self) -> None:
+        """Take out starts that others know to have left: the store may name them from a copy."""
+        for entry in list(self.by_id.values()):
+            if entry.start in self._gone:
+                self.drop(entry.id)
+
+    def _remember_gone(self, start: UpstreamStart) -> None:
+        self._gone.pop(start, None)
+        self._gone[start] = clocks.now_s()
+        if len(self._gone) > GONE_MAX:
+            del self._gone[next(iter(self._gone))]
+
     def of_pool(self, pool: PoolId) -> list[UpstreamEntry]:
         """Return the entries of a pool that take new work."""
         return [each for each in self.by_id.values() if each.pool == pool and not each.leaving]
