Tests: a late append of an earlier era ends no other turn early

The mutation that trusts the holder's name was not noticed by the test named for it: the wait of a young era hid it. This case is noticed (fails without the mechanism, passes with it).

--- a/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
@@ -173,6 +173,16 @@
         self.assertFalse(self.first.is_holder)
         self.assertGreaterEqual(self.wait_for(self.first), LEASE_S)
 
+    def test_append_of_an_earlier_era_that_is_done_late_ends_no_other_turn_early(self) -> None:
+        """It lands behind the turn of another holder, who may still give orders."""
+        self.first.take()
+        late = self.store.values[0]
+        self.store.come_back(0)
+        self.wait_for(self.second)
+        self.store.values.append(late)
+        self.assertTrue(self.second.may_order)
+        self.assertGreaterEqual(self.wait_for(self.first), LEASE_S)
+
     def test_no_host_is_kept_from_the_lease_by_an_old_end(self) -> None:
         for _ in range(5):
             self.first.take()
