Tests: the case of a late append that the mutation shows to be needed

A host that has known of the new era for as long as the other one takes its turn by a record that was sent in the era before. Without the mechanism: 0.0 s of wait instead of a lease.

--- a/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
@@ -178,6 +178,7 @@
         self.first.take()
         late = self.store.values[0]
         self.store.come_back(0)
+        self.first.store.eras.learn(1)
         self.wait_for(self.second)
         self.store.values.append(late)
         self.assertTrue(self.second.may_order)
