--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import msgspec
+from eventlet.queue import LightQueue
 from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_json
 from ruddersaddle_base.failures import Failure, Step
@@ -291,11 +292,22 @@
             eventlet.sleep(START_LOOK_S)
         others = self.hosts.addresses()
         asked = random.sample(others, min(START_ASKS, len(others)))
-        for task in [eventlet.spawn(self._ask, address) for address in asked]:
-            task.wait()
+        answers: LightQueue[bool] = LightQueue()
+        for address in asked:
+            eventlet.spawn(self._ask_for, address, answers)
+        # The first answer is enough: hosts know of a change within a second of one another.
+        any(answers.get() for _ in asked)
         self.upstreams.drop_gone()
         self.publications.held_until = float("-inf")
 
+    def _ask_for(self, address: str, answers: LightQueue[bool]) -> None:
+        """Ask one peer, and put whether it answered, also where asking fails by a fault."""
+        answered = False
+        try:
+            answered = self._ask(address)
+        finally:
+            answers.put(answered)
+
     def _keep_young(self) -> None:
         self._ask_at_start()
         while True:
