Lists of upstreams: what a host keeps for its grace is named, and put back nowhere

Cause, read in the diff: the mend before kept entries that were taken out from coming back with a told list for 2.5 s; after an outage in which all entries had lapsed, hosts that don't read would have gone without their upstreams for up to 1.7 s more. What another host said to have left was also taken by running hosts, which know better. Change: a told list names the entries that its host keeps for their grace; they stay where they are known. What has left is taken at a start only.

--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -112,7 +112,9 @@
     known_era: int = UNTOLD
     """Newest era of the store that the teller knows."""
     gone: tuple[UpstreamStart, ...] = ()
-    """Starts of upstreams that have left; told with `entries`."""
+    """Starts of upstreams that have left, for a host that has just started; with `entries`."""
+    lapsing: tuple[UpstreamId, ...] = ()
+    """Upstreams among `entries` that are gone from the store and kept for their grace."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
@@ -384,7 +386,8 @@
     def _take(self, news: News, asked_at: float) -> None:
         """Take a peer's beliefs, dated from when the question left."""
         self._learn_era(news.known_era)
-        self.upstreams.note_gone(news.gone)
+        if clocks.now_s() < self.publications.held_until:
+            self.upstreams.note_gone(news.gone)
         for named in news.named:
             self.publications.take(named)
         self.publications.take_naming_ages(news.namings, asked_at)
@@ -402,7 +405,7 @@
         if news.entries is None:
             self.upstreams.confirm(entries_at)
         else:
-            self.upstreams.replace(news.entries, entries_at, is_told=True)
+            self.upstreams.replace_told(news.entries, news.lapsing, entries_at)
 
     def _learn_era(self, era: int) -> None:
         if era != UNTOLD:
@@ -458,6 +461,7 @@
             published=table.published if is_newer else None,
             entries=None if has_entries else tuple(upstreams.by_id.values()),
             gone=() if has_entries else upstreams.recently_gone(),
+            lapsing=() if has_entries else upstreams.lapsing,
             entries_revision=upstreams.revision if upstreams.complete else -1,
             entries_age_s=upstreams.age_s,
             hosts=None if knows_hosts else {**hosts.by_id, hosts.own_id: hosts.own},
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -7,8 +7,6 @@
 
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.upstream_lists import (
-    LAPSE_GRACE_S,
-    RETOLD_S,
     UpstreamEntry,
     UpstreamList,
 )
@@ -74,20 +72,17 @@
         for each in (self.upstreams, other):
             each.remove(ENTRY.id)
         self.assertEqual(list(other.by_id), [ENTRY.id])
-        until = self.now + LAPSE_GRACE_S
-        while self.now < until:
-            self.upstreams.replace(other.by_id.values(), self.now, is_told=True)
-            self.assertEqual(self.ids(), [])
-            self.now += 0.1
-            other.confirm(self.now)
-        self.upstreams.put(ENTRY)
+        self.upstreams.replace_told(other.by_id.values(), other.lapsing, self.now)
+        self.assertEqual(self.ids(), [])
+        other.put(ENTRY)
+        self.upstreams.replace_told(other.by_id.values(), other.lapsing, self.now)
         self.assertEqual(self.ids(), [ENTRY.id])
 
-    def test_entry_that_another_host_has_again_comes_back(self) -> None:
-        self.upstreams.remove(ENTRY.id)
-        self.now += RETOLD_S
-        self.upstreams.replace([ENTRY], self.now, is_told=True)
+    def test_entry_that_another_host_keeps_for_its_grace_stays_where_it_is_known(self) -> None:
+        self.upstreams.replace_told([ENTRY], [ENTRY.id], self.now)
         self.assertEqual(self.ids(), [ENTRY.id])
+        self.upstreams.replace_told([], [], self.now)
+        self.assertEqual(self.ids(), [])
 
     def test_copy_of_the_store_names_starts_that_have_left(self) -> None:
         self.upstreams.remove(ENTRY.id)
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -2,7 +2,7 @@
 
 import logging
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import msgspec
 from ruddersaddle_base import clocks
@@ -17,9 +17,6 @@
 OUTAGE_MEMORY_S = 4.0
 """How long after the store's return a missing entry may be one that lapsed: two seconds until
 upstreams write again, and two for this host to read it."""
-RETOLD_S = 2.5
-"""An entry that was taken out comes back with another host's list after this time at the earliest:
-`LAPSE_GRACE_S`, and a reader's pause between reads. With a change that is read it comes at once."""
 RETURN_MEMORY_S = 10.0
 """How long after the store's return from a copy a whole list may still name starts that are gone:
 what upstreams don't write again lapses after three reports of silence (3.6 s)."""
@@ -80,8 +77,8 @@
         self._lapse_by_id: dict[UpstreamId, float] = {}
         self._outage_until = 0.0
         self._copy_until = float("-inf")
-        self._gone: dict[UpstreamStart, float] = {}
-        """When the entries of starts were taken out, the latest last."""
+        self._gone: dict[UpstreamStart, None] = {}
+        """Starts whose entries were taken out, the latest last."""
 
     @property
     def age_s(self) -> float:
@@ -106,11 +103,36 @@
         self.note_outage()
         self._copy_until = clocks.now_s() + RETURN_MEMORY_S
 
-    def replace(
-        self, entries: Iterable[UpstreamEntry], asked_at: float, is_told: bool = False
+    def replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
+        """Take a whole list of the store."""
+        is_copy = clocks.now_s() < self._copy_until
+        self._replace(
+            [entry for entry in entries if not (is_copy and entry.start in self._gone)], asked_at
+        )
+
+    def replace_told(
+        self,
+        entries: Iterable[UpstreamEntry],
+        lapsing: Collection[UpstreamId],
+        asked_at: float,
     ) -> None:
-        """Take a whole list, of the store or told by another host."""
-        found = {entry.id: entry for entry in entries if self._counts(entry.start, is_told)}
+        """Take a whole list of another host, and which of it that host keeps for their grace.
+
+        These stay where they are known and come back nowhere: a host just out of an outage put back
+        what this one had dropped, seen 0.2 s after a leave, for 0.36 s.
+        """
+        known = {entry.start for entry in self.by_id.values()}
+        self._replace(
+            [each for each in entries if each.id not in lapsing or each.start in known], asked_at
+        )
+
+    @property
+    def lapsing(self) -> tuple[UpstreamId, ...]:
+        """The entries that are gone from the store and kept for their grace."""
+        return tuple(self._lapse_by_id)
+
+    def _replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
+        found = {entry.id: entry for entry in entries}
         for gone in set(self.by_id) - set(found):
             self.remove(gone)
         for entry in found.values():
@@ -118,18 +140,6 @@
         self.complete = True
         self.confirm(asked_at)
 
-    def _counts(self, start: UpstreamStart, is_told: bool) -> bool:
-        """Return whether a whole list can say that a start is there.
-
-        A host that was cut off from the store keeps entries for their grace, and its list put back
-        what this one had dropped: seen 0.2 s after a leave, for 0.36 s.
-        """
-        gone_at = self._gone.get(start)
-        if gone_at is None:
-            return True
-        now = clocks.now_s()
-        return now >= self._copy_until and not (is_told and now < gone_at + RETOLD_S)
-
     def put(self, entry: UpstreamEntry) -> None:
         """Take one entry."""
         known = self.by_id.get(entry.id)
@@ -201,7 +211,7 @@
 
     def _remember_gone(self, start: UpstreamStart) -> None:
         self._gone.pop(start, None)
-        self._gone[start] = clocks.now_s()
+        self._gone[start] = None
         if len(self._gone) > GONE_MAX:
             del self._gone[next(iter(self._gone))]
 
