--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -10,16 +10,25 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_json
 from ruddersaddle_base.failures import Failure, Step
-from ruddersaddle_base.ids import HostId, ModelId, StoreId, UpstreamId
+from ruddersaddle_base.ids import HostId, StoreId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.crash_records import CrashRecord, CrashRecords
+from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_shares import OUT_MAX, CrashNews, CrashShares
-from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
-from ruddersaddle_serving.part_news import AskParts, PartsNews, StoreLost, tell_parts
+from ruddersaddle_serving.neighbour_messages import (
+    AskNews,
+    Changed,
+    Hello,
+    Loaded,
+    Loading,
+    NeighbourMessage,
+    News,
+    Noted,
+)
+from ruddersaddle_serving.part_news import AskParts, StoreLost, tell_parts
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import (
     MetadataStore,
@@ -29,12 +38,11 @@
     StorePosition,
     Topic,
 )
-from ruddersaddle_serving.publications import NamingAge, Publications
-from ruddersaddle_serving.routes import Published
+from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.store_eras import UNTOLD
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList, UpstreamStart
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 logger = logging.getLogger(__name__)
 
@@ -70,99 +78,6 @@
 lag, and a peer may know a newer configuration."""
 
 
-class AskNews(msgspec.Struct, frozen=True, tag="ask_news"):
-    """Asks for what the peer believes and the asker may not have yet."""
-
-    host: HostId
-    record: HostRecord
-    version: int
-    entries_revision: int
-    """Revision of the peer's own entries that the asker has; -1 for none."""
-    hosts_digest: int
-    """Digest of the list of hosts that the asker knows."""
-    crashes_revision: int = -1
-    """Revision of the peer's own crash records that the asker has."""
-    era: int = UNTOLD
-    """Newest era of the store that the asker knows."""
-
-
-class News(msgspec.Struct, frozen=True, tag="news"):
-    """What a peer believes, with the age of each belief when it answered, in seconds."""
-
-    age_s: float
-    end: int
-    named: tuple[ModelVersion, ...]
-    published: Published | None
-    entries: tuple[UpstreamEntry, ...] | None
-    """None if the asker has them."""
-    entries_revision: int
-    entries_age_s: float
-    hosts: dict[HostId, HostRecord] | None
-    """None where the asker knows the same hosts, or the peer reads no list."""
-    namings: tuple[NamingAge, ...] = ()
-    """How long ago weights were named."""
-    crashes: tuple[CrashRecord, ...] | None = None
-    """Requests under which two or more upstreams ended; None if the asker has them."""
-    cleared: tuple[Fingerprint, ...] = ()
-    """Requests of which a run ended whole a short while ago; told with `crashes`."""
-    crashes_revision: int = -1
-    crashes_age_s: float = float("inf")
-    era: int = UNTOLD
-    """Era of the store that `end` belongs to."""
-    known_era: int = UNTOLD
-    """Newest era of the store that the teller knows."""
-    gone: tuple[UpstreamStart, ...] = ()
-    """Starts of upstreams that have left, for a host that has just started; with `entries`."""
-    lapsing: tuple[UpstreamId, ...] = ()
-    """Upstreams among `entries` that are gone from the store and kept for their grace."""
-
-
-class Changed(msgspec.Struct, frozen=True, tag="changed"):
-    """Tells that the sender knows something new, so that it is worth asking; it is not answered."""
-
-    address: str
-
-
-class Loading(msgspec.Struct, frozen=True, tag="loading"):
-    """Tells that an engine gets no new work for some seconds, because it is to load weights."""
-
-    upstream: UpstreamId
-    seconds: float
-
-
-class Loaded(msgspec.Struct, frozen=True, tag="loaded"):
-    """Tells that an engine has new weights and takes work again."""
-
-    upstream: UpstreamId
-    model: ModelId
-    version: int
-
-
-class Hello(msgspec.Struct, frozen=True, tag="hello"):
-    """Asks for any answer, so that a connection that is silent for good is found."""
-
-
-class Noted(msgspec.Struct, frozen=True, tag="noted"):
-    """Answers a message that asks nothing."""
-
-
-NeighbourMessage = (
-    AskNews
-    | News
-    | Changed
-    | Hello
-    | Loading
-    | Loaded
-    | Notices
-    | LoadSums
-    | AskParts
-    | PartsNews
-    | StoreLost
-    | CrashNews
-    | Noted
-)
-
-
 class Neighbours:
     """The other hosts."""
 
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -14,7 +14,8 @@
 from ruddersaddle_base.ids import ModelId, UpstreamId
 
 from ruddersaddle_serving.fence_leases import FenceLease
-from ruddersaddle_serving.neighbours import Loaded, Loading, Neighbours, place_in_line
+from ruddersaddle_serving.neighbour_messages import Loaded, Loading
+from ruddersaddle_serving.neighbours import Neighbours, place_in_line
 from ruddersaddle_serving.ports import Engines, Order, OrderOutcome
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.tasks import spawn_forever
