--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -13,7 +13,7 @@
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.ports import EngineReport, ModelVersion, Order, OrderOutcome
 from ruddersaddle_serving.publications import Publications
-from ruddersaddle_serving.tests.test_fence_leases import LogStore
+from ruddersaddle_serving.tests.test_fence_leases import LogStore, StoreView
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
 from ruddersaddle_serving.weight_rollouts import WeightRollouts
@@ -137,11 +137,15 @@
     """A holder of the lease that freezes right after it took it."""
 
     def test_second_in_line_takes_over_within_half_of_the_bound(self) -> None:
-        now = 100.0
+        now = 50.0
         with mock.patch.object(clocks, "now_s", lambda: now):
-            store = LogStore()
-            self.assertTrue(FenceLease(store, Incarnation("frozen"), 3.0).take())
-            lease = FenceLease(store, Incarnation("second"), 3.0)
+            log = LogStore()
+            stores = [StoreView(log), StoreView(log)]
+            for store in stores:
+                store.eras.learn(log.era)
+            now = 100.0
+            self.assertTrue(FenceLease(stores[0], Incarnation("frozen"), 3.0).take())
+            lease = FenceLease(stores[1], Incarnation("second"), 3.0)
             hosts = rank_names(MODEL, ["a", "b"])
             neighbours = mock.Mock(news_at=now, live_hosts=hosts, address=hosts[1])
             publications = Publications()
