--- a/libs/serving/ruddersaddle_serving/tests/test_large_requests.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_large_requests.py
@@ -16,7 +16,8 @@
 
 import msgspec
 
-from ruddersaddle_serving.tests.load_replays import Kind, Load, Replay, Tally
+from ruddersaddle_serving.tests.load_replays import Replay
+from ruddersaddle_serving.tests.replay_loads import Kind, Load, Tally
 
 SERVED_RATIO_LEAST = 0.5
 """The largest tenth of a kind, and the fifth below it, are served this often at least, as a share
--- a/libs/serving/ruddersaddle_serving/tests/test_load_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_load_replays.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from ruddersaddle_serving.tests.load_replays import Kind, Load, Outcome, Replay
+from ruddersaddle_serving.tests.load_replays import Replay
+from ruddersaddle_serving.tests.replay_loads import Kind, Load, Outcome
 
 LONG = Kind("long", 61.0, 9122, 2870, 378, 0.517, 2, 2.4, 1231)
 MIDDLE = Kind("middle", 53.0, 650, 177, 290, 0.303, 1, 2.3, 1063)
