--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -67,9 +67,9 @@
 CHECK_PAUSE_S = 1.0
 """Pause between looks at the connections to peers, one at a look: each of nine hosts finds a silent
 one within 8 s. Asking all of them each second would be 72 messages a second on every host."""
-START_HOLD_S = 1.0
-"""Longest wait of a starting host for the list of hosts, which the store answers in milliseconds;
-the hosts on it are asked then, at the same time, which takes `ASK_S` at most."""
+START_HOLD_S = 0.6
+"""Longest wait of a starting host for others: the list of hosts comes in milliseconds, and what is
+on it is asked at the same time. Beside other work a longer one had callers refused for a second."""
 START_LOOK_S = 0.02
 RESTORE_S = 1.0
 """Pause between readers that write hosts again after the store's return; one call does it."""
--- a/libs/serving/ruddersaddle_serving/tests/test_large_requests.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_large_requests.py
@@ -37,6 +37,43 @@
     length_s=24.0,
 )
 
+LONG = Kind(
+    "sized",
+    16.3,
+    7600,
+    2250,
+    380,
+    0.6,
+    2,
+    3.1,
+    326,
+    spread=0.7,
+    own_tokens_most=11_500,
+    shared_spread=0.6,
+)
+"""Long prompts and answers, of which shared parts are the most: they fill engines' memory."""
+MIDDLE = Kind("middle", 29.6, 540, 140, 290, 0.4, 1, 1.6, 591, spread=0.7, shared_spread=0.6)
+SHORT = Kind("urgent", 26.1, 1550, 400, 22, 0.4, 0, 1.9, 521, spread=0.7, shared_spread=0.6)
+FIVE = Load(
+    (LONG, MIDDLE, SHORT),
+    hosts=7,
+    halls=3,
+    engines=5,
+    slots=128,
+    memory_tokens=179_134,
+    tokens_s=112_000.0,
+    first_s=0.047,
+    step_s=0.006,
+    length_s=16.0,
+)
+"""Five engines bear about this load of three kinds."""
+
+
+def times(load: Load, factor: float, seed: int) -> Load:
+    """Return a load with this multiple of all its kinds."""
+    kinds = [msgspec.structs.replace(kind, per_s=kind.per_s * factor) for kind in load.kinds]
+    return msgspec.structs.replace(load, kinds=tuple(kinds), seed=seed)
+
 
 def at_load(load: Load, factor: float, seed: int) -> Load:
     """Return the load with this multiple of the less urgent kind."""
@@ -81,6 +118,14 @@
             with self.subTest(factor=factor):
                 self.replay(at_load(load, factor, 4))
 
+    def test_long_prompts_beside_two_more_urgent_kinds(self) -> None:
+        """Memory binds. With six of ten judged as common 0.23 of the largest tenth, of all 0.50."""
+        self.replay(times(FIVE, 3.0, 1))
+
+    def test_long_prompts_while_engines_are_lost(self) -> None:
+        """With six of ten judged as common 0.21 of the largest tenth were served, of all 0.46."""
+        self.replay(times(msgspec.structs.replace(FIVE, dark=(4.0, 20.0, 0.34)), 2.2, 2))
+
 
 if __name__ == "__main__":
     unittest.main()
