--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -320,11 +320,7 @@
             ("configuration_age_seconds", "age of its confirmation", self.publications.age_s),
             ("store_era", "era of the store", self.store.eras.newest),
             ("store_returns", "its returns from a copy", self.store.eras.returns),
-            (
-                "configuration_stored",
-                "version that the store has",
-                self.publications.stored_version,
-            ),
+            ("configuration_awaited", "versions that the store lost", self._awaited_count()),
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
             ("upstream_entries_unusable", "entries read that name none", self.entries.unusable),
             ("upstream_connections_opened", "connections opened", opened),
@@ -352,6 +348,16 @@
         lines += format_histograms(self.histograms)
         return "\n".join(lines) + "\n"
 
+    def _awaited_count(self) -> int:
+        """Return how far the store's configuration is behind the one in force.
+
+        Only hosts that read the store know; others hear of new versions from these.
+        """
+        publications = self.publications
+        if not publications.stored_version or not self.neighbours.hosts.is_reader():
+            return 0
+        return max(0, publications.version - publications.stored_version)
+
     def _silent_count(self) -> int:
         return sum(each.is_silent for each in self.trackers.by_id.values())
 
