Eras, sizes, crash records: what the diff repeated or never used

Read in the diff: StoreEras had listeners that nobody registered; the two maps by route in request_sizes each bounded themselves by the same lines; write_missing asked for each record whether this host is a reader, after it had ranked all readers. Removed; one function (_use); asked once, first. Looked at and left: excess_s works out the wait again that an estimate holds (its share differs), tests' loads of like shape. No behaviour changes.

--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -206,9 +206,11 @@
 
     def write_missing(self) -> None:
         """Write what a store that was read whole lacks: one reader, the next one if it doesn't."""
+        if not self.hosts.is_reader():
+            return
         delay_s = LATER_S * self.hosts.reader_rank()
         for record in self.records.shared():
-            if self._lacks(record.fingerprint) and self.hosts.is_reader():
+            if self._lacks(record.fingerprint):
                 self._write_soon(record.fingerprint, delay_s)
 
     def take_record(self, record: Record) -> None:
--- a/libs/serving/ruddersaddle_serving/request_sizes.py
+++ b/libs/serving/ruddersaddle_serving/request_sizes.py
@@ -7,11 +7,15 @@
 
 from bisect import bisect_left, insort
 from collections import Counter, OrderedDict, deque
+from collections.abc import Callable
 from enum import Enum
+from typing import TypeVar
 
 from ruddersaddle_serving.metric_pages import Labels
 from ruddersaddle_serving.routes import RouteName
 
+T = TypeVar("T")
+
 RECENT_SIZES = 200
 """Requests of a route that sizes are told apart by: a host sees these in 20 to 200 s."""
 ROUTES_MAX = 32
@@ -69,11 +73,7 @@
 
     def take(self, route: RouteName, tokens: int) -> SizeBand:
         """Take the size of a request; return where it stands among those of its route before it."""
-        recent = self._by_route.setdefault(route, RecentSizes())
-        self._by_route.move_to_end(route)
-        if len(self._by_route) > ROUTES_MAX:
-            self._by_route.popitem(last=False)
-        return recent.take(tokens)
+        return _use(self._by_route, route, RecentSizes).take(tokens)
 
     def common_share(self, route: RouteName, tokens: int) -> float:
         """Return what part of this size a common one of its route is; 1 where it is no larger."""
@@ -94,10 +94,7 @@
 
     def count(self, route: RouteName, band: SizeBand, end: str) -> None:
         """Count how a request ended: served, or by what cause it was not."""
-        self._ends_by_route.setdefault(route, Counter())[band, end] += 1
-        self._ends_by_route.move_to_end(route)
-        if len(self._ends_by_route) > ROUTES_MAX:
-            self._ends_by_route.popitem(last=False)
+        _use(self._ends_by_route, route, Counter)[band, end] += 1
 
     def rows(self) -> list[tuple[Labels, int]]:
         """Return the counts with their labels, for the metrics page."""
@@ -106,3 +103,13 @@
             for route, ends in self._ends_by_route.items()
             for (band, end), count in ends.items()
         ]
+
+
+def _use(by_route: OrderedDict[RouteName, T], route: RouteName, make: Callable[[], T]) -> T:
+    """Return what is kept of a route, made if it is new; the routes used last are kept."""
+    if route not in by_route:
+        by_route[route] = make()
+    by_route.move_to_end(route)
+    if len(by_route) > ROUTES_MAX:
+        by_route.popitem(last=False)
+    return by_route[route]
--- a/libs/serving/ruddersaddle_serving/store_eras.py
+++ b/libs/serving/ruddersaddle_serving/store_eras.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-from collections.abc import Callable
 
 from ruddersaddle_base import clocks
 
@@ -24,8 +23,6 @@
         """When the newest era became known, on the steady clock; the return was before."""
         self.returns = 0
         """Returns of the store that this host has seen."""
-        self.listeners: list[Callable[[], None]] = []
-        """Called at once when a later era than the first one becomes known."""
         self._is_told = False
 
     def learn(self, era: int) -> None:
@@ -36,9 +33,8 @@
         self._is_told = True
         before, self.newest = self.newest, era
         self.seen_at = clocks.now_s()
-        if not is_return:
-            return
-        self.returns += 1
-        logger.warning("Store has come back from an earlier copy: era %d after %d.", era, before)
-        for listener in self.listeners:
-            listener()
+        if is_return:
+            self.returns += 1
+            logger.warning(
+                "Store has come back from an earlier copy: era %d after %d.", era, before
+            )
