Cold upstreams get what they bear, evacuated halls get nothing

Cause: operators' word on evacuations was read nowhere, `cold_left_ms` was decoded and dropped, and what a configuration says of cold starts was not read. What is empty looks best to every host.

Change: what a cold upstream bears for good is shared out by rendezvous hashing over the list of hosts, to as many hosts as it bears requests a second. The rule's overage is left as the margin for lists that differ: with three quarters more hosts joining, each with another list, the sum stays below the bound (test). A host that has just started has no share for 3 s. Cold is: what the entry says, told to other hosts with its age; the time after a silence of a second; the time after an evacuation. Evacuations are a part of the position in the operators' topic, so that what lags changes nothing; after a return of the store from a copy one that is missing holds for 10 s. Both are checked when a request is chosen for, and once more when it leaves.

Before, three real hosts: 107 and 110 requests in a second at a cold upstream (11 allowed), 38 and 80 of 80 requests in an evacuated hall, 20 of 20 from a host without the store.

--- a/libs/base/ruddersaddle_base/failures.py
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -62,6 +62,8 @@
     """Too many upstreams have ended while they ran this request."""
     FITS_NO_ENGINE = "fits_no_engine"
     """The prompt is larger than the memory of every engine."""
+    EVACUATED = "evacuated"
+    """Operators have asked that nothing more be sent to the upstreams of any hall in question."""
     INTERNAL = "internal"
 
 
--- a/libs/serving/ruddersaddle_serving/crash_records.py
+++ b/libs/serving/ruddersaddle_serving/crash_records.py
@@ -19,7 +19,8 @@
 import msgspec
 
 from ruddersaddle_serving.fingerprints import Fingerprint
-from ruddersaddle_serving.upstream_lists import REVISION_BITS, UpstreamStart
+from ruddersaddle_serving.upstream_entries import UpstreamStart
+from ruddersaddle_serving.upstream_lists import REVISION_BITS
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -28,7 +28,7 @@
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import MetadataStore, Record, Topic
 from ruddersaddle_serving.tasks import spawn_forever
-from ruddersaddle_serving.upstream_lists import UpstreamStart
+from ruddersaddle_serving.upstream_entries import UpstreamStart
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -16,7 +16,8 @@
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.ports import Engines, Presence
 from ruddersaddle_serving.trackers import Tracker
-from ruddersaddle_serving.upstream_lists import UpstreamList, UpstreamStart
+from ruddersaddle_serving.upstream_entries import UpstreamStart
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -21,6 +21,7 @@
 from ruddersaddle_serving.caller_listeners import LastingListener, find_room
 from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
+from ruddersaddle_serving.cold_shares import ColdShares
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.fence_leases import FenceLease
@@ -116,6 +117,8 @@
         self.upstreams = UpstreamList()
         self.entries = UpstreamFollower(store, self.link, self.upstreams)
         self.trackers = Trackers()
+        self.hosts = self._make_hosts(settings)
+        self.cold = ColdShares(self.hosts, self.publications, self.upstreams)
         self.kept = KeptParts(engines)
         self.budget = RetryBudget(settings.number("bounds.retry_share") * BUDGET_SHARE)
         self.publications.listeners += [self.trackers.take_table, self.kept.take_table]
@@ -163,6 +166,15 @@
         """Bound on replaced weights, in seconds."""
         return self.settings.number("bounds.weights_ms") / MS_PER_S
 
+    def _make_hosts(self, settings: Settings) -> Hosts:
+        record = HostRecord(
+            settings.text("listen.peers"),
+            HallId(settings.text("host.hall")),
+            settings.number("host.link_mbps"),
+        )
+        seeds = settings.text("listen.seeds").split(",")
+        return Hosts(HostId(settings.text("host.id")), record, seeds)
+
     def _build_request_path(self, wire: Wire) -> None:
         settings = self.settings
         placement = Placement(
@@ -172,6 +184,7 @@
             self.upstreams,
             self.trackers,
             self.kept,
+            self.cold,
         )
         self.forwarder = Forwarder(
             placement,
@@ -186,14 +199,8 @@
 
     def _build_tasks(self) -> None:
         settings = self.settings
-        record = HostRecord(
-            settings.text("listen.peers"),
-            HallId(settings.text("host.hall")),
-            settings.number("host.link_mbps"),
-        )
-        seeds = settings.text("listen.seeds").split(",")
         self.neighbours = Neighbours(
-            Hosts(HostId(settings.text("host.id")), record, seeds),
+            self.hosts,
             self.store,
             self.publications,
             self.upstreams,
@@ -322,6 +329,9 @@
             ("store_returns", "its returns from a copy", self.store.eras.returns),
             ("configuration_awaited", "versions that the store lost", self._awaited_count()),
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
+            ("upstreams_cold", "upstreams that bear few requests yet", self.cold.count_cold()),
+            ("upstream_cold_sends", "requests sent to cold upstreams", self.cold.sent),
+            ("halls_evacuated", "halls whose upstreams get nothing", self._evacuated_count()),
             ("upstream_entries_unusable", "entries read that name none", self.entries.unusable),
             ("upstream_connections_opened", "connections opened", opened),
             ("ready", "1 if the balancer should send callers here", self.is_ready()),
@@ -348,6 +358,9 @@
         lines += format_histograms(self.histograms)
         return "\n".join(lines) + "\n"
 
+    def _evacuated_count(self) -> int:
+        return len(self.publications.evacuations.in_force())
+
     def _awaited_count(self) -> int:
         """Return how far the store's configuration is behind the one in force.
 
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/evacuations.py
@@ -0,0 +1,92 @@
+"""Which halls are evacuated: nothing more is to be sent to their upstreams."""
+
+import logging
+from collections.abc import Collection
+
+import msgspec
+from ruddersaddle_base import clocks
+from ruddersaddle_base.ids import HallId
+
+logger = logging.getLogger(__name__)
+
+RETURN_GRACE_S = 10.0
+"""How long an evacuation that a store lacks after its return from a copy goes on: operators write
+theirs again."""
+
+
+class Evacuation(msgspec.Struct, frozen=True):
+    """An operator's word on one hall: evacuated, or taken back."""
+
+    hall: HallId
+    in_force: bool
+
+
+class Evacuations:
+    """The evacuated halls. Moments are of the steady clock."""
+
+    def __init__(self) -> None:
+        self._since_by_hall: dict[HallId, float] = {}
+        self._kept_until_by_hall: dict[HallId, float] = {}
+        """Halls that the store no longer names after its return from a copy."""
+        self._ended_by_hall: dict[HallId, float] = {}
+
+    def in_force(self) -> tuple[HallId, ...]:
+        """Return the evacuated halls."""
+        self._end_lapsed()
+        return tuple(self._since_by_hall)
+
+    def is_in_force(self, hall: HallId) -> bool:
+        """Return whether a hall is evacuated."""
+        return hall in self._since_by_hall and hall in self.in_force()
+
+    def ended_at(self, hall: HallId) -> float:
+        """Return when the last evacuation of a hall ended; minus infinity if there was none."""
+        return self._ended_by_hall.get(hall, float("-inf"))
+
+    def age_s(self, hall: HallId) -> float:
+        """Return for how long this host has known that a hall is evacuated."""
+        return clocks.now_s() - self._since_by_hall.get(hall, clocks.now_s())
+
+    def take(self, evacuation: Evacuation) -> None:
+        """Take a change."""
+        if evacuation.in_force:
+            self._begin(evacuation.hall)
+        else:
+            self._end(evacuation.hall)
+
+    def replace(self, halls: Collection[HallId], is_copy: bool) -> None:
+        """Take all evacuations that are in force.
+
+        `is_copy` says that the store has just come back from a copy some seconds old: one that it
+        doesn't name may have been written since, so that it holds until operators have had time to
+        write it again.
+        """
+        now = clocks.now_s()
+        for hall in set(self._since_by_hall) - set(halls):
+            if is_copy:
+                self._kept_until_by_hall[hall] = now + RETURN_GRACE_S
+            elif hall not in self._kept_until_by_hall:
+                self._end(hall)
+        for hall in halls:
+            self._begin(hall)
+        self._end_lapsed()
+
+    def _begin(self, hall: HallId) -> None:
+        self._kept_until_by_hall.pop(hall, None)
+        if hall not in self._since_by_hall:
+            self._since_by_hall[hall] = clocks.now_s()
+            logger.info("Hall %s is evacuated; its upstreams get nothing more.", hall)
+
+    def _end(self, hall: HallId) -> None:
+        self._kept_until_by_hall.pop(hall, None)
+        since = self._since_by_hall.pop(hall, None)
+        if since is not None:
+            now = clocks.now_s()
+            self._ended_by_hall[hall] = now
+            logger.info("Evacuation of hall %s is taken back after %.1f s.", hall, now - since)
+
+    def _end_lapsed(self) -> None:
+        now = clocks.now_s()
+        for hall, until in list(self._kept_until_by_hall.items()):
+            if now >= until:
+                self._end(hall)
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -49,6 +49,7 @@
         Code.DEADLINE,
         Code.CRASHES_UPSTREAMS,
         Code.FITS_NO_ENGINE,
+        Code.EVACUATED,
     }
 )
 """After these another upstream would not do better."""
@@ -173,10 +174,14 @@
             self.attempt = Attempt(self.request, choice, forwarder.wire, last_event, forwarder.tell)
             self._note_choice()
             failure = self.attempt.connect()
+            word = "no connection"
             if failure is None:
-                return self._send()
+                failure = forwarder.placement.check_open(choice.tracker)
+                if failure is None:
+                    return self._send()
+                word = failure.detail
             self._excluded.add(choice.tracker.id)
-            self._end_attempt(None, f"{choice.tracker.id} no connection")
+            self._end_attempt(None, f"{choice.tracker.id} {word}")
         return self._without_connection(failure)
 
     def _without_connection(self, failure: Failure) -> Failure:
@@ -220,8 +225,10 @@
             self._end_attempt(None, f"not sent: {refusal.detail}")
             return refusal
         self._sent_count += 1
-        upstream = self.attempt.choice.tracker.id
+        tracker = self.attempt.choice.tracker
+        upstream = tracker.id
         self._excluded.add(upstream)
+        self.forwarder.placement.cold.note_sent(tracker)
         head = self.attempt.open()
         if isinstance(head, Failure):
             refused = head.ran is Ran.NOT_RUN
--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -44,8 +44,8 @@
         self.own_id = own_id
         self.own = own
         self.by_id: dict[HostId, HostRecord] = {}
-        self.is_known = False
-        """Whether the list was read, here or by a host that told it."""
+        self.known_at = float("inf")
+        """When the list was first read, here or by a host that told it; on the steady clock."""
         self._seeds = [seed for seed in seeds if seed and seed != own.address]
         self._silent_until: dict[str, float] = {}
         self._failures_by_address: dict[str, int] = {}
@@ -56,9 +56,14 @@
         """Ranking costs some hundred microseconds and is asked for some hundred times a second, so
         it is kept until a host comes, goes, falls silent or is heard of again."""
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the list was read."""
+        return self.known_at != float("inf")
+
     def replace(self, records: dict[HostId, HostRecord]) -> bool:
         """Take the whole list; return whether it differs from what was known."""
-        self.is_known = True
+        self.known_at = min(self.known_at, clocks.now_s())
         others = {host: record for host, record in records.items() if host != self.own_id}
         changed = others != self.by_id
         self.by_id = others
--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -1,8 +1,9 @@
 """Messages between hosts: what they believe, and what changes about engines."""
 
 import msgspec
-from ruddersaddle_base.ids import HostId, ModelId, UpstreamId
+from ruddersaddle_base.ids import HallId, HostId, ModelId, UpstreamId
 
+from ruddersaddle_serving.cold_starts import ColdStart
 from ruddersaddle_serving.crash_records import CrashRecord
 from ruddersaddle_serving.crash_shares import CrashNews
 from ruddersaddle_serving.fingerprints import Fingerprint
@@ -13,7 +14,7 @@
 from ruddersaddle_serving.publications import NamingAge
 from ruddersaddle_serving.routes import Published
 from ruddersaddle_serving.store_eras import UNTOLD
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamStart
+from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
 
 
 class AskNews(msgspec.Struct, frozen=True, tag="ask_news"):
@@ -61,6 +62,10 @@
     """Starts of upstreams that have left, for a host that has just started; with `entries`."""
     lapsing: tuple[UpstreamId, ...] = ()
     """Upstreams among `entries` that are gone from the store and kept for their grace."""
+    evacuated: tuple[HallId, ...] | None = None
+    """The evacuated halls as of `end`; None from a host that knows of none such."""
+    cold: tuple[ColdStart, ...] = ()
+    """Starts of upstreams that are cold."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -10,7 +10,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_json
 from ruddersaddle_base.failures import Failure, Step
-from ruddersaddle_base.ids import HostId, StoreId
+from ruddersaddle_base.ids import HallId, HostId, StoreId
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.crash_records import CrashRecords
@@ -310,10 +310,13 @@
             self.publications.take(news.published)
         end = StorePosition(news.era, news.end)
         if end >= self.publications.end:
+            self._take_evacuations(news.evacuated, end)
             self.publications.confirm(asked_at - news.age_s, end)
         if news.hosts is not None:
             self._take_hosts(news.hosts)
         self._take_crashes(news, asked_at)
+        # What is cold is taken before the entries, so that none of them is ever thought warm.
+        self.upstreams.cold.take_all(news.cold)
         entries_at = asked_at - news.entries_age_s
         if entries_at <= self.upstreams.confirmed_at:
             return
@@ -322,6 +325,11 @@
         else:
             self.upstreams.replace_told(news.entries, news.lapsing, entries_at)
 
+    def _take_evacuations(self, halls: tuple[HallId, ...] | None, end: StorePosition) -> None:
+        if halls is not None:
+            is_copy = self.publications.is_of_later_era(end)
+            self.publications.evacuations.replace(halls, is_copy)
+
     def _learn_era(self, era: int) -> None:
         if era != UNTOLD:
             self.store.eras.learn(era)
@@ -385,6 +393,8 @@
             cleared=() if knows_crashes else records.recently_cleared()[:OUT_MAX],
             crashes_revision=records.revision,
             crashes_age_s=self.crashes.age_s,
+            evacuated=publications.evacuations.in_force(),
+            cold=upstreams.cold.current(),
         )
 
     def _note_changed(self, message: Changed) -> None:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -10,6 +10,7 @@
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.admissions import is_full
+from ruddersaddle_serving.cold_shares import ColdShares
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.ports import Transfer
 from ruddersaddle_serving.prompts import CallerRequest, Prompt
@@ -37,6 +38,10 @@
 """When a caller should come back to a pool that has no usable upstream just now; a refused engine
 is back, or another one found, within some hundred milliseconds."""
 
+RETRY_EVACUATED_S = 1.0
+"""When a caller should come back to a pool whose halls are all evacuated: operators take seconds to
+take that back, and hosts hear of it within a second."""
+
 
 class Patience(Enum):
     """What may be done with a request while engines are full."""
@@ -88,6 +93,7 @@
         upstreams: UpstreamList,
         trackers: Trackers,
         kept: KeptParts,
+        cold: ColdShares,
     ) -> None:
         self.hall = hall
         self.version_bound_s = version_bound_s
@@ -95,6 +101,7 @@
         self.upstreams = upstreams
         self.trackers = trackers
         self.kept = kept
+        self.cold = cold
         self.belief_lag_s: Callable[[], float] = lambda: 0.0
         """How old what this host knows of others' requests is, in seconds."""
         self.admitted_sizes = SizesByRoute()
@@ -119,16 +126,43 @@
 
         `patience` says what may be done with the request while every engine's memory is taken.
         """
-        trackers = [self.trackers.at(entry) for entry in self.upstreams.of_pool(pool)]
-        left = [tracker for tracker in trackers if tracker.id not in excluded]
-        if not left:
-            detail = f"{len(trackers)} upstreams, {len(excluded)} tried"
-            return Failure(Code.NO_UPSTREAM, Step.ADMIT, pool, detail, retry_after_s=RETRY_SOON_S)
+        left = self._open_trackers(pool, excluded)
+        if isinstance(left, Failure):
+            return left
         prompt = request.head.prompt
         if prompt is None:
             return self._choose_plain(request, left)
         return self._choose_engine(request, prompt, left, patience)
 
+    def _open_trackers(self, pool: PoolId, excluded: set[UpstreamId]) -> list[Tracker] | Failure:
+        """Return the upstreams that a request may be sent to now, or why there is none."""
+        entries = self.upstreams.of_pool(pool)
+        is_evacuated = self.publications.evacuations.is_in_force
+        served = [entry for entry in entries if not is_evacuated(entry.hall)]
+        if entries and not served:
+            detail = f"the halls of all {len(entries)} upstreams are evacuated"
+            return Failure(
+                Code.EVACUATED, Step.ADMIT, pool, detail, retry_after_s=RETRY_EVACUATED_S
+            )
+        trackers = [self.trackers.at(entry) for entry in served]
+        left = [tracker for tracker in trackers if tracker.id not in excluded]
+        open_trackers = [tracker for tracker in left if self.cold.may_send(tracker)]
+        if open_trackers:
+            return open_trackers
+        detail = f"{len(trackers)} upstreams, {len(excluded)} tried, {len(left)} cold"
+        return Failure(Code.NO_UPSTREAM, Step.ADMIT, pool, detail, retry_after_s=RETRY_SOON_S)
+
+    def check_open(self, tracker: Tracker) -> Failure | None:
+        """Return why a request may no longer be sent to an upstream that was chosen before."""
+        hall = tracker.entry.hall
+        if self.publications.evacuations.is_in_force(hall):
+            detail = f"hall {hall} was evacuated meanwhile"
+        elif not self.cold.may_send(tracker):
+            detail = "it is cold, and what this host may send to it was sent meanwhile"
+        else:
+            return None
+        return Failure(Code.NO_UPSTREAM, Step.SEND, tracker.id, detail, retry_after_s=RETRY_SOON_S)
+
     def _choose_plain(self, request: CallerRequest, trackers: list[Tracker]) -> Choice:
         usable = [tracker for tracker in trackers if tracker.is_sound] or trackers
         chosen = min(usable, key=self._plain_order)
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -8,10 +8,11 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import ModelId, RequestId, UpstreamId
 
+from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Headers, PartId
 from ruddersaddle_serving.routes import ContextStore, Published
 from ruddersaddle_serving.store_eras import StoreEras
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamStart
+from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
 
 
 class Topic(Enum):
@@ -63,6 +64,10 @@
     version: int
 
 
+Operated = Published | ModelVersion | Evacuation
+"""What operators publish."""
+
+
 class AppendOutcome(Enum):
     """What became of a conditional append."""
 
@@ -105,8 +110,8 @@
     def put_all(self, topic: Topic, values: Mapping[str, bytes | None]) -> Failure | None:
         """Set or drop the values of some keys, all or none of them, in one call."""
 
-    def decode_operator(self, record: Record) -> Published | ModelVersion | None | Failure:
-        """Return what an operator published, or None for a key that has no meaning here."""
+    def decode_operator(self, record: Record) -> Operated | None | Failure:
+        """Return what an operator published, or None for a record that has no meaning here."""
 
     def decode_upstream(self, record: Record) -> UpstreamEntry | Failure:
         """Return the entry of an upstream."""
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -7,6 +7,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
 
+from ruddersaddle_serving.evacuations import Evacuations
 from ruddersaddle_serving.ports import START, ModelVersion, StorePosition
 from ruddersaddle_serving.routes import Published, RouteTable
 
@@ -52,6 +53,7 @@
         self.confirmed_at = float("-inf")
         self.version_by_model: dict[ModelId, int] = {}
         self.namings_by_model: dict[ModelId, list[Naming]] = {}
+        self.evacuations = Evacuations()
         self.listeners: list[Callable[[RouteTable], None]] = []
         """Called at once with each configuration that comes into force."""
         self.end = START
@@ -144,6 +146,10 @@
         namings = self.namings_by_model.get(model, ())
         return next((each for each in namings if each.version > version), None)
 
+    def is_of_later_era(self, end: StorePosition) -> bool:
+        """Return whether the store has come back from a copy since this host last heard of it."""
+        return self.end != START and end.era > self.end.era
+
     def confirm(self, asked_at: float, end: StorePosition) -> bool:
         """Note an answer to a question sent at `asked_at`; refuse one that lags behind."""
         if end < self.end:
--- a/libs/serving/ruddersaddle_serving/routes.py
+++ b/libs/serving/ruddersaddle_serving/routes.py
@@ -68,6 +68,10 @@
 
     id: PoolId
     engine: Engine | None = None
+    cold_start_s: float = 0.0
+    """How long an upstream is cold after a start."""
+    cold_per_s: float = 0.0
+    """Requests a second that a cold upstream bears; 0 where its start makes no difference."""
 
 
 class ContextStore(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/silences.py
+++ b/libs/serving/ruddersaddle_serving/silences.py
@@ -14,6 +14,8 @@
 """An upstream that nobody has heard of is silent this long after a request should have been
 answered. Engines in use are heard of ten times a second, so that this waits for rare ones: a long
 prompt alone on an engine that reads at half the usual pace is 0.3 s late."""
+RESTART_S = 1.0
+"""In a silence of this length an upstream may have started anew."""
 TOLD_TRUST_S = 1.0
 """What another host told of an upstream counts this long; readers tell twelve times a second, and a
 run takes about as long."""
@@ -37,6 +39,8 @@
     def __init__(self) -> None:
         self.heard_at = float("-inf")
         """When anything was last heard of it, by any host that tells this one."""
+        self.ended_at = float("-inf")
+        """When it was last heard of again after a silence in which it may have started anew."""
         self._unanswered_by_number: dict[Number, Unanswered] = {}
         """Requests that were sent since `heard_at`."""
         self._evidence_at = float("-inf")
@@ -53,6 +57,9 @@
         """Take that something came from the upstream at a moment."""
         if at <= self.heard_at:
             return
+        was_heard = self.heard_at != float("-inf")
+        if was_heard and at - self.heard_at >= RESTART_S and self.since(at) is not None:
+            self.ended_at = at
         self.heard_at = at
         self._unanswered_by_number = {
             number: sent for number, sent in self._unanswered_by_number.items() if sent.sent_at > at
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -10,6 +10,7 @@
 from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.crash_shares import CrashShares
+from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.ports import (
     MetadataStore,
     ModelVersion,
@@ -20,7 +21,8 @@
 )
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Published
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 logger = logging.getLogger(__name__)
 
@@ -142,15 +144,36 @@
 
     def take(self, page: Page, whole: bool, asked_at: float) -> bool:
         """Take published items, then confirm the belief as of the question."""
+        evacuations = []
         for record in page.records:
             item = self.store.decode_operator(record)
-            if isinstance(item, Failure):
-                logger.error("Record %d of %s is unreadable. %s", record.offset, record.key, item)
-            elif item is not None:
-                self.publications.take(item)
-                self._note_stored(item)
+            match item:
+                case Failure():
+                    logger.error(
+                        "Record %d of %s is unreadable. %s", record.offset, record.key, item
+                    )
+                case Evacuation():
+                    evacuations.append(item)
+                case Published() | ModelVersion():
+                    self.publications.take(item)
+                    self._note_stored(item)
+        self._take_evacuations(evacuations, whole, page.end)
         return self.publications.confirm(asked_at, page.end)
 
+    def _take_evacuations(
+        self, evacuations: list[Evacuation], whole: bool, end: StorePosition
+    ) -> None:
+        """Take evacuations; unlike what has versions, one that lags would go back."""
+        publications = self.publications
+        if end < publications.end:
+            return
+        if whole:
+            halls = [each.hall for each in evacuations if each.in_force]
+            publications.evacuations.replace(halls, publications.is_of_later_era(end))
+            return
+        for each in evacuations:
+            publications.evacuations.take(each)
+
     def _note_stored(self, item: Published | ModelVersion) -> None:
         """Tell once when the store has an older configuration than the one in force."""
         if not isinstance(item, Published) or item.version == self.publications.stored_version:
--- a/libs/serving/ruddersaddle_serving/tests/load_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/load_replays.py
@@ -17,6 +17,7 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, RequestId, UpstreamId
 
+from ruddersaddle_serving.cold_shares import ColdShares
 from ruddersaddle_serving.forwarders import CONNECTS_MAX, HELD_LOOK_S
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
@@ -43,7 +44,8 @@
 from ruddersaddle_serving.tests.test_load_shares import FakePeers
 from ruddersaddle_serving.trackers import Notice, Progress, Reach, Trackers
 from ruddersaddle_serving.upstream_connections import CONNECT_S, IDLE_S
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 POOL = PoolId("p")
 MODEL = ModelId("m")
@@ -165,6 +167,9 @@
     def has_idle(self) -> bool:
         return self.host.connected_until.get(self.upstream, 0.0) > clocks.now_s()
 
+    def close(self) -> None:
+        self.host.connected_until.pop(self.upstream, None)
+
 
 class ReplayHost:
     """The decisions of one host, and to which engines it has connections."""
@@ -181,8 +186,8 @@
         publications = Publications()
         kept = KeptParts(mock.Mock())
         hall = shares.hosts.own.hall
-        self.placement = Placement(hall, 12.0, publications, upstreams, trackers, kept)
-
+        cold = ColdShares(shares.hosts, publications, upstreams)
+        self.placement = Placement(hall, 12.0, publications, upstreams, trackers, kept, cold)
         self.placement.belief_lag_s = lambda: shares.lag_s
         engines = mock.Mock()
         engines.presence.side_effect = lambda _, start: replay.presence(start.id)
@@ -212,6 +217,7 @@
         self.ended = False
         self.tally = replay.outcome.tally_by_kind[kind.name]
         self.tally.asked += 1
+        self.tally.asked_at.append(self.began)
         self.tally.sizes.append(self.kind.tokens)
         self._try()
 
@@ -270,8 +276,10 @@
         if engine.dark and is_new:
             self.replay.after(CONNECT_S, self._fail_to_connect)
             return
+        self.host.placement.cold.note_sent(choice.tracker)
         engine.take(self)
-        self.replay.after(PATIENCE_S, self._leave)
+        number = self.number
+        self.replay.after(PATIENCE_S, lambda: self._leave(number))
 
     def _fail_to_connect(self) -> None:
         self.host.connected_until.pop(self.upstream, None)
@@ -283,8 +291,8 @@
         else:
             self._give_up("unserved")
 
-    def _leave(self) -> None:
-        if not self.ended:
+    def _leave(self, number: int) -> None:
+        if not self.ended and self.number == number:
             self.ended = True
             self.host.connected_until.pop(self.upstream, None)
             self._give_up("unserved")
@@ -304,6 +312,7 @@
         self.tally.served_sizes.append(self.kind.tokens)
         if first_s <= self.kind.target_s:
             self.tally.in_time += 1
+            self.tally.in_time_at.append(self.began)
         else:
             self.tally.late += 1
             self.tally.late_again += self.tries > 1
@@ -327,6 +336,9 @@
 class Replay:
     """One load, replayed."""
 
+    engine_class: type[ReplayEngine] = ReplayEngine
+    visit_class: type[Visit] = Visit
+
     def __init__(self, load: Load) -> None:
         self.load = load
         self.now = 1000.0
@@ -374,7 +386,7 @@
             address = f"10.1.0.{number}:80"
             engine_id = UpstreamId(f"e-{number}")
             entry = UpstreamEntry(engine_id, POOL, address, hall, load.slots, False, {MODEL: 1})
-            self.engine_by_id[entry.id] = ReplayEngine(self, entry)
+            self.engine_by_id[entry.id] = self.engine_class(self, entry)
         records = {
             HostId(f"h-{number}"): HostRecord(f"10.0.0.{number}:1", halls[number % load.halls])
             for number in range(load.hosts)
@@ -406,7 +418,7 @@
             while at < self.load.length_s:
                 rate = kind.per_s * (factor if begin <= at < end else 1.0)
                 at += self.draw.expovariate(rate)
-                self.after(at, lambda kind=kind: Visit(self, kind))
+                self.after(at, lambda kind=kind: self.visit_class(self, kind))
 
     def _plan_darkness(self) -> None:
         begin, end, share = self.load.dark
--- a/libs/serving/ruddersaddle_serving/tests/replay_loads.py
+++ b/libs/serving/ruddersaddle_serving/tests/replay_loads.py
@@ -91,6 +91,9 @@
     """Time that callers waited who were then refused or left."""
     read_tokens: int = 0
     connections: int = 0
+    asked_at: list[float] = []
+    """When each request was first asked, and of those in time when they were."""
+    in_time_at: list[float] = []
     firsts: list[float] = []
     sizes: list[int] = []
     """Tokens of each request that was asked for."""
@@ -128,6 +131,13 @@
         asked = sum(each.kind.worth * each.asked for each in tallies)
         return sum(each.kind.worth * each.asked * each.share for each in tallies) / asked
 
+    def in_time_between(self, begin: float, end: float) -> float:
+        """Return the share in time of what was asked first between two moments."""
+        tallies = self.tally_by_kind.values()
+        asked = sum(begin <= at < end for each in tallies for at in each.asked_at)
+        in_time = sum(begin <= at < end for each in tallies for at in each.in_time_at)
+        return in_time / max(1, asked)
+
     def describe(self) -> str:
         """Return the worth, and for each kind the shares in time, late, refused and unserved."""
         rows = [f"worth {self.worth:.3f}"]
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -13,7 +13,7 @@
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName
 from ruddersaddle_serving.tests.engine_waits import wait_s
 from ruddersaddle_serving.trackers import Assignment, Notice, Tracker
-from ruddersaddle_serving.upstream_lists import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 ROUTE = Route(RouteName("r"), "h", "/", RouteKind.STREAM, 9.0, 0.4, ())
 ENTRY = UpstreamEntry(UpstreamId("e"), PoolId("p"), "10.0.0.1:80", HallId("h"), 8, False, {})
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_records.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_records.py
@@ -15,7 +15,7 @@
     CrashRecords,
 )
 from ruddersaddle_serving.fingerprints import Fingerprint
-from ruddersaddle_serving.upstream_lists import UpstreamStart
+from ruddersaddle_serving.upstream_entries import UpstreamStart
 
 BAD, OTHER, COMMON = Fingerprint("bad"), Fingerprint("other"), Fingerprint("common")
 
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
@@ -14,7 +14,7 @@
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import Record, Topic
-from ruddersaddle_serving.upstream_lists import UpstreamStart
+from ruddersaddle_serving.upstream_entries import UpstreamStart
 
 BAD, COMMON = Fingerprint("bad"), Fingerprint("common")
 AWAY = Failure(Code.LOG_UNAVAILABLE, Step.APPEND, "store", "status 503")
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
@@ -14,7 +14,8 @@
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.ports import Presence
 from ruddersaddle_serving.trackers import Tracker
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 BAD, OTHER = Fingerprint("bad"), Fingerprint("other")
 POOL = PoolId("p")
--- a/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
@@ -10,7 +10,7 @@
 from ruddersaddle_serving.tests.engine_waits import wait_s
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Reach, Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 ENGINE = UpstreamId("e-1")
 ASSIGNMENT = Assignment("m/1", (Part(PartId("a"), 100),), 0.05, 120, 1)
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -5,8 +5,10 @@
 
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure
-from ruddersaddle_base.ids import HallId, ModelId, PoolId, RequestId, UpstreamId
+from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, RequestId, UpstreamId
 
+from ruddersaddle_serving.cold_shares import ColdShares
+from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.placements import (
     CANDIDATES_MAX,
@@ -21,7 +23,8 @@
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Tracker, Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 POOL = PoolId("p")
 MODEL = ModelId("m")
@@ -45,8 +48,15 @@
         self.upstreams = UpstreamList()
         self.trackers = Trackers()
         kept = KeptParts(mock.Mock())
+        self.hosts = Hosts(HostId("host"), HostRecord("10.0.0.9:1", HallId("h")), [])
         self.placement = Placement(
-            HallId("h"), 12.0, self.publications, self.upstreams, self.trackers, kept
+            HallId("h"),
+            12.0,
+            self.publications,
+            self.upstreams,
+            self.trackers,
+            kept,
+            ColdShares(self.hosts, self.publications, self.upstreams),
         )
         self.first, self.second = (self.add(name) for name in ("e-1", "e-2"))
 
--- a/libs/serving/ruddersaddle_serving/tests/test_probes.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_probes.py
@@ -10,7 +10,7 @@
 from ruddersaddle_serving.probes import PAUSE_S, Probes
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Notice, Progress, Reach, Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 ENGINE = UpstreamId("e-1")
 
--- a/libs/serving/ruddersaddle_serving/tests/test_replaced_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_replaced_parts.py
@@ -14,7 +14,8 @@
 from ruddersaddle_serving.routes import ContextStore
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Tracker, Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 MODEL = ModelId("m")
 HALL = HallId("h")
--- a/libs/serving/ruddersaddle_serving/tests/test_trackers.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_trackers.py
@@ -8,7 +8,7 @@
 from ruddersaddle_serving.routes import Engine, Pool, Published, RouteTable
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 POOL = PoolId("p")
 PARTS = (Part(PartId("a"), 100),)
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -6,10 +6,8 @@
 from ruddersaddle_base.ids import HallId, PoolId, UpstreamId
 
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
-from ruddersaddle_serving.upstream_lists import (
-    UpstreamEntry,
-    UpstreamList,
-)
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 ENTRY = UpstreamEntry(UpstreamId("u"), PoolId("p"), "10.0.0.1:80", HallId("h"), 4, False, {})
 
--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -15,7 +15,8 @@
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.tests.test_fence_leases import LogStore, StoreView
 from ruddersaddle_serving.trackers import Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamEntry, UpstreamList
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.weight_rollouts import WeightRollouts
 
 MODEL = ModelId("m")
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -1,6 +1,7 @@
 """What this host knows of each upstream from its own requests."""
 
 import logging
+from collections import deque
 from enum import Enum
 from statistics import median_low
 
@@ -13,7 +14,7 @@
 from ruddersaddle_serving.routes import RouteTable
 from ruddersaddle_serving.silences import TOLD_TRUST_S, Silence
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
-from ruddersaddle_serving.upstream_lists import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 logger = logging.getLogger(__name__)
 
@@ -27,6 +28,8 @@
 OFF_AFTER_CONNECT_S = 0.5
 """An upstream that took no connection is left out this long, then twice as long each time."""
 OFF_MAX_S = 4.0
+SENDS_MAX = 64
+"""Moments of sends that are kept for each upstream; a cold one bears fewer in a second."""
 SAME_LIST_S = 0.5
 """Two upstreams at one address that became known within this time may stand in the first list that
 a host reads, which doesn't tell the older one."""
@@ -85,6 +88,21 @@
     """Which start of the upstream it concerns; None where that is not told."""
 
 
+class RecentSends:
+    """When this host sent its latest requests to an upstream, on the steady clock."""
+
+    def __init__(self) -> None:
+        self._moments: deque[float] = deque(maxlen=SENDS_MAX)
+
+    def note(self, at: float) -> None:
+        """Take that a request leaves."""
+        self._moments.append(at)
+
+    def count_since(self, moment: float) -> int:
+        """Return how many requests left after a moment, up to `SENDS_MAX`."""
+        return sum(at > moment for at in self._moments)
+
+
 class Tracker:
     """One upstream as this host's own requests show it."""
 
@@ -98,6 +116,7 @@
         self.avoided_until = 0.0
         """The holder of the lease has it load weights until then, on the steady clock."""
         self.silence = Silence()
+        self.sends = RecentSends()
         self._failing = 0.0
         self._noted_at = clocks.now_s()
         self._told_failing = 0.0
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -6,7 +6,10 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
+from ruddersaddle_base.ids import PoolId, UpstreamId
+
+from ruddersaddle_serving.cold_starts import ColdStarts
+from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
 
 logger = logging.getLogger(__name__)
 
@@ -28,47 +31,12 @@
 """Oldest list that counts as complete; hosts hear of others' reads within 1.9 s."""
 
 
-class UpstreamStart(msgspec.Struct, frozen=True, array_like=True):
-    """One start of an upstream; under one id there may be several."""
-
-    id: UpstreamId
-    born_ms: int | None = None
-    """Unix time of the start; None where the upstream doesn't tell it."""
-
-    def __str__(self) -> str:
-        return self.id if self.born_ms is None else f"{self.id} of {self.born_ms}"
-
-
-class UpstreamEntry(msgspec.Struct, frozen=True):
-    """One start of one upstream, as it describes itself."""
-
-    id: UpstreamId
-    pool: PoolId
-    address: str
-    hall: HallId
-    slots: int
-    leaving: bool
-    version_by_model: dict[ModelId, int]
-    born_ms: int | None = None
-    """Unix time of its start; None where it is not told."""
-
-    @property
-    def start(self) -> UpstreamStart:
-        """Which start of the upstream this is."""
-        return UpstreamStart(self.id, self.born_ms)
-
-    def is_later_than(self, other: "UpstreamEntry") -> bool:
-        """Return whether this is a later start under the same id than another entry's."""
-        if self.born_ms is None or other.born_ms is None:
-            return False
-        return self.born_ms > other.born_ms
-
-
 class UpstreamList:
     """The entries by id. Times are of the steady clock, in seconds."""
 
     def __init__(self) -> None:
         self.by_id: dict[UpstreamId, UpstreamEntry] = {}
+        self.cold = ColdStarts()
         self.complete = False
         self.revision = random.getrandbits(REVISION_BITS)
         """Grows with each change of an entry; begins anywhere, so that two processes differ."""
@@ -146,6 +114,10 @@
         if known is not None and known.is_later_than(entry):
             logger.info("Entry of %s is of an earlier start than the known one.", entry.start)
             return
+        if entry.heartbeat is not None:
+            # A change of the entry is told to all hosts; a heartbeat is none.
+            self.cold.take(entry.start, entry.heartbeat)
+            entry = msgspec.structs.replace(entry, heartbeat=None)
         self._lapse_by_id.pop(entry.id, None)
         self._gone.pop(entry.start, None)
         is_same = known is not None and not entry.is_later_than(known)
@@ -192,6 +164,7 @@
         if entry is not None:
             self.revision += 1
             self._remember_gone(entry.start)
+            self.cold.keep_only(self.starts())
             logger.info("Upstream %s of %s at %s is gone.", upstream, entry.pool, entry.address)
 
     def recently_gone(self) -> tuple[UpstreamStart, ...]:
@@ -215,6 +188,10 @@
         if len(self._gone) > GONE_MAX:
             del self._gone[next(iter(self._gone))]
 
+    def starts(self) -> list[UpstreamStart]:
+        """Return all starts that are listed."""
+        return [entry.start for entry in self.by_id.values()]
+
     def of_pool(self, pool: PoolId) -> list[UpstreamEntry]:
         """Return the entries of a pool that take new work."""
         return [each for each in self.by_id.values() if each.pool == pool and not each.leaving]
