--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -3,11 +3,13 @@
 import unittest
 from unittest import mock
 
+import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.failures import Code, Failure
+from ruddersaddle_base.failures import Code, Failure, Ran
 from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, RequestId, UpstreamId
 
-from ruddersaddle_serving.cold_shares import ColdShares
+from ruddersaddle_serving.cold_shares import JOIN_S, ColdShares
+from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.placements import (
@@ -20,10 +22,10 @@
 from ruddersaddle_serving.ports import ModelVersion, StorePosition
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Part, PartId, Prompt
 from ruddersaddle_serving.publications import Publications
-from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
+from ruddersaddle_serving.routes import Pool, Published, Route, RouteKind, RouteName, Target
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Tracker, Trackers
-from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import Heartbeat, UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
 POOL = PoolId("p")
@@ -41,7 +43,9 @@
     return request
 
 
-class PlacementTest(FixedClockTest):
+class PlacementFixture(FixedClockTest):
+    """Two engines of a pool and a placement."""
+
     def setUp(self) -> None:
         super().setUp()
         self.publications = Publications()
@@ -77,6 +81,8 @@
     ) -> Choice | Full | Failure:
         return self.placement.choose(make_request(tokens), POOL, set(), patience)
 
+
+class PlacementTest(PlacementFixture):
     def test_the_emptier_engine_is_taken(self) -> None:
         self.fill(self.first, CAPACITY)
         self.assertIs(self.choose().tracker, self.second)
@@ -236,5 +242,58 @@
         self.assertGreater(len(loaded), 20)
 
 
+class OpenUpstreamsTest(PlacementFixture):
+    """Which upstreams may be sent to at all: their halls, and whether they are cold."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.publications.take(Published(1, pools=(Pool(POOL, None, 3.0, 2.0),)))
+        self.hosts.replace({})
+        self.now += JOIN_S
+
+    def turn_cold(self, tracker: Tracker) -> None:
+        self.upstreams.cold.take(tracker.entry.start, Heartbeat(1, 3.0))
+
+    def evacuate(self, hall: str) -> None:
+        self.publications.evacuations.take(Evacuation(HallId(hall), in_force=True))
+
+    def test_cold_engine_is_taken_until_this_host_has_sent_its_share(self) -> None:
+        self.turn_cold(self.first)
+        self.fill(self.second, CAPACITY)
+        for _ in range(2):
+            self.assertIs(self.choose().tracker, self.first)
+            self.placement.cold.note_sent(self.first)
+        self.assertIs(self.choose().tracker, self.second)
+
+    def test_all_cold_and_no_share_left_is_refused_and_has_not_run(self) -> None:
+        for tracker in (self.first, self.second):
+            self.turn_cold(tracker)
+            for _ in range(2):
+                self.placement.cold.note_sent(tracker)
+        refusal = self.choose()
+        self.assertEqual((refusal.code, refusal.ran), (Code.NO_UPSTREAM, Ran.NOT_RUN))
+        self.assertIn("2 cold", refusal.detail)
+        self.assertGreater(refusal.retry_after_s, 0)
+
+    def test_upstreams_of_an_evacuated_hall_are_left_out(self) -> None:
+        entry = msgspec.structs.replace(self.first.entry, id=UpstreamId("e-3"), hall=HallId("g"))
+        self.upstreams.put(entry)
+        self.evacuate("h")
+        self.assertEqual(self.choose().tracker.id, entry.id)
+        self.evacuate("g")
+        refusal = self.choose()
+        self.assertEqual((refusal.code, refusal.ran), (Code.EVACUATED, Ran.NOT_RUN))
+        self.assertGreater(refusal.retry_after_s, 0)
+
+    def test_what_was_chosen_is_looked_at_again_when_it_is_sent(self) -> None:
+        self.assertIsNone(self.placement.check_open(self.first))
+        self.turn_cold(self.first)
+        for _ in range(2):
+            self.placement.cold.note_sent(self.first)
+        self.assertEqual(self.placement.check_open(self.first).ran, Ran.NOT_RUN)
+        self.evacuate("h")
+        self.assertIn("evacuated", self.placement.check_open(self.second).detail)
+
+
 if __name__ == "__main__":
     unittest.main()
