--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -353,6 +353,7 @@
         lines += format_counters("dropped_writes", "log lines, other texts", count_dropped())
         lines += format_counters("retries", "retries by outcome", budget)
         lines += format_counters("crashes", "broken runs and what followed", self.crashes.counts)
+        lines += format_counters("store_calls", "calls to the store", self.store.calls_by_kind)
         lines += format_counters("contexts", "kept context by action", self.kept.counts)
         lines += format_counters("orders", "orders to engines", self.rollouts.counts)
         lines += format_histograms(self.histograms)
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -87,6 +87,8 @@
 
     eras: StoreEras
     """The era of its newest answer; answers of earlier ones are failures."""
+    calls_by_kind: Mapping[str, int]
+    """Calls so far, by what was asked of which topic; refused ones as well."""
 
     def newest(self, topic: Topic) -> Page | Failure:
         """Return the newest record of each key."""
