Pace: the time that first events take beside reading is learned apart from reading

Cause: one factor stood for both. Ruled out: engines that differ (the error is the same at all); fetches (rows with 1 to 2 fetched parts alike).

Change: an engine's pace has two running medians, reading and the time beside it; each moves by its share of what was predicted. Sums and totals tell both; waits add up reading alone.

Tests: `test_pace_follows_what_first_events_take` saw one size again and again, from which nobody can tell the two apart; it now sees three and asks for both, with the same bounds, and rates are found for three starts in place of one.

--- a/libs/serving/ruddersaddle_serving/admissions.py
+++ b/libs/serving/ruddersaddle_serving/admissions.py
@@ -43,7 +43,8 @@
     """What stands at an engine, as far as it matters to a request of some urgency."""
 
     reading_s: float
-    """Time until all that is as urgent is read, at the engine's own pace."""
+    """Time until all that is as urgent is read, at the engine's own pace; without the time that
+    first events take beside reading, which passes for all of them at once."""
     tokens: int
     """Memory of all that is as urgent."""
     requests: int
--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -10,7 +10,7 @@
 from ruddersaddle_base import clocks
 
 from ruddersaddle_serving.admissions import Standing
-from ruddersaddle_serving.paces import Pace
+from ruddersaddle_serving.paces import Observation, Pace
 from ruddersaddle_serving.prompts import Part, PartId
 from ruddersaddle_serving.silences import TOLD_TRUST_S
 
@@ -40,8 +40,8 @@
     parts: tuple[Part, ...]
     """Parts that it shares with other requests."""
     at: float
-    nominal_s: float | None
-    """Nominal time until its first event; None where it waits for memory first."""
+    seen: Observation | None
+    """What stands before its first event; None where it waits for memory first."""
     first_at: float | None = None
 
 
@@ -141,10 +141,11 @@
         self._forget_old()
         priority = min(PRIORITIES - 1, max(0, priority))
         has_room = capacity_tokens <= 0 or self.tokens + tokens <= capacity_tokens
-        nominal_s = self._reading_s(priority) + fetch_s + work_s if has_room else None
+        reading_s = self._reading_s(priority) + work_s
+        seen = Observation(reading_s, fetch_s) if has_room else None
         own = max(0, tokens - sum(part.tokens for part in parts))
         now = clocks.now_s()
-        self.by_number[number] = Sent(priority, work_s, own, salt, parts, now, nominal_s)
+        self.by_number[number] = Sent(priority, work_s, own, salt, parts, now, seen)
         self._work_by_priority[priority] += work_s
         self._tokens_by_priority[priority] += own
         self._requests_by_priority[priority] += 1
@@ -175,8 +176,8 @@
         sent = self.by_number.get(number)
         if sent is not None and sent.first_at is None:
             sent.first_at = clocks.now_s()
-            if sent.nominal_s is not None:
-                self.pace.note(sent.nominal_s, sent.first_at - sent.at)
+            if sent.seen is not None:
+                self.pace.note(sent.seen, sent.first_at - sent.at)
             self._drop_work(sent)
 
     def _drop_work(self, sent: Sent) -> None:
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -14,6 +14,7 @@
 
 from ruddersaddle_serving.engine_loads import LoadSum
 from ruddersaddle_serving.hosts import Hosts
+from ruddersaddle_serving.paces import START_S, Pace
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.silences import Silence
 from ruddersaddle_serving.tasks import spawn_forever
@@ -58,7 +59,7 @@
     memory_run_ms: int = 1000
     """The same weighed by the tokens of runs."""
     pace_percent: int = 100
-    """What first events take, as a share of the nominal time."""
+    """What reading takes, as a share of the nominal time."""
     heard_ms: int = NEVER_MS
     """How long ago any host heard of it."""
     silent_ms: int | None = None
@@ -67,6 +68,8 @@
     """Whether another upstream answers at its address."""
     born_ms: int | None = None
     """Which start of it this is; None where that is not told."""
+    start_ms: float = START_S * 1000
+    """Time that first events take beside reading."""
 
 
 class LoadSums(msgspec.Struct, frozen=True, tag="load_sums"):
@@ -176,7 +179,7 @@
                 if message.is_total:
                     tracker.load.run_s = told.run_ms / 1000
                     tracker.load.memory_run_s = told.memory_run_ms / 1000
-                    tracker.load.pace.factor = told.pace_percent / 100
+                    tracker.load.pace = Pace(told.pace_percent / 100, told.start_ms / 1000)
 
 
 def _sum_of(tracker: Tracker, is_total: bool, now: float) -> EngineSum:
@@ -196,6 +199,7 @@
         silent_ms=None if silent_since is None else round(1000 * (now - silent_since)),
         is_replaced=tracker.is_replaced,
         born_ms=tracker.entry.born_ms,
+        start_ms=round(1000 * tracker.load.pace.start_s),
     )
 
 
--- a/libs/serving/ruddersaddle_serving/tests/test_engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_engine_loads.py
@@ -75,13 +75,15 @@
         self.assertLess(self.load.run_s, 2.0)
 
     def test_pace_follows_what_first_events_take(self) -> None:
-        for number in range(60):
-            self.load.add(("a", number), 1, 0.1, 10, fetch_s=0.05)
-            self.now += 0.45
+        for number in range(400):
+            work_s = (0.005, 0.1, 0.4)[number % 3]
+            self.load.add(("a", number), 1, work_s, 10, fetch_s=0.05)
+            self.now += 0.05 + 0.06 + 3.0 * work_s
             self.load.note_first(("a", number))
             self.load.end(("a", number))
         self.assertAlmostEqual(self.load.pace.factor, 3.0, delta=0.1)
-        self.load.add(("a", 99), 1, 0.1, 10)
+        self.assertAlmostEqual(self.load.pace.start_s, 0.06, delta=0.006)
+        self.load.add(("a", 999), 1, 0.1, 10)
         self.assertAlmostEqual(wait_s(self.load, 1, 10, 9000), 0.3, delta=0.01)
 
     def test_pace_is_not_learned_from_requests_that_wait_for_memory(self) -> None:
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -10,6 +10,7 @@
 from ruddersaddle_base.ids import PoolId, UpstreamId
 
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
+from ruddersaddle_serving.paces import Pace
 from ruddersaddle_serving.prompts import Part
 from ruddersaddle_serving.routes import RouteTable
 from ruddersaddle_serving.silences import TOLD_TRUST_S, Silence
@@ -285,7 +286,7 @@
             if tracker is not None:
                 tracker.connections.close()
             tracker = Tracker(entry, self._memory_tokens(entry))
-            tracker.load.pace.factor = self._usual_pace(entry.pool)
+            tracker.load.pace = self._usual_pace(entry.pool)
             self._note_predecessors(tracker)
             self.by_id[entry.id] = tracker
         elif tracker.entry is not entry:
@@ -299,10 +300,13 @@
             if is_older and each.entry.address == tracker.entry.address:
                 each.note_replaced()
 
-    def _usual_pace(self, pool: PoolId) -> float:
-        """Return the middle factor of a pool's engines, with which a new one begins."""
-        alike = [each for each in self.by_id.values() if each.entry.pool == pool]
-        return median_low([each.load.pace.factor for each in alike]) if alike else 1.0
+    def _usual_pace(self, pool: PoolId) -> Pace:
+        """Return the middle pace of a pool's engines, with which a new one begins."""
+        paces = [each.load.pace for each in self.by_id.values() if each.entry.pool == pool]
+        if not paces:
+            return Pace()
+        factor = median_low([pace.factor for pace in paces])
+        return Pace(factor, median_low([pace.start_s for pace in paces]))
 
     def keep_only(self, upstreams: set[UpstreamId]) -> None:
         """Forget upstreams that are gone and have no request under way."""
--- a/libs/serving/ruddersaddle_serving/weighings.py
+++ b/libs/serving/ruddersaddle_serving/weighings.py
@@ -34,9 +34,11 @@
     room: Room
     fetch_s: float
     work_s: float
-    """Nominal time that the engine works until the first event."""
+    """Nominal time that the engine reads until the first event."""
     pace: float
-    """What the engine takes, as a multiple of the nominal time."""
+    """What the engine takes to read, as a multiple of the nominal time."""
+    start_s: float
+    """What its first events take beside reading."""
     tokens: int
     """Memory that the request needs at the engine."""
     covered_tokens: int
@@ -45,7 +47,7 @@
     @property
     def first_s(self) -> float:
         """Predicted time until the first event."""
-        return self.wait_s + self.fetch_s + self.work_s * self.pace
+        return self.wait_s + self.start_s + self.fetch_s + self.work_s * self.pace
 
     @property
     def admission_s(self) -> float:
@@ -59,7 +61,7 @@
         """
         tokens = round(self.tokens * share)
         wait_s = admission_wait_s(self.standing, self.room, tokens, request.priority)
-        first_s = wait_s + share * (self.fetch_s + self.work_s * self.pace)
+        first_s = wait_s + self.start_s + share * (self.fetch_s + self.work_s * self.pace)
         memory_share = tokens / max(1, self.room.tokens)
         return excess_s(first_s, wait_s, request.route.target_latency_s, memory_share)
 
@@ -120,6 +122,7 @@
             fetch_s=fetch_s,
             work_s=nominal_work_s(missing),
             pace=tracker.load.pace.factor,
+            start_s=tracker.load.pace.start_s,
             tokens=tokens,
             covered_tokens=covered,
             missing_tokens=missing,
