Starts: a request that comes while a host has just started waits for it in place of a refusal

Cause: a host that has just started holds its beliefs for up to 0.6 s, until others have told theirs; requests with a key were refused meanwhile with a Retry-After of 0.5 s. Change: such a request waits until the hold ends, 0.6 s at most. Test on real hosts: 503 before, 200 now; 21 tests of hosts and of returns pass.

--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -5,6 +5,7 @@
 from http.client import responses
 from typing import Any
 
+import eventlet
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
@@ -39,6 +40,8 @@
 """Promises that the request has not run and never will."""
 UNKNOWN_YET_S = 0.5
 """When to come back to a host that knows no configuration yet; it reads it every 0.3 to 0.6 s."""
+START_LOOK_S = 0.01
+"""Pause of a request between looks whether a start has ended."""
 PUBLIC = "public"
 ANSWERED = "answered"
 """Outcome of a request whose whole answer was written."""
@@ -152,6 +155,7 @@
         if isinstance(head, Failure):
             return head
         self.head = head
+        self._await_start()
         table = self.front.publications.table
         if table is None:
             detail = "no configuration is known yet"
@@ -169,6 +173,15 @@
         method = self.environ["REQUEST_METHOD"]
         return CallerRequest(head, method, target, body, route, workspace, self.began)
 
+    def _await_start(self) -> None:
+        """Wait while this host has just started, for some hundred milliseconds at most.
+
+        Where all hosts start at once callers come to hosts that are not ready; a refusal sent them
+        away for longer than the start took.
+        """
+        while self.front.publications.is_settling:
+            eventlet.sleep(START_LOOK_S)
+
     def _find_workspace(
         self, table: RouteTable, route: Route, head: CallerHead
     ) -> Workspace | None | Failure:
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -73,8 +73,12 @@
     @property
     def age_s(self) -> float:
         """Seconds since the belief was last known to be the newest."""
-        now = clocks.now_s()
-        return float("inf") if now < self.held_until else now - self.confirmed_at
+        return float("inf") if self.is_settling else clocks.now_s() - self.confirmed_at
+
+    @property
+    def is_settling(self) -> bool:
+        """Whether this host has just started and still asks others what is in force."""
+        return clocks.now_s() < self.held_until
 
     def take(self, item: Published | ModelVersion) -> None:
         """Take one published item if it is newer than what is known."""
