Admission: what is let in goes to its engine at once; holding at the host is taken out

Cause: a request whose best engine had its memory taken was held at its host, looked at each 20 ms, up to its latency target less what was predicted. Engines let in the most urgent first and preempt by themselves; what a host knows of their memory is 0.1 to 0.2 s old.

`held_ms` leaves the line of a request.

--- a/libs/serving/ruddersaddle_serving/admissions.py
+++ b/libs/serving/ruddersaddle_serving/admissions.py
@@ -21,8 +21,6 @@
 MEMORY_RESERVED = 0.15
 """Share of an engine's memory that each step of urgency has for itself. Where memory runs out, an
 engine preempts the least urgent run and reads its prompt again."""
-HOLD_RESERVED = 0.1
-"""The same for a request that is held: above this share of the memory it waits for runs to end."""
 RESERVED_STEPS = 3
 """Steps below the most urgent class that are told apart."""
 TARGET_SHARE_MOST = 1.1
@@ -113,12 +111,3 @@
     """
     share = max(TARGET_SHARE_LEAST, TARGET_SHARE_MOST - TARGET_SHARE_SLOPE * memory_share)
     return min(first_s - target_s * share, wait_s)
-
-
-def is_full(taken: int, tokens: int, capacity_tokens: int, priority: int) -> bool:
-    """Return whether a request would crowd out runs; the urgent ones may fill the memory up.
-
-    `taken` is the memory of all requests at the engine, `tokens` what this one needs.
-    """
-    share = 1.0 - HOLD_RESERVED * min(priority, RESERVED_STEPS)
-    return taken > 0 and capacity_tokens > 0 and taken + tokens > capacity_tokens * share
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable, Iterator
 
-import eventlet
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
@@ -16,8 +15,6 @@
 from ruddersaddle_serving.placements import (
     RETRY_SOON_S,
     Choice,
-    Full,
-    Patience,
     Placement,
 )
 from ruddersaddle_serving.ports import AnswerHead, Wire
@@ -32,9 +29,6 @@
 """Longest answer that is read whole before it is passed on, in bytes."""
 CONNECTS_MAX = 6
 """Upstreams that are tried for a connection; nothing was sent to those that gave none."""
-HELD_LOOK_S = 0.02
-"""Pause between looks at engines' room; it comes free with each run that ends, some dozens of them
-in a second."""
 SILENT_FACTOR = 3.0
 """A request that ends without a first byte after this many latency targets, or as many times what
 was predicted, counts against its upstream; a caller that leaves earlier says nothing about it."""
@@ -78,7 +72,6 @@
         self.fetched = 0
         self.saved = 0
         self.first_s: float | None = None
-        self.held_s = 0.0
 
 
 class Forwarder:
@@ -193,32 +186,19 @@
         return msgspec.structs.replace(failure, code=Code.NO_UPSTREAM, retry_after_s=RETRY_SOON_S)
 
     def _choose(self) -> Choice | Failure:
-        """Return the upstream for the next try; wait a little while all engines are full."""
-        placement = self.forwarder.placement
-        began = clocks.now_s()
-        patience = Patience.REFUSE if self._sent_count == 0 else Patience.SEND
+        """Return the upstream for the next try."""
         self.forwarder.crashes.settle(self.request.fingerprint)
-        while True:
-            refusal = self._check_crashes()
-            if refusal is not None:
-                return refusal
-            choice = placement.choose(self.request, self.pool, self._excluded, patience)
-            self.trail.held_s = clocks.now_s() - began
-            if not isinstance(choice, Full):
-                return choice
-            patience = Patience.HOLD if self._may_be_held(choice) else Patience.SEND
-            if patience is Patience.HOLD:
-                eventlet.sleep(HELD_LOOK_S)
+        refusal = self._check_crashes()
+        if refusal is not None:
+            return refusal
+        may_refuse = self._sent_count == 0
+        placement = self.forwarder.placement
+        return placement.choose(self.request, self.pool, self._excluded, may_refuse)
 
     def _check_crashes(self) -> Failure | None:
-        """Refuse a request that crashes upstreams, also while it waits."""
+        """Refuse a request that crashes upstreams."""
         return self.forwarder.crashes.check(self.request.fingerprint, self.pool)
 
-    def _may_be_held(self, full: Full) -> bool:
-        """Return whether the request could still be in time if it were sent at the next look."""
-        elapsed_s = clocks.now_s() - self.request.began
-        return elapsed_s + HELD_LOOK_S + full.first_s < self.request.route.target_latency_s
-
     def _send(self) -> AnswerHead | Failure:
         refusal = self.forwarder.check_key_age(self.request) or self._check_crashes()
         if refusal is not None:
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -365,7 +365,6 @@
         fields["upstream"] = trail.upstream
         fields["weights"] = trail.version
         fields["wait_ms"] = round(trail.wait_s * 1000)
-        fields["held_ms"] = round(trail.held_s * 1000)
         fields["covered_tokens"] = trail.covered_tokens
         fields["missing_tokens"] = trail.missing_tokens
         if request.head.prompt is not None:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -2,14 +2,12 @@
 
 import random
 from collections.abc import Callable, Iterator
-from enum import Enum
 
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.admissions import is_full
 from ruddersaddle_serving.cold_shares import ColdShares
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.ports import Transfer
@@ -43,17 +41,6 @@
 take that back, and hosts hear of it within a second."""
 
 
-class Patience(Enum):
-    """What may be done with a request while engines are full."""
-
-    REFUSE = "refuse"
-    """It has just come: it may be refused, or held."""
-    HOLD = "hold"
-    """It was held, so that a refusal would come late: it may be held on."""
-    SEND = "send"
-    """It has to be sent now."""
-
-
 class Choice(msgspec.Struct, frozen=True):
     """An upstream for one try of a request, and what decided it."""
 
@@ -75,13 +62,6 @@
     """Each engine that was weighed, for the log."""
 
 
-class Full(msgspec.Struct, frozen=True):
-    """No engine has memory for the request now."""
-
-    first_s: float
-    """Predicted time until its first event if it were sent all the same."""
-
-
 class Placement:
     """Chooses upstreams from entries, versions of weights, kept parts and this host's requests."""
 
@@ -120,11 +100,12 @@
         request: CallerRequest,
         pool: PoolId,
         excluded: set[UpstreamId],
-        patience: Patience = Patience.SEND,
-    ) -> Choice | Full | Failure:
+        may_refuse: bool = False,
+    ) -> Choice | Failure:
         """Return the upstream for the next try, or why there is none.
 
-        `patience` says what may be done with the request while every engine's memory is taken.
+        `may_refuse` says that the request has just come, so that it may be refused for the time
+        that its first event would take.
         """
         left = self._open_trackers(pool, excluded)
         if isinstance(left, Failure):
@@ -132,7 +113,7 @@
         prompt = request.head.prompt
         if prompt is None:
             return self._choose_plain(request, left)
-        return self._choose_engine(request, prompt, left, patience)
+        return self._choose_engine(request, prompt, left, may_refuse)
 
     def _open_trackers(self, pool: PoolId, excluded: set[UpstreamId]) -> list[Tracker] | Failure:
         """Return the upstreams that a request may be sent to now, or why there is none."""
@@ -174,8 +155,8 @@
         return share, tracker.entry.hall != self.hall, random.random()
 
     def _choose_engine(
-        self, request: CallerRequest, prompt: Prompt, trackers: list[Tracker], patience: Patience
-    ) -> Choice | Full | Failure:
+        self, request: CallerRequest, prompt: Prompt, trackers: list[Tracker], may_refuse: bool
+    ) -> Choice | Failure:
         allowed = self._of_allowed_weights(prompt.model, trackers)
         if not allowed:
             detail = f"no engine has the newest weights of {prompt.model}"
@@ -195,17 +176,10 @@
             if self._excess_s(request, best) <= 0:
                 break
             best = weighing.weigh([best.tracker, *group])
-        if patience is Patience.REFUSE and self._excess_s(request, best) > 0:
+        if may_refuse and self._excess_s(request, best) > 0:
             return self._refuse(request, best)
-        if patience is Patience.REFUSE:
+        if may_refuse:
             self.admitted_sizes.take(request.route.name, best.tokens)
-        if patience is not Patience.SEND and is_full(
-            best.tracker.load.tokens,
-            best.tokens,
-            best.tracker.memory.capacity_tokens,
-            request.priority,
-        ):
-            return Full(best.first_s)
         hall = best.tracker.entry.hall
         is_newest = not self.publications.replaced_at_least_s(prompt.model, best.version or 0)
         transfer = self.kept.plan(
