Crash records: hosts that hear of them from others no longer ask the store as well

Cause: what a hall's reader tells was up to 2.9 s old (two waits of a second at the store, and the hall's own pauses), the bound at which a host asks by itself 2.4 s; its comment said 1.9 s. Change: a question waits 0.6 s, so that what is heard is 2.1 s old at most. A test on ages, as the other topics have; it fails with a wait of a second (2.9 > 2.4). Readers make 5 calls a second for it in place of 3.

--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -36,11 +36,12 @@
 """A host that is no reader asks the store by itself when what others told it is older than this. On
 an ordinary day that is 1.9 s at most: the reader's waiting question (1 s) and the host's own pause.
 A key needs a confirmation within 4.7 s."""
-CRASH_WAIT_S = 1.0
-"""How long one question for crash records waits at the store; a new record is answered at once."""
+CRASH_WAIT_S = 0.6
+"""How long one question for crash records waits at the store; a new record is answered at once.
+With a longer one hosts that hear of others ask the store as well, as what they hear is too old."""
 CRASH_FALLBACK_S = 2.4
 """The same as `FALLBACK_S` for crash records, which bind 3 s after a crash also a host that is cut
-off from the others. Told by others they are 1.9 s old at most."""
+off from the others. Told by others they are 2.1 s old at most."""
 LOOK_S = 0.25
 """Pause of a host that is no reader until it looks again whether it should ask the store."""
 RETRY_S = 0.3
--- a/libs/serving/ruddersaddle_serving/tests/test_belief_ages.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_belief_ages.py
@@ -6,7 +6,12 @@
 from ruddersaddle_serving.kept_parts import FOLLOW_WAIT_S
 from ruddersaddle_serving.neighbours import ASK_PAUSE_S, LOOK_S, OLD_S
 from ruddersaddle_serving.part_relays import ASK_PAUSE_S as PARTS_ASK_PAUSE_S
-from ruddersaddle_serving.store_followers import FALLBACK_S, OPERATOR_WAIT_S
+from ruddersaddle_serving.store_followers import (
+    CRASH_FALLBACK_S,
+    CRASH_WAIT_S,
+    FALLBACK_S,
+    OPERATOR_WAIT_S,
+)
 from ruddersaddle_serving.upstream_lists import CERTAIN_S
 
 WAY_S = 0.1
@@ -22,6 +27,10 @@
     def test_store_is_not_asked_by_hosts_that_hear_of_others(self) -> None:
         self.assertGreater(FALLBACK_S, HEARD_AGE_S)
 
+    def test_store_is_not_asked_for_crash_records_by_hosts_that_hear_of_others(self) -> None:
+        heard_age_s = 2 * CRASH_WAIT_S + WAY_S + ASK_PAUSE_S + LOOK_S
+        self.assertGreater(CRASH_FALLBACK_S, heard_age_s)
+
     def test_reader_that_the_store_answers_asks_no_other(self) -> None:
         self.assertGreater(OLD_S, READER_AGE_S)
 
