--- a/libs/serving/ruddersaddle_serving/tests/test_crash_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_replays.py
@@ -28,7 +28,7 @@
     memory_tokens=149_281,
     tokens_s=60_000.0,
     length_s=11.0,
-    crowd=(0.0, 20.0, 1.7),
+    crowd=(0.0, 20.0, 2.1),
 )
 CRASHES = Crashes((3.0, 5.5))
 CALM = (1.0, 3.0)
