Neighbours: the list of hosts has a module of its own

No logic changes. Tests of host lists, hosts, relays and ages of beliefs pass; the whole script runs next.

--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/host_lists.py
@@ -0,0 +1,138 @@
+"""Keeps the list of hosts: registers this host, reads the list where it is to, and restores it."""
+
+import logging
+import random
+from collections.abc import Callable
+
+import eventlet
+import msgspec
+from ruddersaddle_base import clocks
+from ruddersaddle_base.codecs import decode_json
+from ruddersaddle_base.failures import Failure, Step
+from ruddersaddle_base.ids import HostId
+
+from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.ports import START, MetadataStore, Page, Record, StorePosition, Topic
+from ruddersaddle_serving.tasks import spawn_forever
+
+logger = logging.getLogger(__name__)
+
+HOSTS_LOOK_S = 1.0
+"""Pause of a host that does not read the list, or failed to, with as much again drawn at random."""
+HOSTS_READ_S = 12.0
+"""Pause of a reader between reads of the list of hosts; a new host makes itself known by asking as
+well."""
+SETTLE_S = 15.0
+"""A host that is alone on the list looks again soon for this long after its start."""
+RESTORE_S = 1.0
+"""Pause between readers that write hosts again after the store's return; one call does it."""
+
+
+class HostList:
+    """The list of hosts as the store has it; `hosts` is what this host knows of it."""
+
+    def __init__(self, hosts: Hosts, store: MetadataStore) -> None:
+        self.hosts = hosts
+        self.store = store
+        self.is_old = False
+        """Whether another host knows a newer list."""
+        self.listeners: list[Callable[[], None]] = []
+        """Called at once with each list that was taken."""
+        self._era: int | None = None
+        """Era of the store that the list was last read in."""
+
+    def start(self) -> None:
+        """Start the task."""
+        spawn_forever("hosts", self._follow)
+
+    def _follow(self) -> None:
+        registered = False
+        settled_at = clocks.now_s() + SETTLE_S
+        while True:
+            if not registered:
+                record = msgspec.json.encode(self.hosts.own)
+                failure = self.store.put(Topic.HOSTS, self.hosts.own_id, record)
+                registered = failure is None
+            if self.hosts.by_id and not self.hosts.is_reader():
+                # A reader tells the list with its news.
+                eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
+                continue
+            page = self.store.newest(Topic.HOSTS)
+            if isinstance(page, Failure):
+                logger.info("List of hosts can't be read. %s", page.detail)
+                eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
+                continue
+            self.take_page(page)
+            # At a common start the first to read the list find nobody on it yet.
+            is_settled = self.hosts.by_id or clocks.now_s() > settled_at
+            pause_s = HOSTS_READ_S if is_settled else HOSTS_LOOK_S
+            self._pause(pause_s * (0.75 + 0.5 * random.random()))
+
+    def _pause(self, seconds: float) -> None:
+        """Wait until the list is to be read again.
+
+        That is soon where another host knows a newer one, and in a new era of the store.
+        """
+        until = clocks.now_s() + seconds
+        while clocks.now_s() < until and not self.is_old:
+            if self._era != self.store.eras.newest:
+                return
+            eventlet.sleep(min(HOSTS_LOOK_S, max(0.0, until - clocks.now_s())))
+
+    def take_page(self, page: Page) -> None:
+        """Take the list that the store has; write again what it has lost with its return."""
+        listed = _decode_hosts(page.records)
+        is_return = self._era not in (None, page.end.era)
+        self._era = page.end.era
+        if is_return:
+            known = self.hosts.all_by_id()
+            missing = {host: each for host, each in known.items() if host not in listed}
+            listed |= missing
+            eventlet.spawn(self._restore, missing, RESTORE_S * self.hosts.reader_rank())
+        self.is_old = False
+        self.take(listed, page.end)
+
+    def _restore(self, missing: dict[HostId, HostRecord], delay_s: float) -> None:
+        """Write hosts that the store lacks; a reader looks first whether one before it has."""
+        eventlet.sleep(delay_s)
+        while missing:
+            page = self.store.newest(Topic.HOSTS)
+            if not isinstance(page, Failure):
+                listed = _decode_hosts(page.records)
+                missing = {host: each for host, each in missing.items() if host not in listed}
+                values = {host: msgspec.json.encode(each) for host, each in missing.items()}
+                if not missing or self.store.put_all(Topic.HOSTS, values) is None:
+                    logger.info("Hosts written again: %s.", ", ".join(sorted(missing)) or "none")
+                    return
+            eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
+
+    def take(self, records: dict[HostId, HostRecord], position: StorePosition = START) -> None:
+        """Take a list as of a position, from the store or from another host."""
+        if self.hosts.replace(records, position):
+            logger.info("Hosts: %s.", ", ".join(sorted(self.hosts.by_id)))
+        for listener in self.listeners:
+            listener()
+
+    def note_asker(self, position: StorePosition) -> None:
+        """Take which list a host that asks this one knows; a newer one is read soon."""
+        self.is_old = self.is_old or position > self.hosts.position
+
+    def leave(self) -> None:
+        """Take this host off the list, at its planned stop."""
+        failure = self.store.put(Topic.HOSTS, self.hosts.own_id, None)
+        if failure is not None:
+            logger.info("Host was not taken off the list. %s", failure.detail)
+
+
+def _decode_hosts(records: tuple[Record, ...]) -> dict[HostId, HostRecord]:
+    """Return the hosts of the list; a record that can't be read is left out with a line."""
+    found = {}
+    for record in records:
+        if not record.value:
+            continue
+        host = decode_json(record.value, HostRecord, Step.READ, record.key)
+        if isinstance(host, Failure):
+            logger.error("Record of host %s is unreadable. %s", record.key, host.detail)
+            continue
+        found[HostId(record.key)] = host
+    return found
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -2,20 +2,18 @@
 
 import logging
 import random
-from collections.abc import Callable
 
 import eventlet
-import msgspec
 from eventlet.queue import LightQueue
 from ruddersaddle_base import clocks
-from ruddersaddle_base.codecs import decode_json
-from ruddersaddle_base.failures import Failure, Step
-from ruddersaddle_base.ids import HallId, HostId, StoreId
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import HallId, StoreId
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_shares import OUT_MAX, CrashNews, CrashShares
-from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.host_lists import HostList
+from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
 from ruddersaddle_serving.neighbour_messages import (
@@ -31,13 +29,9 @@
 from ruddersaddle_serving.part_news import AskParts, StoreLost, tell_parts
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import (
-    START,
     MetadataStore,
     ModelVersion,
-    Page,
-    Record,
     StorePosition,
-    Topic,
 )
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.store_eras import UNTOLD
@@ -58,13 +52,6 @@
 confirms beliefs well within the shortest bound on them (2 s)."""
 LOOK_S = 0.2
 """Pause between looks at the age of beliefs; well below `ASK_PAUSE_S`."""
-HOSTS_LOOK_S = 1.0
-"""Pause of a host that does not read the list, or failed to, with as much again drawn at random."""
-HOSTS_READ_S = 12.0
-"""Pause of a reader between reads of the list of hosts; a new host makes itself known by asking as
-well."""
-SETTLE_S = 15.0
-"""A host that is alone on the list looks again soon for this long after its start."""
 CHECK_PAUSE_S = 1.0
 """Pause between looks at the connections to peers, one at a look: each of nine hosts finds a silent
 one within 8 s. Asking all of them each second would be 72 messages a second on every host."""
@@ -72,8 +59,6 @@
 """Longest wait of a starting host for others: the list of hosts comes in milliseconds, and what is
 on it is asked at the same time. Beside other work a longer one had callers refused for a second."""
 START_LOOK_S = 0.02
-RESTORE_S = 1.0
-"""Pause between readers that write hosts again after the store's return; one call does it."""
 START_ASKS = 3
 """Hosts that a starting host asks beside the readers: after a compaction the store's answers may
 lag, and a peer may know a newer configuration."""
@@ -100,26 +85,22 @@
         self.trackers = trackers
         self.kept = kept
         self.peers = Peers(self.address, self._answer, NeighbourMessage)
+        self.list = HostList(hosts, store)
+        self.list.listeners.append(lambda: self.peers.keep_only(set(hosts.addresses())))
         self.loads = LoadShares(hosts, self.peers, trackers)
         self.crashes = CrashShares(hosts, self.peers, store, crashes)
         self._revision_by_address: dict[str, int] = {}
         self._crashes_revision_by_address: dict[str, int] = {}
         self._asked_at = float("-inf")
-        self._hosts_era: int | None = None
-        """Era of the store that the list of hosts was last read in."""
-        self._is_list_old = False
-        """Whether another host knows a newer list of hosts."""
         self._seen = (0, 0)
         self.news_at = 0.0
         """When the last word of an engine being loaded came."""
-        self.host_listeners: list[Callable[[], None]] = []
-        """Called at once when the list of hosts has changed."""
 
     def start(self) -> None:
         """Listen, make this host known, and keep beliefs young."""
         self.publications.held_until = clocks.now_s() + START_HOLD_S
         self.peers.start()
-        spawn_forever("hosts", self._follow_hosts)
+        self.list.start()
         spawn_forever("beliefs", self._keep_young)
         spawn_forever("checks", self._check_connections)
         self.loads.start()
@@ -130,84 +111,6 @@
         """Addresses of the hosts that are not known to be silent, this one among them."""
         return [record.address for record in self.hosts.live()]
 
-    # The list of hosts
-
-    def _follow_hosts(self) -> None:
-        registered = False
-        settled_at = clocks.now_s() + SETTLE_S
-        while True:
-            if not registered:
-                record = msgspec.json.encode(self.hosts.own)
-                failure = self.store.put(Topic.HOSTS, self.hosts.own_id, record)
-                registered = failure is None
-            if self.hosts.by_id and not self.hosts.is_reader():
-                # A reader tells the list with its news.
-                eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
-                continue
-            page = self.store.newest(Topic.HOSTS)
-            if isinstance(page, Failure):
-                logger.info("List of hosts can't be read. %s", page.detail)
-                eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
-                continue
-            self._take_list(page)
-            # At a common start the first to read the list find nobody on it yet.
-            is_settled = self.hosts.by_id or clocks.now_s() > settled_at
-            pause_s = HOSTS_READ_S if is_settled else HOSTS_LOOK_S
-            self._pause(pause_s * (0.75 + 0.5 * random.random()))
-
-    def _pause(self, seconds: float) -> None:
-        """Wait until the list is to be read again.
-
-        That is soon where another host knows a newer one, and in a new era of the store.
-        """
-        until = clocks.now_s() + seconds
-        while clocks.now_s() < until and not self._is_list_old:
-            if self._hosts_era != self.store.eras.newest:
-                return
-            eventlet.sleep(min(HOSTS_LOOK_S, max(0.0, until - clocks.now_s())))
-
-    def _take_list(self, page: Page) -> None:
-        """Take the list that the store has; write again what it has lost with its return."""
-        listed = _decode_hosts(page.records)
-        is_return = self._hosts_era not in (None, page.end.era)
-        self._hosts_era = page.end.era
-        if is_return:
-            known = self.hosts.all_by_id()
-            missing = {host: each for host, each in known.items() if host not in listed}
-            listed |= missing
-            eventlet.spawn(self._restore, missing, RESTORE_S * self.hosts.reader_rank())
-        self._is_list_old = False
-        self._take_hosts(listed, page.end)
-
-    def _restore(self, missing: dict[HostId, HostRecord], delay_s: float) -> None:
-        """Write hosts that the store lacks; a reader looks first whether one before it has."""
-        eventlet.sleep(delay_s)
-        while missing:
-            page = self.store.newest(Topic.HOSTS)
-            if not isinstance(page, Failure):
-                listed = _decode_hosts(page.records)
-                missing = {host: each for host, each in missing.items() if host not in listed}
-                values = {host: msgspec.json.encode(each) for host, each in missing.items()}
-                if not missing or self.store.put_all(Topic.HOSTS, values) is None:
-                    logger.info("Hosts written again: %s.", ", ".join(sorted(missing)) or "none")
-                    return
-            eventlet.sleep(HOSTS_LOOK_S * (1 + random.random()))
-
-    def _take_hosts(
-        self, records: dict[HostId, HostRecord], position: StorePosition = START
-    ) -> None:
-        if self.hosts.replace(records, position):
-            logger.info("Hosts: %s.", ", ".join(sorted(self.hosts.by_id)))
-        self.peers.keep_only(set(self.hosts.addresses()))
-        for listener in self.host_listeners:
-            listener()
-
-    def leave(self) -> None:
-        """Take this host off the list, at its planned stop."""
-        failure = self.store.put(Topic.HOSTS, self.hosts.own_id, None)
-        if failure is not None:
-            logger.info("Host was not taken off the list. %s", failure.detail)
-
     # Beliefs
 
     def _ask_at_start(self) -> None:
@@ -325,7 +228,7 @@
             self._take_evacuations(news.evacuated, end)
             self.publications.confirm(asked_at - news.age_s, end)
         if news.hosts is not None:
-            self._take_hosts(news.hosts, news.hosts_position)
+            self.list.take(news.hosts, news.hosts_position)
         self._take_crashes(news, asked_at)
         # What is cold is taken before the entries, so that none of them is ever thought warm.
         self.upstreams.cold.take_all(news.cold)
@@ -378,7 +281,7 @@
         self.hosts.note_heard(question.record.address)
         self.hosts.add(question.host, question.record)
         hosts = self.hosts
-        self._is_list_old = self._is_list_old or question.hosts_position > hosts.position
+        self.list.note_asker(question.hosts_position)
         publications = self.publications
         upstreams = self.upstreams
         table = publications.table
@@ -469,17 +372,3 @@
 def place_in_line(duty: str, neighbours: Neighbours) -> int:
     """Return this host's place among the live ones for a duty; 0 comes first."""
     return rank_names(duty, neighbours.live_hosts).index(neighbours.address)
-
-
-def _decode_hosts(records: tuple[Record, ...]) -> dict[HostId, HostRecord]:
-    """Return the hosts of the list; a record that can't be read is left out with a line."""
-    found = {}
-    for record in records:
-        if not record.value:
-            continue
-        host = decode_json(record.value, HostRecord, Step.READ, record.key)
-        if isinstance(host, Failure):
-            logger.error("Record of host %s is unreadable. %s", record.key, host.detail)
-            continue
-        found[HostId(record.key)] = host
-    return found
--- a/libs/serving/ruddersaddle_serving/part_relays.py
+++ b/libs/serving/ruddersaddle_serving/part_relays.py
@@ -35,7 +35,7 @@
         self.kept.tell_lost = self.neighbours.tell_store_lost
         # Waiting for the next look instead, hosts that had all been lost fetched nothing for their
         # first second, and read 140,000 of 300,000 tokens of a day again in it.
-        self.neighbours.host_listeners.append(self.kept.start_followers)
+        self.neighbours.list.listeners.append(self.kept.start_followers)
         spawn_forever("parts", self._run)
 
     def watches(self, spec: ContextStore) -> bool:
