Cold shares: one host alone keeps bounds over 64 a second; a refusal tells since when halls are evacuated

Cause: 64 moments of sends were kept, so that a host that alone may send more than that to a cold upstream in a second was never stopped (400 allowed: no bound). Found reading the change again. The test asks for 400 and fails with 64 (it sends until its own limit of 10,000).

--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -118,10 +118,13 @@
     def _open_trackers(self, pool: PoolId, excluded: set[UpstreamId]) -> list[Tracker] | Failure:
         """Return the upstreams that a request may be sent to now, or why there is none."""
         entries = self.upstreams.of_pool(pool)
-        is_evacuated = self.publications.evacuations.is_in_force
-        served = [entry for entry in entries if not is_evacuated(entry.hall)]
+        evacuations = self.publications.evacuations
+        served = [entry for entry in entries if not evacuations.is_in_force(entry.hall)]
         if entries and not served:
-            detail = f"the halls of all {len(entries)} upstreams are evacuated"
+            known_s = min(evacuations.age_s(entry.hall) for entry in entries)
+            detail = (
+                f"the halls of all {len(entries)} upstreams are evacuated, since {known_s:.1f} s"
+            )
             return Failure(
                 Code.EVACUATED, Step.ADMIT, pool, detail, retry_after_s=RETRY_EVACUATED_S
             )
--- a/libs/serving/ruddersaddle_serving/tests/test_cold_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_cold_shares.py
@@ -133,6 +133,12 @@
         self.now += JOIN_S
         self.assertEqual(fleet.send(), 18)
 
+    def test_one_host_alone_keeps_a_large_bound(self) -> None:
+        fleet = Fleet(400.0, {"host-0": ["host-0"]})
+        self.now += JOIN_S
+        fleet.turn_cold()
+        self.assertEqual(fleet.send(), 400)
+
     def test_what_left_before_it_turned_cold_counts(self) -> None:
         fleet = Fleet(18.0, {"host-0": ["host-0"]})
         self.now += JOIN_S
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -29,8 +29,9 @@
 OFF_AFTER_CONNECT_S = 0.5
 """An upstream that took no connection is left out this long, then twice as long each time."""
 OFF_MAX_S = 4.0
-SENDS_MAX = 64
-"""Moments of sends that are kept for each upstream; a cold one bears fewer in a second."""
+SENDS_MAX = 1024
+"""Moments of sends that are kept for each upstream; what a host may send to a cold one in a second
+is less."""
 SAME_LIST_S = 0.5
 """Two upstreams at one address that became known within this time may stand in the first list that
 a host reads, which doesn't tell the older one."""
