--- a/libs/serving/ruddersaddle_serving/admissions.py
+++ b/libs/serving/ruddersaddle_serving/admissions.py
@@ -32,9 +32,8 @@
 
 JUDGED_AS_COMMON_SHARE = 0.75
 """Share of the requests that are judged as if they were of common size. Whatever the load, what is
-large is let in about this share as often as what is common. With twice the load that engines bear,
-0.66 of a kind were served and 0.56 of its largest tenth, 0.78 and 0.13 without (replays). With 0.6
-long prompts that fill engines' memory fell to 0.45 of their kind's share."""
+large is let in about this share as often as what is common; with less, long prompts that fill
+engines' memory are served under half as often as the others of their kind."""
 
 
 class Standing(msgspec.Struct, frozen=True):
