Limits of upstreams: read from answers, logged, counted; nothing is decided by them yet

What on-call saw: nothing. An upstream's limit in its answers was read nowhere, so that no log line and no metric could tell whether hosts did not know of it, kept to it each alone, or passed it by.

Change: AnswerHead has a typed report of what an answer says of its upstream. A limit that can't be read (no number, negative, not finite) is a failure, never taken for the end of a limit. Hosts tell one another with the notices that they exchange; a line tells when a limit begins and ends, the request whose answer told it, by which host and its age. Gauge ruddersaddle_upstreams_limited.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -84,8 +84,34 @@
         head = self.exchange.read_head(self.wire)
         if isinstance(head, Failure):
             return head
+        if self._is_from_chosen(head):
+            self._take_report(head)
         return self._check(head)
 
+    def _is_from_chosen(self, head: AnswerHead) -> bool:
+        """Return whether the answer is from the upstream that was chosen.
+
+        Another one at its address answers 421.
+        """
+        if head.status == 421:
+            return head.upstream == self.choice.tracker.id
+        return head.upstream in (None, self.choice.tracker.id)
+
+    def _take_report(self, head: AnswerHead) -> None:
+        """Take what the answer says of the upstream itself, and tell other hosts."""
+        limit = head.report.limit_per_s
+        if isinstance(limit, Failure):
+            logger.warning(
+                "Upstream %s names no limit that can be read. %s",
+                self._start,
+                limit.detail,
+                extra={"request": self.request.id},
+            )
+        rate_limit = self.choice.tracker.rate_limit
+        news = rate_limit.after(head.report, self.request.id, is_ordinary=head.has_receipt)
+        if news is not None:
+            self._tell(Progress.REPORTED, limit=news)
+
     def _check(self, head: AnswerHead) -> AnswerHead | Failure:
         """Return the head, or why this answer is not the caller's."""
         if head.not_run:
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -330,6 +330,7 @@
             ("configuration_awaited", "versions that the store lost", self._awaited_count()),
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
             ("upstreams_cold", "upstreams that bear few requests yet", self.cold.count_cold()),
+            ("upstreams_limited", "upstreams that name a limit", self._limited_count()),
             ("upstream_cold_sends", "requests sent to cold upstreams", self.cold.sent),
             ("halls_evacuated", "halls whose upstreams get nothing", self._evacuated_count()),
             ("upstream_entries_unusable", "entries read that name none", self.entries.unusable),
@@ -372,6 +373,9 @@
             return 0
         return max(0, publications.version - publications.stored_version)
 
+    def _limited_count(self) -> int:
+        return sum(each.rate_limit.is_named for each in self.trackers.by_id.values())
+
     def _silent_count(self) -> int:
         return sum(each.is_silent for each in self.trackers.by_id.values())
 
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_self_reports.py
@@ -0,0 +1,49 @@
+"""Tests of what upstreams say of themselves in their answers."""
+
+from ruddersaddle_base.failures import Code, Failure, Step
+from ruddersaddle_base.ids import RequestId
+
+from ruddersaddle_serving.self_reports import (
+    SILENT_REPORT,
+    LimitChange,
+    LimitNews,
+    RateLimit,
+    SelfReport,
+)
+from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
+
+REQUEST = RequestId("q")
+
+
+class RateLimitTest(FixedClockTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.limit = RateLimit()
+
+    def hear(self, report: SelfReport, is_ordinary: bool = True) -> LimitChange:
+        news = self.limit.after(report, REQUEST, is_ordinary)
+        return LimitChange.NONE if news is None else self.limit.take(news)
+
+    def test_limit_begins_and_ends_with_what_ordinary_answers_say(self) -> None:
+        self.assertIs(self.hear(SILENT_REPORT), LimitChange.NONE)
+        self.assertIs(self.hear(SelfReport(2.1)), LimitChange.BEGUN)
+        self.assertIs(self.hear(SelfReport(0.0)), LimitChange.NONE)
+        self.assertIs(self.hear(SILENT_REPORT, is_ordinary=False), LimitChange.NONE)
+        self.assertIs(self.hear(SILENT_REPORT), LimitChange.ENDED)
+        self.assertFalse(self.limit.is_named)
+
+    def test_unreadable_limit_changes_nothing(self) -> None:
+        unreadable = SelfReport(Failure(Code.CORRUPT, Step.READ, "upstream", "limit 'x'"))
+        self.hear(SelfReport(2.1))
+        self.assertIs(self.hear(unreadable), LimitChange.NONE)
+        self.assertTrue(self.limit.is_named)
+
+    def test_older_word_of_another_host_changes_nothing(self) -> None:
+        self.hear(SelfReport(2.1))
+        self.now += 1.0
+        self.hear(SILENT_REPORT)
+        self.assertIs(self.limit.take(LimitNews(2.1, False, REQUEST, 0.5)), LimitChange.NONE)
+        self.assertIs(self.limit.take(LimitNews(2.1, False, REQUEST)), LimitChange.BEGUN)
+
+    def test_end_of_a_limit_that_was_never_heard_of_is_no_news(self) -> None:
+        self.assertIs(self.limit.take(LimitNews(2.1, True, REQUEST)), LimitChange.NONE)
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -13,6 +13,7 @@
 from ruddersaddle_serving.paces import Pace
 from ruddersaddle_serving.prompts import Part
 from ruddersaddle_serving.routes import RouteTable
+from ruddersaddle_serving.self_reports import LimitChange, LimitNews, RateLimit
 from ruddersaddle_serving.silences import TOLD_TRUST_S, Silence
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
@@ -48,6 +49,8 @@
     """No request: the upstream answered a probe."""
     REPLACED = 4
     """No request: another upstream answers at its address."""
+    REPORTED = 5
+    """No step of the request: its answer said something of the upstream itself."""
 
 
 class Reach(Enum):
@@ -88,6 +91,8 @@
     """Where it was sent: the time within which something should be heard."""
     born_ms: int | None = None
     """Which start of the upstream it concerns; None where that is not told."""
+    limit: LimitNews | None = None
+    """What an answer said of the upstream's limit."""
 
 
 class RecentSends:
@@ -119,6 +124,7 @@
         """The holder of the lease has it load weights until then, on the steady clock."""
         self.silence = Silence()
         self.sends = RecentSends()
+        self.rate_limit = RateLimit()
         self._failing = 0.0
         self._noted_at = clocks.now_s()
         self._told_failing = 0.0
@@ -221,6 +227,8 @@
                 self.silence.note_heard(now)
             case Progress.REPLACED:
                 self.note_replaced()
+            case Progress.REPORTED:
+                self.take_limit(notice.limit, host)
 
     def _add_load(self, number: tuple[str, int], assignment: Assignment) -> None:
         self.memory.use(assignment.salt, assignment.parts)
@@ -235,6 +243,22 @@
             assignment.parts,
         )
 
+    def take_limit(self, news: LimitNews | None, teller: str) -> None:
+        """Take what the upstream said of its limit to a host, `teller`."""
+        change = LimitChange.NONE if news is None else self.rate_limit.take(news)
+        if change is not LimitChange.NONE:
+            logger.info(
+                "Limit of upstream %s has %s: %.2f requests a second.",
+                self.entry.start,
+                change.value,
+                news.per_s,
+                extra={
+                    "request": news.request,
+                    "told_by": teller,
+                    "told_age_ms": round(news.age_s * 1000),
+                },
+            )
+
     def _note_reach(self, number: tuple[str, int], reach: Reach, now: float) -> None:
         match reach:
             case Reach.ANSWERED:
