Limits of upstreams are kept by all hosts together

What callers saw: little; the upstreams in need did. Two engines that had named a limit of about two requests a second got 42 and 47 requests in 4 s from hosts that had been told (18 and 16 allowed).

Cause: what an upstream says of itself in an answer was dropped at the boundary.

Change: what a limit allows is shared out like what a cold upstream bears, by rendezvous hashing over the list of hosts, and looked at when a request is chosen for and again right before it leaves, so that what was chosen before an answer, tried again or resumed counts too. Of cold and limited the lower holds. A host that is not told directly hears of it with the notices of few hosts or the sums of many. An ordinary answer without the header ends it; the load then doubles each half second. A limit that nobody has heard of for 4 s is given up the same way, since one that gets nothing can't say that its need is over; a limit under 0.25 a second counts as 0.25 for the same reason. Limits belong to a start and outlast an entry that goes and comes back. ColdShares is UpstreamShares now.

Why it works: shares add up to the limit whatever hosts hear of one another; lists that differ were covered for cold upstreams already, and the slack of the bound (1.5 times, and 5) is left to them.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -21,7 +21,6 @@
 from ruddersaddle_serving.caller_listeners import LastingListener, find_room
 from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_MAX, CallerProtocol
-from ruddersaddle_serving.cold_shares import ColdShares
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.fence_leases import FenceLease
@@ -61,6 +60,7 @@
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_shares import UpstreamShares
 from ruddersaddle_serving.weight_rollouts import WeightRollouts
 
 logger = logging.getLogger(__name__)
@@ -118,7 +118,7 @@
         self.entries = UpstreamFollower(store, self.link, self.upstreams)
         self.trackers = Trackers()
         self.hosts = self._make_hosts(settings)
-        self.cold = ColdShares(self.hosts, self.publications, self.upstreams)
+        self.shares = UpstreamShares(self.hosts, self.publications, self.upstreams)
         self.kept = KeptParts(engines)
         self.budget = RetryBudget(settings.number("bounds.retry_share") * BUDGET_SHARE)
         self.publications.listeners += [self.trackers.take_table, self.kept.take_table]
@@ -184,7 +184,7 @@
             self.upstreams,
             self.trackers,
             self.kept,
-            self.cold,
+            self.shares,
         )
         self.forwarder = Forwarder(
             placement,
@@ -329,9 +329,10 @@
             ("store_returns", "its returns from a copy", self.store.eras.returns),
             ("configuration_awaited", "versions that the store lost", self._awaited_count()),
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
-            ("upstreams_cold", "upstreams that bear few requests yet", self.cold.count_cold()),
+            ("upstreams_cold", "upstreams that bear few requests yet", self.shares.count_cold()),
             ("upstreams_limited", "upstreams that name a limit", self._limited_count()),
-            ("upstream_cold_sends", "requests sent to cold upstreams", self.cold.sent),
+            ("upstream_cold_sends", "requests sent to cold upstreams", self.shares.cold_sent),
+            ("upstream_limited_sends", "requests sent to limited ones", self.shares.limited_sent),
             ("halls_evacuated", "halls whose upstreams get nothing", self._evacuated_count()),
             ("upstream_entries_unusable", "entries read that name none", self.entries.unusable),
             ("upstream_connections_opened", "connections opened", opened),
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -208,7 +208,7 @@
         tracker = self.attempt.choice.tracker
         upstream = tracker.id
         self._excluded.add(upstream)
-        self.forwarder.placement.cold.note_sent(tracker)
+        self.forwarder.placement.shares.note_sent(tracker)
         head = self.attempt.open()
         if isinstance(head, Failure):
             refused = head.ran is Ran.NOT_RUN
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -16,6 +16,7 @@
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.paces import START_S, Pace
 from ruddersaddle_serving.peers import Peers
+from ruddersaddle_serving.self_reports import LimitNews
 from ruddersaddle_serving.silences import Silence
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Tracker, Trackers
@@ -70,6 +71,8 @@
     """Which start of it this is; None where that is not told."""
     start_ms: float = START_S * 1000
     """Time that first events take beside reading."""
+    limit: LimitNews | None = None
+    """What is known of the limit that it names."""
 
 
 class LoadSums(msgspec.Struct, frozen=True, tag="load_sums"):
@@ -176,6 +179,7 @@
                 _take_silence(tracker.silence, source, told)
                 if told.is_replaced:
                     tracker.note_replaced()
+                tracker.take_limit(told.limit, message.address)
                 if message.is_total:
                     tracker.load.run_s = told.run_ms / 1000
                     tracker.load.memory_run_s = told.memory_run_ms / 1000
@@ -200,6 +204,7 @@
         is_replaced=tracker.is_replaced,
         born_ms=tracker.entry.born_ms,
         start_ms=round(1000 * tracker.load.pace.start_s),
+        limit=tracker.rate_limit.news(),
     )
 
 
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -8,7 +8,6 @@
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, UpstreamId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.cold_shares import ColdShares
 from ruddersaddle_serving.kept_parts import KeptParts
 from ruddersaddle_serving.ports import Transfer
 from ruddersaddle_serving.prompts import CallerRequest, Prompt
@@ -17,6 +16,7 @@
 from ruddersaddle_serving.routes import Route
 from ruddersaddle_serving.trackers import Assignment, Tracker, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_shares import UpstreamShares
 from ruddersaddle_serving.weighings import Estimate, Weighing
 
 CANDIDATES_MAX = 8
@@ -73,7 +73,7 @@
         upstreams: UpstreamList,
         trackers: Trackers,
         kept: KeptParts,
-        cold: ColdShares,
+        shares: UpstreamShares,
     ) -> None:
         self.hall = hall
         self.version_bound_s = version_bound_s
@@ -81,7 +81,7 @@
         self.upstreams = upstreams
         self.trackers = trackers
         self.kept = kept
-        self.cold = cold
+        self.shares = shares
         self.belief_lag_s: Callable[[], float] = lambda: 0.0
         """How old what this host knows of others' requests is, in seconds."""
         self.admitted_sizes = SizesByRoute()
@@ -130,10 +130,17 @@
             )
         trackers = [self.trackers.at(entry) for entry in served]
         left = [tracker for tracker in trackers if tracker.id not in excluded]
-        open_trackers = [tracker for tracker in left if self.cold.may_send(tracker)]
+        open_trackers = [tracker for tracker in left if self.shares.may_send(tracker)]
         if open_trackers:
             return open_trackers
-        detail = f"{len(trackers)} upstreams, {len(excluded)} tried, {len(left)} cold"
+        limited = sum(tracker.rate_limit.bound_per_s() is not None for tracker in left)
+        counts = {
+            "upstreams": len(trackers),
+            "tried": len(excluded),
+            "cold": len(left) - limited,
+            "at their limit": limited,
+        }
+        detail = ", ".join(f"{count} {word}" for word, count in counts.items() if count)
         return Failure(Code.NO_UPSTREAM, Step.ADMIT, pool, detail, retry_after_s=RETRY_SOON_S)
 
     def check_open(self, tracker: Tracker) -> Failure | None:
@@ -141,8 +148,8 @@
         hall = tracker.entry.hall
         if self.publications.evacuations.is_in_force(hall):
             detail = f"hall {hall} was evacuated meanwhile"
-        elif not self.cold.may_send(tracker):
-            detail = "it is cold, and what this host may send to it was sent meanwhile"
+        elif not self.shares.may_send(tracker):
+            detail = "it is cold or limited, and this host's share was sent meanwhile"
         else:
             return None
         return Failure(Code.NO_UPSTREAM, Step.SEND, tracker.id, detail, retry_after_s=RETRY_SOON_S)
--- a/libs/serving/ruddersaddle_serving/self_reports.py
+++ b/libs/serving/ruddersaddle_serving/self_reports.py
@@ -22,6 +22,17 @@
 
 SILENT_REPORT = SelfReport()
 """An answer that says nothing of its upstream."""
+LEAST_PER_S = 0.25
+"""A lower limit counts as this many requests a second: without any, nobody would hear its end."""
+TRUST_S = 4.0
+"""A limit that no answer has named for this long is given up, like one that has ended."""
+DOUBLING_S = 0.5
+"""Once a limit has ended, what the upstream gets doubles in this time, so that hosts don't all come
+back at the same moment."""
+DOUBLINGS_MAX = 8
+"""After so many, the limit is over."""
+TOLD_S = 10.0
+"""Hosts tell one another of a limit for this long after it was last heard of."""
 
 
 class LimitNews(msgspec.Struct, frozen=True, array_like=True):
@@ -56,6 +67,26 @@
         """Whether the upstream named a limit when it was last heard of."""
         return self._news is not None and not self._news.ended
 
+    def bound_per_s(self) -> float | None:
+        """Return what the upstream takes a second of all hosts now; None where nothing bounds it.
+
+        One that nobody sends to can't say that its need is over, so that an old word counts less.
+        """
+        if self._news is None:
+            return None
+        until = self._heard_at if self._news.ended else self._heard_at + TRUST_S
+        doublings = max(0.0, (clocks.now_s() - until) / DOUBLING_S)
+        if doublings > DOUBLINGS_MAX:
+            return None
+        return max(LEAST_PER_S, self._news.per_s) * 2**doublings
+
+    def news(self) -> LimitNews | None:
+        """Return what other hosts should know; None where nothing was heard lately."""
+        age_s = clocks.now_s() - self._heard_at
+        if self._news is None or age_s > TOLD_S:
+            return None
+        return msgspec.structs.replace(self._news, age_s=age_s)
+
     def take(self, news: LimitNews) -> LimitChange:
         """Take what an answer said; one that came before the latest known changes nothing."""
         heard_at = clocks.now_s() - news.age_s
--- a/libs/serving/ruddersaddle_serving/tests/crash_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/crash_replays.py
@@ -10,7 +10,6 @@
 import msgspec
 from ruddersaddle_base import clocks
 
-from ruddersaddle_serving.cold_shares import JOIN_S
 from ruddersaddle_serving.placements import RETRY_SOON_S, Choice
 from ruddersaddle_serving.routes import Pool, Published
 from ruddersaddle_serving.tests.load_replays import (
@@ -24,6 +23,7 @@
 from ruddersaddle_serving.tests.replay_loads import Load
 from ruddersaddle_serving.trackers import Progress, Reach
 from ruddersaddle_serving.upstream_entries import Heartbeat, UpstreamEntry
+from ruddersaddle_serving.upstream_shares import JOIN_S
 
 REFUSED_S = 0.002
 """Time until a connection is refused, or another start answers that it is not the one."""
--- a/libs/serving/ruddersaddle_serving/tests/load_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/load_replays.py
@@ -17,7 +17,6 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, RequestId, UpstreamId
 
-from ruddersaddle_serving.cold_shares import ColdShares
 from ruddersaddle_serving.forwarders import CONNECTS_MAX
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
@@ -46,6 +45,7 @@
 from ruddersaddle_serving.upstream_connections import CONNECT_S, IDLE_S
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_shares import UpstreamShares
 
 POOL = PoolId("p")
 MODEL = ModelId("m")
@@ -186,7 +186,7 @@
         publications = Publications()
         kept = KeptParts(mock.Mock())
         hall = shares.hosts.own.hall
-        cold = ColdShares(shares.hosts, publications, upstreams)
+        cold = UpstreamShares(shares.hosts, publications, upstreams)
         self.placement = Placement(hall, 12.0, publications, upstreams, trackers, kept, cold)
         self.placement.belief_lag_s = lambda: shares.lag_s
         engines = mock.Mock()
@@ -271,7 +271,7 @@
         if engine.dark and is_new:
             self.replay.after(CONNECT_S, self._fail_to_connect)
             return
-        self.host.placement.cold.note_sent(choice.tracker)
+        self.host.placement.shares.note_sent(choice.tracker)
         engine.take(self)
         number = self.number
         self.replay.after(PATIENCE_S, lambda: self._leave(number))
--- a/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
@@ -2,11 +2,12 @@
 
 import unittest
 
-from ruddersaddle_base.ids import HallId, HostId, PoolId, UpstreamId
+from ruddersaddle_base.ids import HallId, HostId, PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.load_shares import LoadShares, LoadSums, Notices
 from ruddersaddle_serving.prompts import Part, PartId
+from ruddersaddle_serving.self_reports import LimitNews
 from ruddersaddle_serving.tests.engine_waits import wait_s
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Reach, Trackers
@@ -141,6 +142,18 @@
         sound = {shares.trackers.by_id[ENGINE].is_sound for shares in fleet}
         self.assertEqual(sound, {False})
 
+    def test_limit_that_one_host_hears_of_holds_and_ends_on_all(self) -> None:
+        for halls, in_hall in ((2, 3), (3, 8)):
+            _, fleet = make_fleet(halls, in_hall)
+            for ended in (False, True):
+                news = LimitNews(2.1, ended, RequestId("q"))
+                fleet[4].tell(Notice(ENGINE, 1, Progress.REPORTED, limit=news))
+                self.settle(fleet)
+                named = {each.trackers.by_id[ENGINE].rate_limit.is_named for each in fleet}
+                with self.subTest(halls=halls, ended=ended):
+                    self.assertEqual(named, {not ended})
+                self.now += 0.1
+
     def test_engine_that_others_hear_of_is_not_left(self) -> None:
         _, fleet = make_fleet(3, 8)
         for number in range(20):
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -8,7 +8,6 @@
 from ruddersaddle_base.failures import Code, Failure, Ran
 from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, RequestId, UpstreamId
 
-from ruddersaddle_serving.cold_shares import JOIN_S, ColdShares
 from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.kept_parts import KeptParts
@@ -21,10 +20,12 @@
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Part, PartId, Prompt
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Pool, Published, Route, RouteKind, RouteName, Target
+from ruddersaddle_serving.self_reports import LimitNews
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Tracker, Trackers
 from ruddersaddle_serving.upstream_entries import Heartbeat, UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_shares import JOIN_S, UpstreamShares
 
 POOL = PoolId("p")
 MODEL = ModelId("m")
@@ -58,7 +59,7 @@
             self.upstreams,
             self.trackers,
             kept,
-            ColdShares(self.hosts, self.publications, self.upstreams),
+            UpstreamShares(self.hosts, self.publications, self.upstreams),
         )
         self.first, self.second = (self.add(name) for name in ("e-1", "e-2"))
 
@@ -265,19 +266,31 @@
         self.fill(self.second, CAPACITY)
         for _ in range(2):
             self.assertIs(self.choose().tracker, self.first)
-            self.placement.cold.note_sent(self.first)
+            self.placement.shares.note_sent(self.first)
         self.assertIs(self.choose().tracker, self.second)
 
     def test_all_cold_and_no_share_left_is_refused_and_has_not_run(self) -> None:
         for tracker in (self.first, self.second):
             self.turn_cold(tracker)
             for _ in range(2):
-                self.placement.cold.note_sent(tracker)
+                self.placement.shares.note_sent(tracker)
         refusal = self.choose()
         self.assertEqual((refusal.code, refusal.ran), (Code.NO_UPSTREAM, Ran.NOT_RUN))
         self.assertIn("2 cold", refusal.detail)
         self.assertGreater(refusal.retry_after_s, 0)
 
+    def test_engine_at_its_limit_is_left_out_and_its_last_request_held_back(self) -> None:
+        self.fill(self.second, CAPACITY)
+        self.first.rate_limit.take(LimitNews(1.0, False, RequestId("q")))
+        self.assertIs(self.choose().tracker, self.first)
+        self.placement.shares.note_sent(self.first)
+        self.assertIs(self.choose().tracker, self.second)
+        self.assertIn("limited", self.placement.check_open(self.first).detail)
+        for tracker in (self.first, self.second):
+            tracker.rate_limit.take(LimitNews(0.0, False, RequestId("q")))
+            self.placement.shares.note_sent(tracker)
+        self.assertEqual("2 upstreams, 2 at their limit", self.choose().detail)
+
     def test_upstreams_of_an_evacuated_hall_are_left_out(self) -> None:
         entry = msgspec.structs.replace(self.first.entry, id=UpstreamId("e-3"), hall=HallId("g"))
         self.upstreams.put(entry)
@@ -292,7 +305,7 @@
         self.assertIsNone(self.placement.check_open(self.first))
         self.turn_cold(self.first)
         for _ in range(2):
-            self.placement.cold.note_sent(self.first)
+            self.placement.shares.note_sent(self.first)
         self.assertEqual(self.placement.check_open(self.first).ran, Ran.NOT_RUN)
         self.evacuate("h")
         self.assertIn("evacuated", self.placement.check_open(self.second).detail)
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -16,7 +16,7 @@
 from ruddersaddle_serving.self_reports import LimitChange, LimitNews, RateLimit
 from ruddersaddle_serving.silences import TOLD_TRUST_S, Silence
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
-from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
 
 logger = logging.getLogger(__name__)
 
@@ -33,6 +33,8 @@
 SENDS_MAX = 1024
 """Moments of sends that are kept for each upstream; what a host may send to a cold one in a second
 is less."""
+LIMITS_MAX = 1000
+"""Limits that are kept of starts without an entry."""
 SAME_LIST_S = 0.5
 """Two upstreams at one address that became known within this time may stand in the first list that
 a host reads, which doesn't tell the older one."""
@@ -113,7 +115,12 @@
 class Tracker:
     """One upstream as this host's own requests show it."""
 
-    def __init__(self, entry: UpstreamEntry, memory_tokens: int = 0) -> None:
+    def __init__(
+        self,
+        entry: UpstreamEntry,
+        memory_tokens: int = 0,
+        rate_limit: RateLimit | None = None,
+    ) -> None:
         self.entry = entry
         self.connections = UpstreamConnections(entry.address)
         self.in_flight = 0
@@ -124,7 +131,7 @@
         """The holder of the lease has it load weights until then, on the steady clock."""
         self.silence = Silence()
         self.sends = RecentSends()
-        self.rate_limit = RateLimit()
+        self.rate_limit = rate_limit or RateLimit()
         self._failing = 0.0
         self._noted_at = clocks.now_s()
         self._told_failing = 0.0
@@ -287,6 +294,8 @@
 
     def __init__(self) -> None:
         self.by_id: dict[UpstreamId, Tracker] = {}
+        self._limit_by_start: dict[UpstreamStart, RateLimit] = {}
+        """Limits of starts whose entries were taken out, the latest last; entries come back."""
         self._memory_by_pool: dict[PoolId, int] = {}
 
     def take_table(self, table: RouteTable) -> None:
@@ -310,7 +319,8 @@
             # under way there keep the tracker that they began with.
             if tracker is not None:
                 tracker.connections.close()
-            tracker = Tracker(entry, self._memory_tokens(entry))
+            limit = self._limit_by_start.pop(entry.start, None)
+            tracker = Tracker(entry, self._memory_tokens(entry), limit)
             tracker.load.pace = self._usual_pace(entry.pool)
             self._note_predecessors(tracker)
             self.by_id[entry.id] = tracker
@@ -337,7 +347,14 @@
         """Forget upstreams that are gone and have no request under way."""
         for gone in set(self.by_id) - upstreams:
             if not self.by_id[gone].in_flight:
-                self.by_id.pop(gone).connections.close()
+                self._forget(self.by_id.pop(gone))
+
+    def _forget(self, tracker: Tracker) -> None:
+        tracker.connections.close()
+        if tracker.rate_limit.bound_per_s() is not None:
+            self._limit_by_start[tracker.entry.start] = tracker.rate_limit
+        if len(self._limit_by_start) > LIMITS_MAX:
+            del self._limit_by_start[next(iter(self._limit_by_start))]
 
     def close_expired(self) -> None:
         """Close idle connections that are too old."""
--- a/libs/serving/ruddersaddle_serving/cold_shares.py
+++ b/libs/serving/ruddersaddle_serving/upstream_shares.py
@@ -1,11 +1,13 @@
-"""How many requests a second this host may send to a cold upstream.
+"""How many requests a second this host may send to an upstream that bears few.
+
+It is cold, or it names a limit in its answers.
 
 Load pattern: a third of the engines crashes and comes back, empty and cold. What is empty looks
 best to every host; hundreds of hosts send to it at once, it falls over, and starts cold anew. What
-a cold upstream bears is therefore shared out to a few hosts, by rendezvous hashing over the list of
-hosts: hosts agree on it without a message, also those that are cut off from one another, and a host
-that is gone leaves its share unused. Where lists differ for a while, more hosts than that send to
-it; the shares add up to what a cold upstream bears for good, and it falls over well above.
+such an upstream bears is therefore shared out to a few hosts, by rendezvous hashing over the list
+of hosts: hosts agree on it without a message, also those that are cut off from one another, and a
+host that is gone leaves its share unused. Where lists differ for a while, more hosts than that send
+to it; the shares add up to what the upstream bears for good, and it falls over well above.
 """
 
 import math
@@ -29,7 +31,7 @@
 
 
 class Allowance(msgspec.Struct, frozen=True):
-    """What one host may send to one cold upstream: so many requests in so many seconds."""
+    """What one host may send to one upstream: so many requests in so many seconds."""
 
     requests: int
     window_s: float
@@ -39,7 +41,7 @@
 
 
 def share_out(per_s: float, ranked_hosts: list[str], host: str) -> Allowance:
-    """Return a host's share of what a cold upstream bears.
+    """Return a host's share of what an upstream bears.
 
     `ranked_hosts` are all hosts in the order that belongs to the upstream. As many of them as it
     bears requests a second have a share.
@@ -53,15 +55,17 @@
     return Allowance(math.floor(per_s / len(holders)), WINDOW_S)
 
 
-class ColdShares:
-    """Which upstreams are cold, and what this host may send to them."""
+class UpstreamShares:
+    """Which upstreams bear few requests, and what this host may send to them."""
 
     def __init__(self, hosts: Hosts, publications: Publications, upstreams: UpstreamList) -> None:
         self.hosts = hosts
         self.publications = publications
         self.upstreams = upstreams
-        self.sent = 0
+        self.cold_sent = 0
         """Requests that this host sent to cold upstreams."""
+        self.limited_sent = 0
+        """Requests that this host sent to upstreams that named a limit."""
         self._ranked_by_start: dict[UpstreamStart, list[str]] = {}
         self._ranked_digest = 0
         """Digest of the list of hosts that the ranks are of."""
@@ -88,15 +92,25 @@
 
     def may_send(self, tracker: Tracker) -> bool:
         """Return whether this host may send a request to an upstream now."""
-        if not self.is_cold(tracker):
+        per_s = self.bound_per_s(tracker)
+        if per_s is None:
             return True
-        allowance = self._allowance(tracker)
+        allowance = self._allowance(tracker, per_s)
         return tracker.sends.count_since(clocks.now_s() - allowance.window_s) < allowance.requests
 
+    def bound_per_s(self, tracker: Tracker) -> float | None:
+        """Return what an upstream bears a second of all hosts now; None where nothing bounds it."""
+        limit_per_s = tracker.rate_limit.bound_per_s()
+        if not self.is_cold(tracker):
+            return limit_per_s
+        cold_per_s = self._pool(tracker).cold_per_s
+        return cold_per_s if limit_per_s is None else min(cold_per_s, limit_per_s)
+
     def note_sent(self, tracker: Tracker) -> None:
-        """Count a request that leaves for an upstream, warm or cold: it may turn cold at once."""
+        """Count a request that leaves for an upstream, bounded or not: it may be at once."""
         tracker.sends.note(clocks.now_s())
-        self.sent += self.is_cold(tracker)
+        self.cold_sent += self.is_cold(tracker)
+        self.limited_sent += tracker.rate_limit.is_named
 
     def count_cold(self) -> int:
         """Return how many upstreams say that they are cold."""
@@ -106,11 +120,10 @@
         table = self.publications.table
         return None if table is None else table.pool_by_id.get(tracker.entry.pool)
 
-    def _allowance(self, tracker: Tracker) -> Allowance:
+    def _allowance(self, tracker: Tracker, per_s: float) -> Allowance:
         if clocks.now_s() < self.hosts.known_at + JOIN_S:
             return NOTHING
-        ranked = self._rank(tracker.entry.start)
-        return share_out(self._pool(tracker).cold_per_s, ranked, self.hosts.own_id)
+        return share_out(per_s, self._rank(tracker.entry.start), self.hosts.own_id)
 
     def _rank(self, start: UpstreamStart) -> list[str]:
         if self._ranked_digest != self.hosts.digest:
