--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/self_reports.py
@@ -0,0 +1,113 @@
+"""What upstreams say of themselves in their answers, beside what was asked of them.
+
+It holds for one start of an upstream. Hosts tell one another of it, because a host that sends
+nothing to an upstream hears nothing of it either.
+"""
+
+from enum import Enum
+
+import msgspec
+from ruddersaddle_base import clocks
+from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.ids import RequestId
+
+
+class SelfReport(msgspec.Struct, frozen=True):
+    """What one answer says of the upstream that gave it."""
+
+    limit_per_s: float | None | Failure = None
+    """Requests a second that it takes from all hosts together; a failure where that can't be
+    read, None where it names no limit."""
+
+
+SILENT_REPORT = SelfReport()
+"""An answer that says nothing of its upstream."""
+LEAST_PER_S = 0.25
+"""A lower limit counts as this many requests a second: without any, nobody would hear its end."""
+TRUST_S = 4.0
+"""A limit that no answer has named for this long is given up, like one that has ended."""
+DOUBLING_S = 0.5
+"""Once a limit has ended, what the upstream gets doubles in this time, so that hosts don't all come
+back at the same moment."""
+DOUBLINGS_MAX = 8
+"""After so many, the limit is over."""
+TOLD_S = 10.0
+"""Hosts tell one another of a limit for this long after it was last heard of."""
+
+
+class LimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """The latest that is known of an upstream's limit, as hosts tell one another."""
+
+    per_s: float
+    ended: bool
+    """Whether a later answer named none."""
+    request: RequestId
+    """Request whose answer told it."""
+    age_s: float = 0.0
+    """Seconds since the answer came that told it."""
+
+
+class LimitChange(Enum):
+    """What an answer changed about an upstream's limit."""
+
+    NONE = "none"
+    BEGUN = "begun"
+    ENDED = "ended"
+
+
+class RateLimit:
+    """The limit of one start of an upstream; moments are of the steady clock, in seconds."""
+
+    def __init__(self) -> None:
+        self._news: LimitNews | None = None
+        self._heard_at = float("-inf")
+
+    @property
+    def is_named(self) -> bool:
+        """Whether the upstream named a limit when it was last heard of."""
+        return self._news is not None and not self._news.ended
+
+    def bound_per_s(self) -> float | None:
+        """Return what the upstream takes a second of all hosts now; None where nothing bounds it.
+
+        One that nobody sends to can't say that its need is over, so that an old word counts less.
+        """
+        if self._news is None:
+            return None
+        until = self._heard_at if self._news.ended else self._heard_at + TRUST_S
+        doublings = max(0.0, (clocks.now_s() - until) / DOUBLING_S)
+        if doublings > DOUBLINGS_MAX:
+            return None
+        return max(LEAST_PER_S, self._news.per_s) * 2**doublings
+
+    def news(self) -> LimitNews | None:
+        """Return what other hosts should know; None where nothing was heard lately."""
+        age_s = clocks.now_s() - self._heard_at
+        if self._news is None or age_s > TOLD_S:
+            return None
+        return msgspec.structs.replace(self._news, age_s=age_s)
+
+    def take(self, news: LimitNews) -> LimitChange:
+        """Take what an answer said; one that came before the latest known changes nothing."""
+        heard_at = clocks.now_s() - news.age_s
+        if heard_at < self._heard_at or (self._news is None and news.ended):
+            return LimitChange.NONE
+        was_named = self.is_named
+        self._news = news
+        self._heard_at = heard_at
+        if self.is_named == was_named:
+            return LimitChange.NONE
+        return LimitChange.BEGUN if self.is_named else LimitChange.ENDED
+
+    def after(self, report: SelfReport, request: RequestId, is_ordinary: bool) -> LimitNews | None:
+        """Return what the answer to a request tells as it comes; None where that is nothing.
+
+        An answer that names no limit ends one only if it is an ordinary one: refusals and answers
+        that break the protocol may lack it.
+        """
+        match report.limit_per_s:
+            case float(per_s):
+                return LimitNews(per_s, False, request)
+            case None if is_ordinary and self.is_named:
+                return LimitNews(self._news.per_s, True, request)
+        return None
