--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -99,15 +99,32 @@
 
     def _take_report(self, head: AnswerHead) -> None:
         """Take what the answer says of the upstream itself, and tell other hosts."""
+        self._take_limit(head)
+        self._take_leave(head)
+        self._take_rest(head.report.rest_s)
+
+    def _note_report(self, text: str, detail: object, level: int = logging.INFO) -> None:
+        """Log what the answer said of the upstream."""
+        extra = {"request": self.request.id}
+        logger.log(level, "Upstream %s %s %s", self._start, text, detail, extra=extra)
+
+    def _take_leave(self, head: AnswerHead) -> None:
+        reported = self.choice.tracker.reported
+        if head.report.leaving and not reported.is_leaving:
+            reported.is_leaving = True
+            self._note_report("says that it leaves, in an answer of status", head.status)
+
+    def _take_rest(self, rest_s: float | Failure) -> None:
+        if isinstance(rest_s, Failure):
+            self._note_report("asks for rest.", rest_s.detail, logging.WARNING)
+        elif self.choice.tracker.reported.rest(rest_s):
+            self._note_report("wants nothing for so many seconds:", rest_s)
+
+    def _take_limit(self, head: AnswerHead) -> None:
         limit = head.report.limit_per_s
         if isinstance(limit, Failure):
-            logger.warning(
-                "Upstream %s names no limit that can be read. %s",
-                self._start,
-                limit.detail,
-                extra={"request": self.request.id},
-            )
-        rate_limit = self.choice.tracker.rate_limit
+            self._note_report("names a limit.", limit.detail, logging.WARNING)
+        rate_limit = self.choice.tracker.reported.rate_limit
         news = rate_limit.after(head.report, self.request.id, is_ordinary=head.has_receipt)
         if news is not None:
             self._tell(Progress.REPORTED, limit=news)
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -133,7 +133,7 @@
         open_trackers = [tracker for tracker in left if self.shares.may_send(tracker)]
         if open_trackers:
             return open_trackers
-        limited = sum(tracker.rate_limit.bound_per_s() is not None for tracker in left)
+        limited = sum(tracker.reported.rate_limit.bound_per_s() is not None for tracker in left)
         counts = {
             "upstreams": len(trackers),
             "tried": len(excluded),
--- a/libs/serving/ruddersaddle_serving/self_reports.py
+++ b/libs/serving/ruddersaddle_serving/self_reports.py
@@ -18,6 +18,10 @@
     limit_per_s: float | None | Failure = None
     """Requests a second that it takes from all hosts together; a failure where that can't be
     read, None where it names no limit."""
+    leaving: bool = False
+    """Whether it takes no new work any more; it never takes that back within one start."""
+    rest_s: float | Failure = 0.0
+    """For how long it wants nothing from the host that it turned away, in seconds."""
 
 
 SILENT_REPORT = SelfReport()
@@ -111,3 +115,31 @@
             case None if is_ordinary and self.is_named:
                 return LimitNews(self._news.per_s, True, request)
         return None
+
+
+class Reported:
+    """What one start of an upstream has said of itself, for as long as it holds."""
+
+    def __init__(self) -> None:
+        self.rate_limit = RateLimit()
+        self.is_leaving = False
+        self._rests_until = float("-inf")
+
+    @property
+    def rest_s(self) -> float:
+        """Seconds for which it wants nothing more from this host; 0 where it doesn't rest."""
+        return max(0.0, self._rests_until - clocks.now_s())
+
+    @property
+    def is_bounding(self) -> bool:
+        """Whether anything that it said bounds what this host may send."""
+        return self.is_leaving or self.rest_s > 0 or self.rate_limit.bound_per_s() is not None
+
+    def rest(self, rest_s: float) -> bool:
+        """Take that it asks for rest from now on; return whether it did not rest before.
+
+        An answer that asks for less shortens nothing: each answer binds by itself.
+        """
+        begins = rest_s > 0 and self.rest_s <= 0
+        self._rests_until = max(self._rests_until, clocks.now_s() + rest_s)
+        return begins
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -281,13 +281,13 @@
 
     def test_engine_at_its_limit_is_left_out_and_its_last_request_held_back(self) -> None:
         self.fill(self.second, CAPACITY)
-        self.first.rate_limit.take(LimitNews(1.0, False, RequestId("q")))
+        self.first.reported.rate_limit.take(LimitNews(1.0, False, RequestId("q")))
         self.assertIs(self.choose().tracker, self.first)
         self.placement.shares.note_sent(self.first)
         self.assertIs(self.choose().tracker, self.second)
         self.assertIn("limited", self.placement.check_open(self.first).detail)
         for tracker in (self.first, self.second):
-            tracker.rate_limit.take(LimitNews(0.0, False, RequestId("q")))
+            tracker.reported.rate_limit.take(LimitNews(0.0, False, RequestId("q")))
             self.placement.shares.note_sent(tracker)
         self.assertEqual("2 upstreams, 2 at their limit", self.choose().detail)
 
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -13,7 +13,7 @@
 from ruddersaddle_serving.paces import Pace
 from ruddersaddle_serving.prompts import Part
 from ruddersaddle_serving.routes import RouteTable
-from ruddersaddle_serving.self_reports import LimitChange, LimitNews, RateLimit
+from ruddersaddle_serving.self_reports import LimitChange, LimitNews, Reported
 from ruddersaddle_serving.silences import TOLD_TRUST_S, Silence
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
@@ -33,8 +33,8 @@
 SENDS_MAX = 1024
 """Moments of sends that are kept for each upstream; what a host may send to a cold one in a second
 is less."""
-LIMITS_MAX = 1000
-"""Limits that are kept of starts without an entry."""
+REPORTED_MAX = 1000
+"""Starts without an entry of which it is kept what they said of themselves."""
 SAME_LIST_S = 0.5
 """Two upstreams at one address that became known within this time may stand in the first list that
 a host reads, which doesn't tell the older one."""
@@ -119,7 +119,7 @@
         self,
         entry: UpstreamEntry,
         memory_tokens: int = 0,
-        rate_limit: RateLimit | None = None,
+        reported: Reported | None = None,
     ) -> None:
         self.entry = entry
         self.connections = UpstreamConnections(entry.address)
@@ -131,7 +131,7 @@
         """The holder of the lease has it load weights until then, on the steady clock."""
         self.silence = Silence()
         self.sends = RecentSends()
-        self.rate_limit = rate_limit or RateLimit()
+        self.reported = reported or Reported()
         self._failing = 0.0
         self._noted_at = clocks.now_s()
         self._told_failing = 0.0
@@ -252,7 +252,7 @@
 
     def take_limit(self, news: LimitNews | None, teller: str) -> None:
         """Take what the upstream said of its limit to a host, `teller`."""
-        change = LimitChange.NONE if news is None else self.rate_limit.take(news)
+        change = LimitChange.NONE if news is None else self.reported.rate_limit.take(news)
         if change is not LimitChange.NONE:
             logger.info(
                 "Limit of upstream %s has %s: %.2f requests a second.",
@@ -294,8 +294,8 @@
 
     def __init__(self) -> None:
         self.by_id: dict[UpstreamId, Tracker] = {}
-        self._limit_by_start: dict[UpstreamStart, RateLimit] = {}
-        """Limits of starts whose entries were taken out, the latest last; entries come back."""
+        self._reported_by_start: dict[UpstreamStart, Reported] = {}
+        """What starts said whose entries were taken out, the latest last; entries come back."""
         self._memory_by_pool: dict[PoolId, int] = {}
 
     def take_table(self, table: RouteTable) -> None:
@@ -319,8 +319,8 @@
             # under way there keep the tracker that they began with.
             if tracker is not None:
                 tracker.connections.close()
-            limit = self._limit_by_start.pop(entry.start, None)
-            tracker = Tracker(entry, self._memory_tokens(entry), limit)
+            reported = self._reported_by_start.pop(entry.start, None)
+            tracker = Tracker(entry, self._memory_tokens(entry), reported)
             tracker.load.pace = self._usual_pace(entry.pool)
             self._note_predecessors(tracker)
             self.by_id[entry.id] = tracker
@@ -351,10 +351,10 @@
 
     def _forget(self, tracker: Tracker) -> None:
         tracker.connections.close()
-        if tracker.rate_limit.bound_per_s() is not None:
-            self._limit_by_start[tracker.entry.start] = tracker.rate_limit
-        if len(self._limit_by_start) > LIMITS_MAX:
-            del self._limit_by_start[next(iter(self._limit_by_start))]
+        if tracker.reported.is_bounding:
+            self._reported_by_start[tracker.entry.start] = tracker.reported
+        if len(self._reported_by_start) > REPORTED_MAX:
+            del self._reported_by_start[next(iter(self._reported_by_start))]
 
     def close_expired(self) -> None:
         """Close idle connections that are too old."""
--- a/libs/serving/ruddersaddle_serving/upstream_shares.py
+++ b/libs/serving/ruddersaddle_serving/upstream_shares.py
@@ -100,7 +100,7 @@
 
     def bound_per_s(self, tracker: Tracker) -> float | None:
         """Return what an upstream bears a second of all hosts now; None where nothing bounds it."""
-        limit_per_s = tracker.rate_limit.bound_per_s()
+        limit_per_s = tracker.reported.rate_limit.bound_per_s()
         if not self.is_cold(tracker):
             return limit_per_s
         cold_per_s = self._pool(tracker).cold_per_s
@@ -110,7 +110,7 @@
         """Count a request that leaves for an upstream, bounded or not: it may be at once."""
         tracker.sends.note(clocks.now_s())
         self.cold_sent += self.is_cold(tracker)
-        self.limited_sent += tracker.rate_limit.is_named
+        self.limited_sent += tracker.reported.rate_limit.is_named
 
     def count_cold(self) -> int:
         """Return how many upstreams say that they are cold."""
