Leaves told in answers bind every host at once and are never taken back

What callers saw: requests at an engine 12 s after it had said in answers that it leaves; it ends soon, and what runs there then is cut.

Cause: a leave was known from the upstream's entry alone, which needs the store; with the store away for 11 s the entry said ready until its return. What the answers said was dropped at the boundary.

Change: a start that says in an answer that it leaves is remembered in the list of upstreams, by its start. Hosts hear of it with notices, readers pass it on with their lists, and a host that starts hears of it with the first news. No entry that says ready, no list of a peer and no copy of the store brings it back; a later start is not concerned. What was chosen before the answer came is looked at again right before it is sent.

Why it works: the flag goes by the start and outlives the entry, so no path that puts entries back can clear it.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -109,10 +109,8 @@
         logger.log(level, "Upstream %s %s %s", self._start, text, detail, extra=extra)
 
     def _take_leave(self, head: AnswerHead) -> None:
-        reported = self.choice.tracker.reported
-        if head.report.leaving and not reported.is_leaving:
-            reported.is_leaving = True
-            self._note_report("says that it leaves, in an answer of status", head.status)
+        if head.report.leaving:
+            self._tell(Progress.REPORTED, leave_told_to=self.request.id)
 
     def _take_rest(self, rest_s: float | Failure) -> None:
         if isinstance(rest_s, Failure):
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -331,6 +331,7 @@
             ("upstreams", "entries of upstreams", len(self.upstreams.by_id)),
             ("upstreams_cold", "upstreams that bear few requests yet", self.shares.count_cold()),
             ("upstreams_limited", "upstreams that name a limit", self._limited_count()),
+            ("upstreams_leaving", "upstreams that take no new work", self._leaving_count()),
             ("upstreams_resting", "upstreams that want nothing now", self._resting_count()),
             ("upstream_cold_sends", "requests sent to cold upstreams", self.shares.cold_sent),
             ("upstream_limited_sends", "requests sent to limited ones", self.shares.limited_sent),
@@ -378,6 +379,9 @@
     def _resting_count(self) -> int:
         return sum(each.reported.rest_s > 0 for each in self.trackers.by_id.values())
 
+    def _leaving_count(self) -> int:
+        return sum(each.leaving for each in self.upstreams.by_id.values())
+
     def _limited_count(self) -> int:
         return sum(each.reported.rate_limit.is_named for each in self.trackers.by_id.values())
 
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -20,6 +20,8 @@
 from ruddersaddle_serving.silences import Silence
 from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Tracker, Trackers
+from ruddersaddle_serving.upstream_entries import UpstreamStart
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 DIRECT_HOSTS_MAX = 12
 """Up to so many hosts tell one another directly; above, 85 hosts would each get 2,000 messages a
@@ -86,10 +88,13 @@
 class LoadShares:
     """Tells and takes requests at engines."""
 
-    def __init__(self, hosts: Hosts, peers: Peers, trackers: Trackers) -> None:
+    def __init__(
+        self, hosts: Hosts, peers: Peers, trackers: Trackers, upstreams: UpstreamList
+    ) -> None:
         self.hosts = hosts
         self.peers = peers
         self.trackers = trackers
+        self.upstreams = upstreams
         self._unsent: list[Notice] = []
         self._is_scheduled = False
 
@@ -109,9 +114,7 @@
 
     def tell(self, notice: Notice) -> None:
         """Take a step of an own request, and tell it with the next message."""
-        tracker = self.trackers.by_id.get(notice.upstream)
-        if tracker is not None:
-            tracker.take_notice(self.hosts.own.address, notice)
+        self._take_notice(self.hosts.own.address, notice)
         self._unsent.append(notice)
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -131,9 +134,15 @@
     def take_notices(self, message: Notices) -> None:
         """Take the steps of another host's requests."""
         for notice in message.notices:
-            tracker = self.trackers.by_id.get(notice.upstream)
-            if tracker is not None:
-                tracker.take_notice(message.address, notice)
+            self._take_notice(message.address, notice)
+
+    def _take_notice(self, host: str, notice: Notice) -> None:
+        tracker = self.trackers.by_id.get(notice.upstream)
+        if tracker is not None:
+            tracker.take_notice(host, notice)
+        if notice.leave_told_to is not None:
+            start = UpstreamStart(notice.upstream, notice.born_ms)
+            self.upstreams.note_leaving(start, notice.leave_told_to, host)
 
     @property
     def is_summing(self) -> bool:
--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -70,6 +70,8 @@
     """Position of the list that `hosts` is."""
     cold: tuple[ColdStart, ...] = ()
     """Starts of upstreams that are cold."""
+    leaving: tuple[UpstreamStart, ...] = ()
+    """Starts that said in an answer that they leave, whatever their entries say."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -87,7 +87,7 @@
         self.peers = Peers(self.address, self._answer, NeighbourMessage)
         self.list = HostList(hosts, store)
         self.list.listeners.append(lambda: self.peers.keep_only(set(hosts.addresses())))
-        self.loads = LoadShares(hosts, self.peers, trackers)
+        self.loads = LoadShares(hosts, self.peers, trackers, upstreams)
         self.crashes = CrashShares(hosts, self.peers, store, crashes)
         self._revision_by_address: dict[str, int] = {}
         self._crashes_revision_by_address: dict[str, int] = {}
@@ -232,6 +232,7 @@
         self._take_crashes(news, asked_at)
         # What is cold is taken before the entries, so that none of them is ever thought warm.
         self.upstreams.cold.take_all(news.cold)
+        self.upstreams.take_leaving(news.leaving)
         entries_at = asked_at - news.entries_age_s
         if entries_at <= self.upstreams.confirmed_at:
             return
@@ -313,6 +314,7 @@
             crashes_age_s=self.crashes.age_s,
             evacuated=publications.evacuations.in_force(),
             cold=upstreams.cold.current(),
+            leaving=upstreams.leaving(),
         )
 
     def _has_list_for(self, question: AskNews) -> bool:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -146,7 +146,9 @@
     def check_open(self, tracker: Tracker) -> Failure | None:
         """Return why a request may no longer be sent to an upstream that was chosen before."""
         hall = tracker.entry.hall
-        if self.publications.evacuations.is_in_force(hall):
+        if self.upstreams.is_leaving(tracker.entry.start):
+            detail = "it said meanwhile that it leaves"
+        elif self.publications.evacuations.is_in_force(hall):
             detail = f"hall {hall} was evacuated meanwhile"
         elif not self.shares.may_send(tracker):
             detail = "it is cold or limited, and this host's share was sent meanwhile"
--- a/libs/serving/ruddersaddle_serving/self_reports.py
+++ b/libs/serving/ruddersaddle_serving/self_reports.py
@@ -122,7 +122,6 @@
 
     def __init__(self) -> None:
         self.rate_limit = RateLimit()
-        self.is_leaving = False
         self._rests_until = float("-inf")
 
     @property
@@ -133,7 +132,7 @@
     @property
     def is_bounding(self) -> bool:
         """Whether anything that it said bounds what this host may send."""
-        return self.is_leaving or self.rest_s > 0 or self.rate_limit.bound_per_s() is not None
+        return self.rest_s > 0 or self.rate_limit.bound_per_s() is not None
 
     def rest(self, rest_s: float) -> bool:
         """Take that it asks for rest from now on; return whether it did not rest before.
--- a/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_load_shares.py
@@ -11,7 +11,8 @@
 from ruddersaddle_serving.tests.engine_waits import wait_s
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Assignment, Notice, Progress, Reach, Trackers
-from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
+from ruddersaddle_serving.upstream_lists import UpstreamList
 
 ENGINE = UpstreamId("e-1")
 ASSIGNMENT = Assignment("m/1", (Part(PartId("a"), 100),), 0.05, 120, 1)
@@ -52,7 +53,7 @@
     for host, record in records.items():
         hosts = Hosts(host, record, [])
         hosts.replace(records)
-        peers.by_address[record.address] = LoadShares(hosts, peers, make_trackers())
+        peers.by_address[record.address] = LoadShares(hosts, peers, make_trackers(), UpstreamList())
     return peers, list(peers.by_address.values())
 
 
@@ -154,6 +155,16 @@
                     self.assertEqual(named, {not ended})
                 self.now += 0.1
 
+    def test_leave_that_one_host_hears_of_is_known_to_all_of_few_and_to_the_reader(self) -> None:
+        for halls, in_hall, knowing in ((2, 3, 6), (1, 20, 2)):
+            _, fleet = make_fleet(halls, in_hall)
+            teller = next(each for each in fleet if not each.is_summing)
+            teller.tell(Notice(ENGINE, 1, Progress.REPORTED, leave_told_to=RequestId("q")))
+            self.settle(fleet)
+            known = [each for each in fleet if each.upstreams.is_leaving(UpstreamStart(ENGINE))]
+            with self.subTest(hosts=len(fleet)):
+                self.assertEqual(len(known), knowing)
+
     def test_engine_that_others_hear_of_is_not_left(self) -> None:
         _, fleet = make_fleet(3, 8)
         for number in range(20):
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -309,6 +309,8 @@
         self.assertEqual(self.placement.check_open(self.first).ran, Ran.NOT_RUN)
         self.evacuate("h")
         self.assertIn("evacuated", self.placement.check_open(self.second).detail)
+        self.upstreams.note_leaving(self.second.entry.start, RequestId("q"), "host")
+        self.assertIn("leaves", self.placement.check_open(self.second).detail)
 
 
 if __name__ == "__main__":
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -3,7 +3,7 @@
 import unittest
 
 import msgspec
-from ruddersaddle_base.ids import HallId, PoolId, UpstreamId
+from ruddersaddle_base.ids import HallId, PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
@@ -50,6 +50,31 @@
         self.upstreams.put(ENTRY)
         self.assertEqual(self.ids(), [])
 
+    def test_leave_said_in_an_answer_outlasts_entries_that_say_otherwise(self) -> None:
+        ready = msgspec.structs.replace(ENTRY, born_ms=1000)
+        self.upstreams.put(ready)
+        self.upstreams.note_leaving(ready.start, RequestId("q"), "host")
+        self.assertEqual(self.ids(), [])
+        for bring_back in (
+            lambda: self.upstreams.put(ready),
+            lambda: self.upstreams.replace([ready], self.now),
+            lambda: self.upstreams.replace_told([ready], [], self.now),
+            lambda: self.upstreams.drop(ready.id) or self.upstreams.put(ready),
+            lambda: self.upstreams.note_return() or self.upstreams.replace([ready], self.now),
+        ):
+            bring_back()
+            self.assertEqual(self.ids(), [])
+        later = msgspec.structs.replace(ENTRY, born_ms=2000)
+        self.upstreams.put(later)
+        self.assertEqual(self.upstreams.of_pool(ENTRY.pool), [later])
+
+    def test_leave_told_before_its_entry_is_read_counts(self) -> None:
+        started = UpstreamList()
+        self.upstreams.note_leaving(ENTRY.start, RequestId("q"), "host")
+        started.take_leaving(self.upstreams.leaving())
+        started.replace([ENTRY], self.now)
+        self.assertEqual(started.of_pool(ENTRY.pool), [])
+
     def test_next_start_under_the_same_id_is_not_leaving(self) -> None:
         leaving = msgspec.structs.replace(ENTRY, leaving=True, born_ms=1000)
         self.upstreams.put(leaving)
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import PoolId, UpstreamId
+from ruddersaddle_base.ids import PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
 from ruddersaddle_serving.paces import Pace
@@ -95,6 +95,8 @@
     """Which start of the upstream it concerns; None where that is not told."""
     limit: LimitNews | None = None
     """What an answer said of the upstream's limit."""
+    leave_told_to: RequestId | None = None
+    """Request whose answer said that the upstream leaves; None where none did."""
 
 
 class RecentSends:
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import PoolId, UpstreamId
+from ruddersaddle_base.ids import PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.cold_starts import ColdStarts
 from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
@@ -23,9 +23,9 @@
 RETURN_MEMORY_S = 10.0
 """How long after the store's return from a copy a whole list may still name starts that are gone:
 what upstreams don't write again lapses after three reports of silence (3.6 s)."""
-GONE_MAX = 1000
-"""Starts that are remembered as gone; a release of 450 upstreams ends as many."""
-GONE_TOLD_MAX = 50
+REMEMBERED_MAX = 1000
+"""Starts that are remembered as gone, or as leaving; a release of 450 upstreams ends as many."""
+TOLD_MAX = 50
 """Of these as many are told to another host, about 1 KB."""
 CERTAIN_S = 3.0
 """Oldest list that counts as complete; hosts hear of others' reads within 1.9 s."""
@@ -45,6 +45,8 @@
         self._lapse_by_id: dict[UpstreamId, float] = {}
         self._outage_until = 0.0
         self._copy_until = float("-inf")
+        self._leaving: dict[UpstreamStart, None] = {}
+        """Starts that said in an answer that they leave, the latest last."""
         self._gone: dict[UpstreamStart, None] = {}
         """Starts whose entries were taken out, the latest last."""
 
@@ -121,7 +123,7 @@
         self._lapse_by_id.pop(entry.id, None)
         self._gone.pop(entry.start, None)
         is_same = known is not None and not entry.is_later_than(known)
-        if is_same and known.leaving and not entry.leaving:
+        if (is_same and known.leaving) or entry.start in self._leaving:
             # A leave is never taken back within one start of an upstream.
             entry = msgspec.structs.replace(entry, leaving=True)
         self.by_id[entry.id] = entry
@@ -163,18 +165,49 @@
         entry = self.by_id.pop(upstream, None)
         if entry is not None:
             self.revision += 1
-            self._remember_gone(entry.start)
+            _remember(self._gone, entry.start)
             self.cold.keep_only(self.starts())
             logger.info("Upstream %s of %s at %s is gone.", upstream, entry.pool, entry.address)
 
+    def note_leaving(self, start: UpstreamStart, request: RequestId, teller: str) -> None:
+        """Take that a start said that it leaves, in the answer to a request of a host, `teller`.
+
+        Its entry may say otherwise until the store takes its next write.
+        """
+        if start not in self._leaving:
+            extra = {"request": request, "told_by": teller}
+            logger.info("Upstream %s says that it leaves.", start, extra=extra)
+            self.take_leaving([start])
+
+    def take_leaving(self, starts: Iterable[UpstreamStart]) -> None:
+        """Take which starts said that they leave."""
+        for start in starts:
+            if start in self._leaving:
+                continue
+            _remember(self._leaving, start)
+            entry = self.by_id.get(start.id)
+            if entry is not None and entry.start == start:
+                self.put(entry)
+
+    def is_leaving(self, start: UpstreamStart) -> bool:
+        """Return whether a start said that it leaves, or its entry does."""
+        entry = self.by_id.get(start.id)
+        return start in self._leaving or (
+            entry is not None and entry.start == start and entry.leaving
+        )
+
+    def leaving(self) -> tuple[UpstreamStart, ...]:
+        """Return the starts that said lately that they leave, for other hosts."""
+        return tuple(self._leaving)[-TOLD_MAX:]
+
     def recently_gone(self) -> tuple[UpstreamStart, ...]:
         """Return the starts that were taken out last, for hosts that have just started."""
-        return tuple(self._gone)[-GONE_TOLD_MAX:]
+        return tuple(self._gone)[-TOLD_MAX:]
 
     def note_gone(self, starts: Iterable[UpstreamStart]) -> None:
         """Take which starts have left, as another host knows."""
         for start in starts:
-            self._remember_gone(start)
+            _remember(self._gone, start)
 
     def drop_gone(self) -> None:
         """Take out starts that others know to have left: the store may name them from a copy."""
@@ -182,12 +215,6 @@
             if entry.start in self._gone:
                 self.drop(entry.id)
 
-    def _remember_gone(self, start: UpstreamStart) -> None:
-        self._gone.pop(start, None)
-        self._gone[start] = None
-        if len(self._gone) > GONE_MAX:
-            del self._gone[next(iter(self._gone))]
-
     def starts(self) -> list[UpstreamStart]:
         """Return all starts that are listed."""
         return [entry.start for entry in self.by_id.values()]
@@ -195,3 +222,11 @@
     def of_pool(self, pool: PoolId) -> list[UpstreamEntry]:
         """Return the entries of a pool that take new work."""
         return [each for each in self.by_id.values() if each.pool == pool and not each.leaving]
+
+
+def _remember(starts: dict[UpstreamStart, None], start: UpstreamStart) -> None:
+    """Put a start last, and forget the first one where there are too many."""
+    starts.pop(start, None)
+    starts[start] = None
+    if len(starts) > REMEMBERED_MAX:
+        del starts[next(iter(starts))]
