Reports of upstreams are taken from answers to probes and orders as well

The same cause elsewhere: answers to this host's own calls say of an upstream what answers to requests say, and it was dropped there too. An engine that only gets orders, or a silent one that is probed, could leave unheard.

Change: the client of engines reads the same report from answers to probes and orders (an answer of another upstream, 421, and one of a later start say nothing of the one that was asked) and hands it to the host, which takes it like that of a request. Such an answer never ends a limit: only ordinary answers to requests do. What a report changes stands in one function of the tracker now, which tries and calls of the host's own share.

Not taken, since the answer doesn't say whose it is: reports that are asked by address alone.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -85,7 +85,9 @@
         if isinstance(head, Failure):
             return head
         if self._is_from_chosen(head):
-            self._take_report(head)
+            notice = self.choice.tracker.hear(head.report, self.request.id, head.has_receipt)
+            if notice is not None:
+                self.tell(notice)
         return self._check(head)
 
     def _is_from_chosen(self, head: AnswerHead) -> bool:
@@ -97,36 +99,6 @@
             return head.upstream == self.choice.tracker.id
         return head.upstream in (None, self.choice.tracker.id)
 
-    def _take_report(self, head: AnswerHead) -> None:
-        """Take what the answer says of the upstream itself, and tell other hosts."""
-        self._take_limit(head)
-        self._take_leave(head)
-        self._take_rest(head.report.rest_s)
-
-    def _note_report(self, text: str, detail: object, level: int = logging.INFO) -> None:
-        """Log what the answer said of the upstream."""
-        extra = {"request": self.request.id}
-        logger.log(level, "Upstream %s %s %s", self._start, text, detail, extra=extra)
-
-    def _take_leave(self, head: AnswerHead) -> None:
-        if head.report.leaving:
-            self._tell(Progress.REPORTED, leave_told_to=self.request.id)
-
-    def _take_rest(self, rest_s: float | Failure) -> None:
-        if isinstance(rest_s, Failure):
-            self._note_report("asks for rest.", rest_s.detail, logging.WARNING)
-        elif self.choice.tracker.reported.rest(rest_s):
-            self._note_report("wants nothing for so many seconds:", rest_s)
-
-    def _take_limit(self, head: AnswerHead) -> None:
-        limit = head.report.limit_per_s
-        if isinstance(limit, Failure):
-            self._note_report("names a limit.", limit.detail, logging.WARNING)
-        rate_limit = self.choice.tracker.reported.rate_limit
-        news = rate_limit.after(head.report, self.request.id, is_ordinary=head.has_receipt)
-        if news is not None:
-            self._tell(Progress.REPORTED, limit=news)
-
     def _check(self, head: AnswerHead) -> AnswerHead | Failure:
         """Return the head, or why this answer is not the caller's."""
         if head.not_run:
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -13,7 +13,7 @@
 from eventlet.greenthread import GreenThread
 from ruddersaddle_base import clocks
 from ruddersaddle_base.histograms import Histograms
-from ruddersaddle_base.ids import HallId, HostId, Incarnation, new_incarnation
+from ruddersaddle_base.ids import HallId, HostId, Incarnation, UpstreamId, new_incarnation
 from ruddersaddle_base.loggers import count_dropped
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_routing.retries import RetryBudget
@@ -45,6 +45,7 @@
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.replaced_parts import ReplacedParts
 from ruddersaddle_serving.request_ends import cut_fields
+from ruddersaddle_serving.self_reports import SelfReport
 from ruddersaddle_serving.silent_peers import watch_callers
 from ruddersaddle_serving.standstills import Standstills
 from ruddersaddle_serving.store_followers import (
@@ -132,6 +133,7 @@
         )
         self._build_request_path(wire)
         self._build_tasks()
+        engines.report_listeners.append(self._take_report)
 
     @classmethod
     def from_settings(
@@ -226,6 +228,13 @@
             self.publications, self.upstreams, self.trackers, self.neighbours, self.kept
         )
 
+    def _take_report(self, upstream: UpstreamId, report: SelfReport) -> None:
+        """Take what an upstream says of itself in its answer to a call of this host's own."""
+        tracker = self.trackers.by_id.get(upstream)
+        notice = None if tracker is None else tracker.hear(report, None, is_ordinary=False)
+        if notice is not None:
+            self._tell_notice(notice)
+
     def _tell_notice(self, notice: Notice) -> None:
         self.neighbours.loads.tell(notice)
 
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -140,9 +140,9 @@
         tracker = self.trackers.by_id.get(notice.upstream)
         if tracker is not None:
             tracker.take_notice(host, notice)
-        if notice.leave_told_to is not None:
+        if notice.leave is not None:
             start = UpstreamStart(notice.upstream, notice.born_ms)
-            self.upstreams.note_leaving(start, notice.leave_told_to, host)
+            self.upstreams.note_leaving(start, notice.leave.request, host)
 
     @property
     def is_summing(self) -> bool:
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -1,6 +1,6 @@
 """What the serving core needs of the platform; an adapter implements it and decides nothing."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Protocol
 
@@ -251,6 +251,9 @@
 class Engines(Protocol):
     """Calls to engines and context stores beside the requests themselves."""
 
+    report_listeners: list[Callable[[UpstreamId, SelfReport], None]]
+    """Called with what answers say of the upstreams that gave them."""
+
     def report(self, address: str) -> EngineReport | Failure:
         """Return an engine's report."""
 
--- a/libs/serving/ruddersaddle_serving/self_reports.py
+++ b/libs/serving/ruddersaddle_serving/self_reports.py
@@ -39,14 +39,21 @@
 """Hosts tell one another of a limit for this long after it was last heard of."""
 
 
+class Leave(msgspec.Struct, frozen=True, array_like=True):
+    """Tells that an upstream said in an answer that it leaves."""
+
+    request: RequestId | None
+    """Request whose answer told it; None for a call of the host itself."""
+
+
 class LimitNews(msgspec.Struct, frozen=True, array_like=True):
     """The latest that is known of an upstream's limit, as hosts tell one another."""
 
     per_s: float
     ended: bool
     """Whether a later answer named none."""
-    request: RequestId
-    """Request whose answer told it."""
+    request: RequestId | None
+    """Request whose answer told it; None for a call of the host itself."""
     age_s: float = 0.0
     """Seconds since the answer came that told it."""
 
@@ -103,7 +110,9 @@
             return LimitChange.NONE
         return LimitChange.BEGUN if self.is_named else LimitChange.ENDED
 
-    def after(self, report: SelfReport, request: RequestId, is_ordinary: bool) -> LimitNews | None:
+    def after(
+        self, report: SelfReport, request: RequestId | None, is_ordinary: bool
+    ) -> LimitNews | None:
         """Return what the answer to a request tells as it comes; None where that is nothing.
 
         An answer that names no limit ends one only if it is an ordinary one: refusals and answers
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -7,13 +7,20 @@
 
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
 from ruddersaddle_serving.paces import Pace
 from ruddersaddle_serving.prompts import Part
 from ruddersaddle_serving.routes import RouteTable
-from ruddersaddle_serving.self_reports import LimitChange, LimitNews, Reported
+from ruddersaddle_serving.self_reports import (
+    Leave,
+    LimitChange,
+    LimitNews,
+    Reported,
+    SelfReport,
+)
 from ruddersaddle_serving.silences import TOLD_TRUST_S, Silence
 from ruddersaddle_serving.upstream_connections import UpstreamConnections
 from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamStart
@@ -95,8 +102,8 @@
     """Which start of the upstream it concerns; None where that is not told."""
     limit: LimitNews | None = None
     """What an answer said of the upstream's limit."""
-    leave_told_to: RequestId | None = None
-    """Request whose answer said that the upstream leaves; None where none did."""
+    leave: Leave | None = None
+    """That the upstream said that it leaves."""
 
 
 class RecentSends:
@@ -252,6 +259,44 @@
             assignment.parts,
         )
 
+    def hear(
+        self, report: SelfReport, request: RequestId | None, is_ordinary: bool
+    ) -> Notice | None:
+        """Take what an answer to this host says of the upstream; return what all hosts should know.
+
+        `request` is None where the answer is to a call of this host's own.
+        """
+        self._take_rest(report.rest_s, request)
+        if isinstance(report.limit_per_s, Failure):
+            self._warn_unreadable(report.limit_per_s, request)
+        limit = self.reported.rate_limit.after(report, request, is_ordinary)
+        if limit is None and not report.leaving:
+            return None
+        start = self.entry.start
+        leave = Leave(request) if report.leaving else None
+        return Notice(
+            start.id, 0, Progress.REPORTED, born_ms=start.born_ms, limit=limit, leave=leave
+        )
+
+    def _take_rest(self, rest_s: float | Failure, request: RequestId | None) -> None:
+        if isinstance(rest_s, Failure):
+            self._warn_unreadable(rest_s, request)
+        elif self.reported.rest(rest_s):
+            logger.info(
+                "Upstream %s wants nothing for %.1f s.",
+                self.entry.start,
+                rest_s,
+                extra={"request": request},
+            )
+
+    def _warn_unreadable(self, failure: Failure, request: RequestId | None) -> None:
+        logger.warning(
+            "Answer of upstream %s can't be read: %s.",
+            self.entry.start,
+            failure.detail,
+            extra={"request": request},
+        )
+
     def take_limit(self, news: LimitNews | None, teller: str) -> None:
         """Take what the upstream said of its limit to a host, `teller`."""
         change = LimitChange.NONE if news is None else self.reported.rate_limit.take(news)
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -169,7 +169,7 @@
             self.cold.keep_only(self.starts())
             logger.info("Upstream %s of %s at %s is gone.", upstream, entry.pool, entry.address)
 
-    def note_leaving(self, start: UpstreamStart, request: RequestId, teller: str) -> None:
+    def note_leaving(self, start: UpstreamStart, request: RequestId | None, teller: str) -> None:
         """Take that a start said that it leaves, in the answer to a request of a host, `teller`.
 
         Its entry may say otherwise until the store takes its next write.
