--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -61,7 +61,7 @@
     known_era: int = UNTOLD
     """Newest era of the store that the teller knows."""
     gone: tuple[UpstreamStart, ...] = ()
-    """Starts of upstreams that have left, for a host that has just started; with `entries`."""
+    """Starts of upstreams that have left; told with `entries`."""
     lapsing: tuple[UpstreamId, ...] = ()
     """Upstreams among `entries` that are gone from the store and kept for their grace."""
     evacuated: tuple[HallId, ...] | None = None
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -239,7 +239,7 @@
         if news.entries is None:
             self.upstreams.confirm(entries_at)
         else:
-            self.upstreams.replace_told(news.entries, news.lapsing, entries_at)
+            self.upstreams.replace_told(news.entries, news.lapsing, entries_at, news.gone)
 
     def _take_evacuations(self, halls: tuple[HallId, ...] | None, end: StorePosition) -> None:
         if halls is not None:
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -213,7 +213,7 @@
         for record in page.records:
             entry = self._decode(record) if record.value else None
             if entry is not None:
-                self.upstreams.put(entry)
+                self.upstreams.put_written(entry)
             elif record.value:
                 # A whole list leaves it out, too; its upstream writes it again with its heartbeat.
                 self.upstreams.drop(UpstreamId(record.key))
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -37,6 +37,55 @@
         self.upstreams.confirm(self.now)
         self.assertEqual(self.ids(), [])
 
+    def end_outage(self) -> None:
+        """Let the store answer again after it has been away."""
+        self.upstreams.note_outage()
+        self.now += 0.5
+        self.upstreams.confirm(self.now)
+
+    def test_entry_that_goes_later_than_what_lapsed_is_back_is_gone_at_once(self) -> None:
+        self.end_outage()
+        self.now += 2.1
+        self.upstreams.remove(ENTRY.id)
+        self.assertEqual(self.ids(), [])
+
+    def test_entry_that_was_written_since_the_return_is_gone_at_once(self) -> None:
+        self.end_outage()
+        self.now += 0.5
+        self.upstreams.put_written(ENTRY)
+        self.upstreams.remove(ENTRY.id)
+        self.assertEqual(self.ids(), [])
+
+    def test_entry_that_was_written_between_two_outages_may_have_lapsed_in_the_second(self) -> None:
+        self.end_outage()
+        self.upstreams.put_written(ENTRY)
+        self.end_outage()
+        self.upstreams.remove(ENTRY.id)
+        self.assertEqual(self.ids(), [ENTRY.id])
+
+    def test_entry_read_with_the_first_answer_was_perhaps_written_before_the_outage(self) -> None:
+        self.upstreams.note_outage()
+        self.upstreams.put_written(ENTRY)
+        self.upstreams.remove(ENTRY.id)
+        self.assertEqual(self.ids(), [ENTRY.id])
+
+    def test_grace_ends_although_the_store_goes_on_turning_this_host_away(self) -> None:
+        self.upstreams.note_outage()
+        self.upstreams.remove(ENTRY.id)
+        for _ in range(6):
+            self.now += 0.2
+            self.upstreams.note_outage()
+            self.now += 0.2
+            self.upstreams.confirm(self.now)
+        self.assertEqual(self.ids(), [])
+
+    def test_what_another_host_has_taken_out_for_good_is_not_kept_for_its_grace(self) -> None:
+        self.end_outage()
+        self.upstreams.replace_told([], [], self.now)
+        self.assertEqual(self.ids(), [ENTRY.id])
+        self.upstreams.replace_told([], [], self.now, [ENTRY.start])
+        self.assertEqual(self.ids(), [])
+
     def test_entry_that_comes_back_after_an_outage_stays(self) -> None:
         self.upstreams.note_outage()
         self.upstreams.remove(ENTRY.id)
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -13,13 +13,13 @@
 
 logger = logging.getLogger(__name__)
 
-LAPSE_GRACE_S = 1.6
-"""An entry that is gone right after an outage of the store is kept this long: entries that lapsed
-meanwhile are back within about two seconds, and a planned leave binds after `drain_ms` (2 s)."""
+LAPSE_GRACE_S = 2.0
+"""An entry that lapsed in an outage of the store is kept until so long after the return: if its
+upstream lives, it is back by then."""
 REVISION_BITS = 40
 OUTAGE_MEMORY_S = 4.0
-"""How long after the store's return a missing entry may be one that lapsed: two seconds until
-upstreams write again, and two for this host to read it."""
+"""How long after an outage the list may lack upstreams that live: two seconds until they write
+again, and two for this host to read it."""
 RETURN_MEMORY_S = 10.0
 """How long after the store's return from a copy a whole list may still name starts that are gone:
 what upstreams don't write again lapses after three reports of silence (3.6 s)."""
@@ -42,7 +42,14 @@
         """Grows with each change of an entry; begins anywhere, so that two processes differ."""
         self.confirmed_at = float("-inf")
         """When the question was sent whose answer was last taken."""
-        self._lapse_by_id: dict[UpstreamId, float] = {}
+        self._kept_until_by_id: dict[UpstreamId, float] = {}
+        """Entries that may have lapsed in an outage; endless while the store is away."""
+        self._unanswered_at: float | None = None
+        """When this host last got no answer of the store; None since it, or a host that told its
+        list, got one."""
+        self._grace_until = float("-inf")
+        self._written: set[UpstreamId] = set()
+        """Upstreams that have written since the last outage: when they go, they leave."""
         self._outage_until = 0.0
         self._copy_until = float("-inf")
         self._leaving: dict[UpstreamStart, None] = {}
@@ -62,7 +69,16 @@
 
     def note_outage(self) -> None:
         """Remember that the store does not answer; entries may lapse meanwhile."""
-        self._outage_until = clocks.now_s() + OUTAGE_MEMORY_S
+        self._unanswered_at = clocks.now_s()
+        self._written.clear()
+        self._outage_until = self._unanswered_at + OUTAGE_MEMORY_S
+
+    def _end_outage(self, at: float) -> None:
+        """Remember that the store answers again, since a moment."""
+        self._unanswered_at = None
+        self._grace_until = at + LAPSE_GRACE_S
+        for upstream, until in self._kept_until_by_id.items():
+            self._kept_until_by_id[upstream] = min(until, self._grace_until)
 
     def note_return(self) -> None:
         """Remember that the store has come back from a copy some seconds old.
@@ -71,6 +87,7 @@
         since are named there once more, and take nothing any more.
         """
         self.note_outage()
+        self._end_outage(clocks.now_s())
         self._copy_until = clocks.now_s() + RETURN_MEMORY_S
 
     def replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
@@ -85,21 +102,24 @@
         entries: Iterable[UpstreamEntry],
         lapsing: Collection[UpstreamId],
         asked_at: float,
+        gone: Collection[UpstreamStart] = (),
     ) -> None:
-        """Take a whole list of another host, and which of it that host keeps for their grace.
+        """Take a whole list of another host, which of it that host keeps for their grace, and what
+        it has taken out for good.
 
-        These stay where they are known and come back nowhere: a host just out of an outage put back
-        what this one had dropped, seen 0.2 s after a leave, for 0.36 s.
+        What it keeps stays where it is known and comes back nowhere: a host just out of an outage
+        put back what this one had dropped, seen 0.2 s after a leave, for 0.36 s.
         """
         known = {entry.start for entry in self.by_id.values()}
-        self._replace(
-            [each for each in entries if each.id not in lapsing or each.start in known], asked_at
-        )
+        told = [each for each in entries if each.id not in lapsing or each.start in known]
+        for left in (known & set(gone)) - {each.start for each in told}:
+            self.drop(left.id)
+        self._replace(told, asked_at)
 
     @property
     def lapsing(self) -> tuple[UpstreamId, ...]:
         """The entries that are gone from the store and kept for their grace."""
-        return tuple(self._lapse_by_id)
+        return tuple(self._kept_until_by_id)
 
     def _replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
         found = {entry.id: entry for entry in entries}
@@ -110,6 +130,12 @@
         self.complete = True
         self.confirm(asked_at)
 
+    def put_written(self, entry: UpstreamEntry) -> None:
+        """Take an entry that its upstream has just written."""
+        if self._unanswered_at is None and clocks.now_s() < self._outage_until:
+            self._written.add(entry.id)
+        self.put(entry)
+
     def put(self, entry: UpstreamEntry) -> None:
         """Take one entry."""
         known = self.by_id.get(entry.id)
@@ -120,7 +146,7 @@
             # A change of the entry is told to all hosts; a heartbeat is none.
             self.cold.take(entry.start, entry.heartbeat)
             entry = msgspec.structs.replace(entry, heartbeat=None)
-        self._lapse_by_id.pop(entry.id, None)
+        self._kept_until_by_id.pop(entry.id, None)
         self._gone.pop(entry.start, None)
         is_same = known is not None and not entry.is_later_than(known)
         if (is_same and known.leaving) or entry.start in self._leaving:
@@ -140,28 +166,35 @@
             )
 
     def remove(self, upstream: UpstreamId) -> None:
-        """Take that an entry is gone, at once or after the grace that follows an outage."""
+        """Take that an entry is gone: its upstream left, or the entry lapsed in an outage."""
         if upstream not in self.by_id:
             return
-        now = clocks.now_s()
-        if now < self._outage_until:
-            if upstream not in self._lapse_by_id:
-                logger.info("Entry of %s is gone after an outage of the store.", upstream)
-            self._lapse_by_id.setdefault(upstream, now + LAPSE_GRACE_S)
-            return
-        self.drop(upstream)
+        is_away = self._unanswered_at is not None
+        until = float("inf") if is_away else self._grace_until
+        if upstream in self._written or clocks.now_s() >= until:
+            self.drop(upstream)
+        elif upstream not in self._kept_until_by_id:
+            logger.info("Entry of %s is gone after an outage of the store.", upstream)
+            self._kept_until_by_id[upstream] = until
 
     def confirm(self, asked_at: float) -> None:
         """Note that the list is as new as a question sent at `asked_at`; drop what lapsed."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
+        if self._unanswered_at is not None and asked_at > self._unanswered_at:
+            self._end_outage(asked_at)
+        self._drop_lapsed()
+
+    def _drop_lapsed(self) -> None:
+        """Take out what lapsed in an outage and should have been back by now."""
         now = clocks.now_s()
-        for upstream, until in list(self._lapse_by_id.items()):
+        for upstream, until in list(self._kept_until_by_id.items()):
             if now >= until:
                 self.drop(upstream)
 
     def drop(self, upstream: UpstreamId) -> None:
         """Take an entry out at once."""
-        self._lapse_by_id.pop(upstream, None)
+        self._kept_until_by_id.pop(upstream, None)
+        self._written.discard(upstream)
         entry = self.by_id.pop(upstream, None)
         if entry is not None:
             self.revision += 1
@@ -221,6 +254,7 @@
 
     def of_pool(self, pool: PoolId) -> list[UpstreamEntry]:
         """Return the entries of a pool that take new work."""
+        self._drop_lapsed()
         return [each for each in self.by_id.values() if each.pool == pool and not each.leaving]
 
 
