--- a/libs/serving/ruddersaddle_serving/tests/load_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/load_replays.py
@@ -390,7 +390,7 @@
         for host, record in records.items():
             hosts = Hosts(host, record, [])
             hosts.replace(records)
-            peers.by_address[record.address] = LoadShares(hosts, peers, Trackers(), UpstreamList())
+            peers.by_address[record.address] = LoadShares(hosts, peers, Trackers(), mock.Mock())
         self.hosts = [ReplayHost(self, shares) for shares in peers.by_address.values()]
         for host in self.hosts:
             self._every(READER_NOTICES_S, host.shares.tell_notices)
