Choosing an engine looks at as many as are weighed, not at all

Cause: for each prompt every engine of the pool was checked (cold, limited, weights, memory, soundness, orders under way) and hashed, though eight are weighed. At 105 engines that was two thirds of the choice.

Change: engines are looked at in the order of the prompt's affinity until eight may take it; the rest is looked at where these make it wait too long, or where fewer than eight are usable, with the same fallbacks as before. Ranks are kept by affinity until an entry changes (1,000 at most). The log's candidates are those weighed now.

Which engine is taken does not change: the order of ranks and the fallbacks are the same.

--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Iterator
+from itertools import islice
 
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Step
@@ -22,6 +23,8 @@
 CANDIDATES_MAX = 8
 """Engines that are weighed for a prompt; choosing costs 9 us an engine. Which ones follows from
 what prompts share, so that few engines keep it."""
+RANKS_MAX = 1000
+"""Affinities whose ranks of engines are kept."""
 OVERFLOW_SAMPLE = 2
 """Engines that are drawn where all candidates make a request wait too long."""
 ALIKE_SHARE = 0.2
@@ -62,6 +65,15 @@
     """Each engine that was weighed, for the log."""
 
 
+class Candidates(msgspec.Struct, frozen=True):
+    """Engines that may take a prompt, in the order of its affinity."""
+
+    first: list[Tracker]
+    """Those that are weighed."""
+    others: Iterator[Tracker]
+    """The rest, looked at only where the first ones make the prompt wait too long."""
+
+
 class Placement:
     """Chooses upstreams from entries, versions of weights, kept parts and this host's requests."""
 
@@ -85,6 +97,8 @@
         self.belief_lag_s: Callable[[], float] = lambda: 0.0
         """How old what this host knows of others' requests is, in seconds."""
         self.admitted_sizes = SizesByRoute()
+        self._ranked_by_key: dict[tuple[PoolId, str], list[UpstreamId]] = {}
+        self._ranked_revision = self.upstreams.revision
 
     def pick_pool(self, route: Route) -> PoolId | None:
         """Return the pool of a request, drawn by the route's shares."""
@@ -107,16 +121,23 @@
         `may_refuse` says that the request has just come, so that it may be refused for the time
         that its first event would take.
         """
-        left = self._open_trackers(pool, excluded)
-        if isinstance(left, Failure):
-            return left
+        trackers = self._served_trackers(pool)
+        if isinstance(trackers, Failure):
+            return trackers
+        left = [tracker for tracker in trackers if tracker.id not in excluded]
         prompt = request.head.prompt
         if prompt is None:
-            return self._choose_plain(request, left)
-        return self._choose_engine(request, prompt, left, may_refuse)
-
-    def _open_trackers(self, pool: PoolId, excluded: set[UpstreamId]) -> list[Tracker] | Failure:
-        """Return the upstreams that a request may be sent to now, or why there is none."""
+            open_trackers = [tracker for tracker in left if self._is_open(tracker)]
+            if not open_trackers:
+                return self._refuse_closed(pool, trackers, left)
+            return self._choose_plain(request, open_trackers)
+        candidates = self._find_candidates(prompt, pool, trackers, left)
+        if isinstance(candidates, Failure):
+            return candidates
+        return self._choose_engine(request, prompt, candidates, may_refuse)
+
+    def _served_trackers(self, pool: PoolId) -> list[Tracker] | Failure:
+        """Return the upstreams of a pool in halls that aren't evacuated, or why there is none."""
         entries = self.upstreams.of_pool(pool)
         evacuations = self.publications.evacuations
         served = [entry for entry in entries if not evacuations.is_in_force(entry.hall)]
@@ -128,10 +149,7 @@
             return Failure(
                 Code.EVACUATED, Step.ADMIT, pool, detail, retry_after_s=RETRY_EVACUATED_S
             )
-        trackers = [self.trackers.at(entry) for entry in served]
-        left = [tracker for tracker in trackers if tracker.id not in excluded]
-        open_trackers = [tracker for tracker in left if self._is_open(tracker)]
-        return open_trackers or self._refuse_closed(pool, trackers, left)
+        return [self.trackers.at(entry) for entry in served]
 
     def _is_open(self, tracker: Tracker) -> bool:
         """Return whether this host may send a request to an upstream now."""
@@ -190,28 +208,71 @@
         share = tracker.in_flight / max(1, tracker.entry.slots)
         return share, tracker.entry.hall != self.hall, random.random()
 
-    def _choose_engine(
-        self, request: CallerRequest, prompt: Prompt, trackers: list[Tracker], may_refuse: bool
-    ) -> Choice | Failure:
-        allowed = self._of_allowed_weights(prompt.model, trackers)
+    def _find_candidates(
+        self, prompt: Prompt, pool: PoolId, trackers: list[Tracker], left: list[Tracker]
+    ) -> Candidates | Failure:
+        """Return the engines that may take a prompt, or why there is none.
+
+        Engines are looked at in the order of the prompt's affinity, until there are enough.
+        """
+        ranked = self._rank(prompt.affinity_key, pool, left)
+        usable = (tracker for tracker in ranked if self._is_usable(prompt, tracker))
+        first = list(islice(usable, CANDIDATES_MAX))
+        if len(first) == CANDIDATES_MAX:
+            return Candidates(first, usable)
+        return self._find_among_all(prompt, pool, trackers, ranked)
+
+    def _is_usable(self, prompt: Prompt, tracker: Tracker) -> bool:
+        """Return whether an engine may take a prompt and is likely to serve it."""
+        return (
+            self._is_open(tracker)
+            and self._has_allowed_weights(prompt.model, tracker)
+            and _may_fit(prompt, tracker)
+            and tracker.is_sound
+            and not tracker.is_avoided
+        )
+
+    def _find_among_all(
+        self, prompt: Prompt, pool: PoolId, trackers: list[Tracker], ranked: list[Tracker]
+    ) -> Candidates | Failure:
+        """Return the engines that may take a prompt where few are likely to serve it."""
+        open_trackers = [tracker for tracker in ranked if self._is_open(tracker)]
+        if not open_trackers:
+            return self._refuse_closed(pool, trackers, ranked)
+        allowed = [each for each in open_trackers if self._has_allowed_weights(prompt.model, each)]
         if not allowed:
             detail = f"no engine has the newest weights of {prompt.model}"
-            peer = trackers[0].entry.pool
-            return Failure(Code.OTHER_VERSION, Step.ADMIT, peer, detail, retry_after_s=RETRY_SOON_S)
+            return Failure(Code.OTHER_VERSION, Step.ADMIT, pool, detail, retry_after_s=RETRY_SOON_S)
         roomy = [tracker for tracker in allowed if _may_fit(prompt, tracker)]
         if not roomy:
             return _refuse_size(prompt, allowed)
         sound = [tracker for tracker in roomy if tracker.is_sound] or roomy
         usable = [tracker for tracker in sound if not tracker.is_avoided] or sound
-        by_id = {tracker.id: tracker for tracker in usable}
-        ranked = [by_id[name] for name in rank_names(prompt.affinity_key, by_id)]
+        return Candidates(usable[:CANDIDATES_MAX], iter(usable[CANDIDATES_MAX:]))
+
+    def _rank(self, affinity_key: str, pool: PoolId, trackers: list[Tracker]) -> list[Tracker]:
+        """Return engines of a pool by a prompt's affinity; ranks are kept until entries change."""
+        if (
+            self._ranked_revision != self.upstreams.revision
+            or len(self._ranked_by_key) >= RANKS_MAX
+        ):
+            self._ranked_revision = self.upstreams.revision
+            self._ranked_by_key.clear()
+        ranked = self._ranked_by_key.get((pool, affinity_key))
+        if ranked is None:
+            names = [entry.id for entry in self.upstreams.of_pool(pool)]
+            ranked = self._ranked_by_key[pool, affinity_key] = rank_names(affinity_key, names)
+        by_id = {tracker.id: tracker for tracker in trackers}
+        return [by_id[name] for name in ranked if name in by_id]
+
+    def _choose_engine(
+        self, request: CallerRequest, prompt: Prompt, candidates: Candidates, may_refuse: bool
+    ) -> Choice | Failure:
         weighing = Weighing(request, prompt, self.kept)
         margin_s = min(self.belief_lag_s(), ALIKE_SHARE * request.route.target_latency_s)
-        best = weighing.weigh(ranked[:CANDIDATES_MAX], margin_s)
-        for group in self._beyond(ranked[CANDIDATES_MAX:]):
-            if self._excess_s(request, best) <= 0:
-                break
-            best = weighing.weigh([best.tracker, *group])
+        best = weighing.weigh(candidates.first, margin_s)
+        if self._excess_s(request, best) > 0:
+            best = self._weigh_others(request, weighing, best, list(candidates.others))
         if may_refuse and self._excess_s(request, best) > 0:
             return self._refuse(request, best)
         if may_refuse:
@@ -238,7 +299,7 @@
             best.tracker,
             best.version,
             transfer,
-            len(usable),
+            len(candidates.first),
             assignment,
             best.first_s,
             best.wait_s,
@@ -247,15 +308,21 @@
             tuple(each.note() for each in weighing.estimates),
         )
 
-    def _beyond(self, others: list[Tracker]) -> Iterator[list[Tracker]]:
-        """Yield the engines to weigh once all candidates make a request wait too long.
+    def _weigh_others(
+        self, request: CallerRequest, weighing: Weighing, best: Estimate, others: list[Tracker]
+    ) -> Estimate:
+        """Return the best of all engines, where the first candidates make a request wait too long.
 
         Any engine may take it then, at the price of reading it: first a few that are drawn, so that
         hosts don't all find the same one, then all, before a request is refused.
         """
-        if others:
-            yield random.sample(others, min(OVERFLOW_SAMPLE, len(others)))
-            yield others
+        if not others:
+            return best
+        for group in (random.sample(others, min(OVERFLOW_SAMPLE, len(others))), others):
+            best = weighing.weigh([best.tracker, *group])
+            if self._excess_s(request, best) <= 0:
+                break
+        return best
 
     def _excess_s(self, request: CallerRequest, best: Estimate) -> float:
         """Return how much too late the first event would come; at most 0 if it is let in.
@@ -282,15 +349,11 @@
         pool = best.tracker.entry.pool
         return Failure(Code.OVERLOADED, Step.ADMIT, pool, detail, retry_after_s=retry_after_s)
 
-    def _of_allowed_weights(self, model: ModelId, trackers: list[Tracker]) -> list[Tracker]:
-        """Return the engines whose weights were replaced less than the bound ago, or not at all."""
+    def _has_allowed_weights(self, model: ModelId, tracker: Tracker) -> bool:
+        """Return whether an engine's weights were replaced less than the bound ago, or not."""
+        version = tracker.version_by_model.get(model, 0)
         bound_s = self.version_bound_s - VERSION_MARGIN_S
-        is_over = self.publications.is_replaced_for
-        return [
-            each
-            for each in trackers
-            if not is_over(model, each.version_by_model.get(model, 0), bound_s)
-        ]
+        return not self.publications.is_replaced_for(model, version, bound_s)
 
 
 def _may_fit(prompt: Prompt, tracker: Tracker) -> bool:
