Limits told to and fro grow old; a refusal of an awake pool has its own Retry-After again

Hosts tell the age of what they know of a limit; each way makes the same answer look younger by the time it took, so that between two readers it would hardly age (the new test: 0.05 s a way, 10 s on; the age is 10 s now). A word is known by the request whose answer told it. An answer to another request on the same connection no longer ends a limit. And a refusal whose last try was refused by an upstream had got 0.25 s in place of 0.2 s although others were awake.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -85,7 +85,8 @@
         if isinstance(head, Failure):
             return head
         if self._is_from_chosen(head):
-            notice = self.choice.tracker.hear(head.report, self.request.id, head.has_receipt)
+            is_ordinary = head.has_receipt and head.request == self.request.id
+            notice = self.choice.tracker.hear(head.report, self.request.id, is_ordinary)
             if notice is not None:
                 self.tell(notice)
         return self._check(head)
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -145,9 +145,9 @@
         """Return a refusal of an upstream with when the first of its pool takes requests again."""
         if failure.step is not Step.SEND or failure.code is not Code.OVERLOADED:
             return failure
-        opens_in_s = self.forwarder.placement.opens_in_s(self.pool)
+        rested_in_s = self.forwarder.placement.rested_in_s(self.pool)
         return msgspec.structs.replace(
-            failure, retry_after_s=max(failure.retry_after_s, opens_in_s)
+            failure, retry_after_s=max(failure.retry_after_s, rested_in_s)
         )
 
     def _without_promise(self, failure: Failure) -> Failure:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -168,20 +168,16 @@
         }
         detail = ", ".join(f"{count} {word}" for word, count in counts.items() if count)
         return Failure(
-            Code.NO_UPSTREAM, Step.ADMIT, pool, detail, retry_after_s=self._opens_in_s(trackers)
+            Code.NO_UPSTREAM,
+            Step.ADMIT,
+            pool,
+            detail,
+            retry_after_s=_rested_in_s(trackers) or RETRY_SOON_S,
         )
 
-    def opens_in_s(self, pool: PoolId) -> float:
-        """Return when a caller should come back to a pool whose upstreams turned it away."""
-        return self._opens_in_s([self.trackers.at(each) for each in self.upstreams.of_pool(pool)])
-
-    def _opens_in_s(self, trackers: list[Tracker]) -> float:
-        """Return when one of some upstreams has rested; a share of one that doesn't comes soon.
-
-        Callers come back spread out, so that it isn't run over at once.
-        """
-        rest_s = min((tracker.reported.rest_s for tracker in trackers), default=0.0)
-        return rest_s + RETRY_SOON_S * (random.random() if rest_s > 0 else 1.0)
+    def rested_in_s(self, pool: PoolId) -> float:
+        """Return in how many seconds the first upstream of a pool has rested; 0 if one is awake."""
+        return _rested_in_s([self.trackers.at(each) for each in self.upstreams.of_pool(pool)])
 
     def check_open(self, tracker: Tracker) -> Failure | None:
         """Return why a request may no longer be sent to an upstream that was chosen before."""
@@ -356,6 +352,15 @@
         return not self.publications.is_replaced_for(model, version, bound_s)
 
 
+def _rested_in_s(trackers: list[Tracker]) -> float:
+    """Return in how many seconds the first of some upstreams has rested; 0 if one is awake.
+
+    Callers come back spread out, so that it isn't run over at once.
+    """
+    rest_s = min((tracker.reported.rest_s for tracker in trackers), default=0.0)
+    return rest_s + RETRY_SOON_S * random.random() if rest_s > 0 else 0.0
+
+
 def _may_fit(prompt: Prompt, tracker: Tracker) -> bool:
     """Return whether an engine's memory, where it is known, holds the prompt."""
     capacity_tokens = tracker.memory.capacity_tokens
--- a/libs/serving/ruddersaddle_serving/self_reports.py
+++ b/libs/serving/ruddersaddle_serving/self_reports.py
@@ -101,7 +101,7 @@
     def take(self, news: LimitNews) -> LimitChange:
         """Take what an answer said; one that came before the latest known changes nothing."""
         heard_at = clocks.now_s() - news.age_s
-        if heard_at < self._heard_at or (self._news is None and news.ended):
+        if heard_at < self._heard_at or (self._news is None and news.ended) or self._knows(news):
             return LimitChange.NONE
         was_named = self.is_named
         self._news = news
@@ -110,6 +110,16 @@
             return LimitChange.NONE
         return LimitChange.BEGUN if self.is_named else LimitChange.ENDED
 
+    def _knows(self, news: LimitNews) -> bool:
+        """Return whether another host tells what is known already.
+
+        Told to and fro, the same answer would seem to be younger by its way each time.
+        """
+        known = self._news
+        if known is None or news.age_s <= 0:
+            return False
+        return (news.request, news.ended) == (known.request, known.ended)
+
     def after(
         self, report: SelfReport, request: RequestId | None, is_ordinary: bool
     ) -> LimitNews | None:
--- a/libs/serving/ruddersaddle_serving/tests/test_self_reports.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_self_reports.py
@@ -46,6 +46,16 @@
         self.assertIs(self.limit.take(LimitNews(2.1, False, REQUEST, 0.5)), LimitChange.NONE)
         self.assertIs(self.limit.take(LimitNews(2.1, False, REQUEST)), LimitChange.BEGUN)
 
+    def test_word_that_hosts_tell_one_another_to_and_fro_grows_old(self) -> None:
+        self.hear(SelfReport(2.1))
+        other = RateLimit()
+        for _ in range(100):
+            for source, target in ((self.limit, other), (other, self.limit)):
+                news = source.news()
+                self.now += 0.05
+                target.take(news)
+        self.assertAlmostEqual(self.limit.news().age_s, 10.0)
+
     def test_end_of_a_limit_that_was_never_heard_of_is_no_news(self) -> None:
         self.assertIs(self.limit.take(LimitNews(2.1, True, REQUEST)), LimitChange.NONE)
 
