--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -188,7 +188,7 @@
                 _take_silence(tracker.silence, source, told)
                 if told.is_replaced:
                     tracker.note_replaced()
-                tracker.take_limit(told.limit, message.address)
+                tracker.take_limit(told.limit, message.address, is_first_hand=False)
                 if message.is_total:
                     tracker.load.run_s = told.run_ms / 1000
                     tracker.load.memory_run_s = told.memory_run_ms / 1000
--- a/libs/serving/ruddersaddle_serving/self_reports.py
+++ b/libs/serving/ruddersaddle_serving/self_reports.py
@@ -98,10 +98,15 @@
             return None
         return msgspec.structs.replace(self._news, age_s=age_s)
 
-    def take(self, news: LimitNews) -> LimitChange:
-        """Take what an answer said; one that came before the latest known changes nothing."""
+    def take(self, news: LimitNews, is_first_hand: bool = True) -> LimitChange:
+        """Take what an answer said; one that came before the latest known changes nothing.
+
+        `is_first_hand` says that it comes from the host that had the answer.
+        """
         heard_at = clocks.now_s() - news.age_s
-        if heard_at < self._heard_at or (self._news is None and news.ended) or self._knows(news):
+        if heard_at < self._heard_at or (self._news is None and news.ended):
+            return LimitChange.NONE
+        if not is_first_hand and self._knows(news):
             return LimitChange.NONE
         was_named = self.is_named
         self._news = news
@@ -111,14 +116,12 @@
         return LimitChange.BEGUN if self.is_named else LimitChange.ENDED
 
     def _knows(self, news: LimitNews) -> bool:
-        """Return whether another host tells what is known already.
+        """Return whether the answer that told this is known already.
 
-        Told to and fro, the same answer would seem to be younger by its way each time.
+        Told to and fro between hosts, it would seem to be younger by its way each time.
         """
         known = self._news
-        if known is None or news.age_s <= 0:
-            return False
-        return (news.request, news.ended) == (known.request, known.ended)
+        return known is not None and (news.request, news.ended) == (known.request, known.ended)
 
     def after(
         self, report: SelfReport, request: RequestId | None, is_ordinary: bool
--- a/libs/serving/ruddersaddle_serving/tests/test_self_reports.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_self_reports.py
@@ -49,12 +49,12 @@
     def test_word_that_hosts_tell_one_another_to_and_fro_grows_old(self) -> None:
         self.hear(SelfReport(2.1))
         other = RateLimit()
-        for _ in range(100):
+        for _ in range(80):
             for source, target in ((self.limit, other), (other, self.limit)):
                 news = source.news()
                 self.now += 0.05
-                target.take(news)
-        self.assertAlmostEqual(self.limit.news().age_s, 10.0)
+                target.take(news, is_first_hand=False)
+        self.assertAlmostEqual(self.limit.news().age_s, 8.0)
 
     def test_end_of_a_limit_that_was_never_heard_of_is_no_news(self) -> None:
         self.assertIs(self.limit.take(LimitNews(2.1, True, REQUEST)), LimitChange.NONE)
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -244,7 +244,7 @@
             case Progress.REPLACED:
                 self.note_replaced()
             case Progress.REPORTED:
-                self.take_limit(notice.limit, host)
+                self.take_limit(notice.limit, host, is_first_hand=True)
 
     def _add_load(self, number: tuple[str, int], assignment: Assignment) -> None:
         self.memory.use(assignment.salt, assignment.parts)
@@ -297,9 +297,11 @@
             extra={"request": request},
         )
 
-    def take_limit(self, news: LimitNews | None, teller: str) -> None:
-        """Take what the upstream said of its limit to a host, `teller`."""
-        change = LimitChange.NONE if news is None else self.reported.rate_limit.take(news)
+    def take_limit(self, news: LimitNews | None, teller: str, is_first_hand: bool) -> None:
+        """Take what the upstream said of its limit, as a host tells, first hand or not."""
+        if news is None:
+            return
+        change = self.reported.rate_limit.take(news, is_first_hand)
         if change is not LimitChange.NONE:
             logger.info(
                 "Limit of upstream %s has %s: %.2f requests a second.",
