--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -131,7 +131,7 @@
             if not open_trackers:
                 return self._refuse_closed(pool, trackers, left)
             return self._choose_plain(request, open_trackers)
-        candidates = self._find_candidates(prompt, pool, trackers, left)
+        candidates = self.find_candidates(prompt, pool, trackers, left)
         if isinstance(candidates, Failure):
             return candidates
         return self._choose_engine(request, prompt, candidates, may_refuse)
@@ -204,7 +204,7 @@
         share = tracker.in_flight / max(1, tracker.entry.slots)
         return share, tracker.entry.hall != self.hall, random.random()
 
-    def _find_candidates(
+    def find_candidates(
         self, prompt: Prompt, pool: PoolId, trackers: list[Tracker], left: list[Tracker]
     ) -> Candidates | Failure:
         """Return the engines that may take a prompt, or why there is none.
