Entries that lapsed are given up although hosts tell one another of them; told lists of a copy bring nothing back

Traced in the hosts' lines: all had dropped s-0; the store came back from a copy that named it; host-2, which had just started, read it there and told the others, who took it; its leave was written again, hosts 1 and 2 noted 'Entry of s-0 is gone after an outage', and neither dropped it until another start came.

Cause: a told list put what its teller keeps for its grace as if it had been written, which ended the grace here; two hosts that told one another kept it for good. And starts that are known to be gone were left out of a host's own reading of a copy, not of told lists, and hosts that had never known them learnt of them at their start alone.

Change: what the teller keeps stays where it is known, for the same grace, and is never put. What others took out is remembered, if it isn't known here.

Why it works: only a write of the upstream, read or told as such, ends a grace.

--- a/libs/serving/ruddersaddle_serving/store_eras.py
+++ b/libs/serving/ruddersaddle_serving/store_eras.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Callable
 
 from ruddersaddle_base import clocks
 
@@ -23,6 +24,8 @@
         """When the newest era became known, on the steady clock; the return was before."""
         self.returns = 0
         """Returns of the store that this host has seen."""
+        self.return_listeners: list[Callable[[], None]] = []
+        """Called when a return becomes known."""
         self._is_told = False
 
     def learn(self, era: int) -> None:
@@ -38,3 +41,5 @@
             logger.warning(
                 "Store has come back from an earlier copy: era %d after %d.", era, before
             )
+            for listener in self.return_listeners:
+                listener()
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -156,6 +156,37 @@
         self.upstreams.replace_told([], [], self.now)
         self.assertEqual(self.ids(), [])
 
+    def test_two_hosts_that_tell_one_another_of_a_lapsed_entry_both_give_it_up(self) -> None:
+        other = UpstreamList()
+        other.replace([ENTRY], self.now)
+        hosts = (self.upstreams, other)
+        for each in hosts:
+            each.note_outage()
+            each.remove(ENTRY.id)
+        for _ in range(12):
+            self.now += 0.2
+            for teller, told in (hosts, hosts[::-1]):
+                told.replace_told(teller.by_id.values(), teller.lapsing, self.now)
+        self.assertEqual([list(each.by_id) for each in hosts], [[], []])
+
+    def test_entry_that_its_teller_alone_keeps_for_its_grace_is_given_up_here_as_well(self) -> None:
+        self.upstreams.replace_told([ENTRY], [ENTRY.id], self.now)
+        self.now += 2.1
+        self.assertEqual(self.ids(), [])
+
+    def test_list_told_by_a_host_that_has_just_started_does_not_bring_back_what_left(self) -> None:
+        self.upstreams.remove(ENTRY.id)
+        self.upstreams.note_return()
+        self.upstreams.replace_told([ENTRY], [], self.now)
+        self.assertEqual(self.ids(), [])
+
+    def test_start_that_others_know_to_have_left_is_not_read_from_a_copy(self) -> None:
+        started = UpstreamList()
+        started.replace_told([], [], self.now, [ENTRY.start])
+        started.note_return()
+        started.replace([ENTRY], self.now)
+        self.assertEqual(list(started.by_id), [])
+
     def test_copy_of_the_store_names_starts_that_have_left(self) -> None:
         self.upstreams.remove(ENTRY.id)
         self.upstreams.note_return()
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -88,14 +88,19 @@
         """
         self.note_outage()
         self._end_outage(clocks.now_s())
+        self.note_copy()
+
+    def note_copy(self) -> None:
+        """Remember that lists may be of the store's copy for a while, also those of other hosts."""
         self._copy_until = clocks.now_s() + RETURN_MEMORY_S
 
+    def _is_over(self, start: UpstreamStart) -> bool:
+        """Return whether a start that a copy names has left before."""
+        return clocks.now_s() < self._copy_until and start in self._gone
+
     def replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
         """Take a whole list of the store."""
-        is_copy = clocks.now_s() < self._copy_until
-        self._replace(
-            [entry for entry in entries if not (is_copy and entry.start in self._gone)], asked_at
-        )
+        self._replace([entry for entry in entries if not self._is_over(entry.start)], asked_at)
 
     def replace_told(
         self,
@@ -107,23 +112,37 @@
         """Take a whole list of another host, which of it that host keeps for their grace, and what
         it has taken out for good.
 
-        What it keeps stays where it is known and comes back nowhere: a host just out of an outage
-        put back what this one had dropped, seen 0.2 s after a leave, for 0.36 s.
+        What it keeps stays where it is known, for the same grace, and comes back nowhere: told as
+        if it lived, two hosts kept it for one another for good.
         """
         known = {entry.start for entry in self.by_id.values()}
-        told = [each for each in entries if each.id not in lapsing or each.start in known]
-        for left in (known & set(gone)) - {each.start for each in told}:
-            self.drop(left.id)
-        self._replace(told, asked_at)
+        kept = {each.start for each in entries if each.id in lapsing}
+        fresh = [
+            each for each in entries if each.id not in lapsing and not self._is_over(each.start)
+        ]
+        for left in set(gone) - {each.start for each in fresh}:
+            if left in known:
+                self.drop(left.id)
+            else:
+                _remember(self._gone, left)
+        until = clocks.now_s() + LAPSE_GRACE_S
+        for start in known & kept - set(gone):
+            self._kept_until_by_id.setdefault(start.id, until)
+        self._replace(fresh, asked_at, {start.id for start in kept})
 
     @property
     def lapsing(self) -> tuple[UpstreamId, ...]:
         """The entries that are gone from the store and kept for their grace."""
         return tuple(self._kept_until_by_id)
 
-    def _replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
+    def _replace(
+        self,
+        entries: Iterable[UpstreamEntry],
+        asked_at: float,
+        kept: Collection[UpstreamId] = (),
+    ) -> None:
         found = {entry.id: entry for entry in entries}
-        for gone in set(self.by_id) - set(found):
+        for gone in set(self.by_id) - set(found) - set(kept):
             self.remove(gone)
         for entry in found.values():
             self.put(entry)
