A write from before an outage shows no leave, although others told of its end

Run again beside six busy processes with the hosts' lines: in 2 of 8 runs the entry that lapsed was dropped at once on all hosts ('lapsed … is gone' right after the return).

Cause: a host that was told of the store's return by another one took its own next page for a later one; the page held a write from before the outage, then the lapse, which passed for a leave of an upstream that had written since. Now the first page after a follower's own failure, or of a new era, proves nothing, whatever others told.

--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -202,6 +202,9 @@
         self.upstreams = upstreams
         self.unusable = 0
         """Entries that were read and name no upstream to use."""
+        self._is_first = True
+        """Whether the next page is the first since the store did not answer: it may hold writes of
+        before, whatever other hosts have told of the store's return."""
 
     def take(self, page: Page, whole: bool, asked_at: float) -> bool:
         """Take entries and their ends."""
@@ -209,11 +212,14 @@
             decoded = [self._decode(record) for record in page.records if record.value]
             entries = [entry for entry in decoded if entry is not None]
             self.upstreams.replace(entries, asked_at)
+            self._is_first = False
             return True
+        put = self.upstreams.put if self._is_first else self.upstreams.put_written
+        self._is_first = False
         for record in page.records:
             entry = self._decode(record) if record.value else None
             if entry is not None:
-                self.upstreams.put_written(entry)
+                put(entry)
             elif record.value:
                 # A whole list leaves it out, too; its upstream writes it again with its heartbeat.
                 self.upstreams.drop(UpstreamId(record.key))
@@ -237,10 +243,12 @@
 
     def note_outage(self) -> None:
         """Entries may lapse while the store is away."""
+        self._is_first = True
         self.upstreams.note_outage()
 
     def note_return(self) -> None:
         """Entries written since the copy are missing; of those that are there some are over."""
+        self._is_first = True
         self.upstreams.note_return()
 
 
