An answer that broke off no longer looks complete to its caller

Callers got the first part of an answer, framed as complete, if the upstream's answer had neither a length nor chunks and its process crashed: the end of the bytes was taken for the end of the answer.

The framing of the upstream's answer now goes with it. An answer that ended with its connection reaches its caller without a length or chunks as well, and its connection is reset, also by the end of the process, unless the answer came to its end. A stream that ends inside an event has been broken off, however it is framed: the partial event is dropped, and the stream goes on at another upstream where that is allowed. Hosts frame all answers to one another and name the upstream's framing in a header. Only answers known to be complete clear a request suspected of crashes.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -176,6 +176,13 @@
         tracker = self.choice.tracker
         return Failure(Code.UPSTREAM_FAILED, Step.READ, tracker.id, detail, Ran.UNKNOWN)
 
+    def break_off(self, detail: str) -> Failure:
+        """Return the failure of an answer whose content shows that it ended too early."""
+        failure = self.exchange.break_off(detail)
+        # Framing that says that it is complete is wrong, but its connection is alive.
+        self.is_invalid = self.is_invalid or not self.exchange.is_broken
+        return failure
+
     @property
     def is_broken(self) -> bool:
         """Whether the connection ended before the answer was complete."""
@@ -201,7 +208,7 @@
             return
         self._finished = True
         self.choice.tracker.in_flight -= 1
-        if self.exchange is not None and self.exchange.is_complete:
+        if self.exchange is not None and self.exchange.has_ended:
             self._reachability = Reachability.RESPONDED
         if self._reachability is not Reachability.RESPONDED and self.lacks_path:
             # Other hosts may reach the upstream.
--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -1,6 +1,10 @@
 """HTTP from callers: eventlet's WSGI protocol with stricter framing and time limits."""
 
+import logging
 import re
+import socket
+import struct
+from http.server import BaseHTTPRequestHandler
 
 import msgspec
 from eventlet import wsgi
@@ -11,6 +15,12 @@
 from ruddersaddle_serving.deferred_timeouts import DeferredTimeout
 from ruddersaddle_serving.routes import CallerLimits
 
+logger = logging.getLogger(__name__)
+
+HTTP_1_0 = "HTTP/1.0"
+HTTP_1_1 = "HTTP/1.1"
+LINGER = struct.Struct("ii")
+"""The value of SO_LINGER: whether it is on, and seconds; 0 s resets the connection on close."""
 HEAD_BYTES_MAX = 1 << 20
 """Largest head that is read at all; the configuration's limit is checked after reading. The
 library's own limits (8 KB a line) are below what configurations allow."""
@@ -41,6 +51,8 @@
 
     minimum_chunk_size = 0
     """Forward events as they arrive; by default, the server buffers 4 KB."""
+    is_unframed_answer_open = False
+    """Whether an answer that ends with its connection is being written."""
 
     @property
     def limits(self) -> CallerLimits:
@@ -121,6 +133,44 @@
             # The caller has disconnected.
             return
 
+    @property
+    def can_use_chunks(self) -> bool:
+        """Whether the caller's version of HTTP has chunks."""
+        return self.request_version == HTTP_1_1
+
+    def begin_unframed_answer(self) -> None:
+        """Answer without a length or chunks; the answer ends with its connection.
+
+        Until `end_unframed_answer`, the connection is reset however it is closed, the end of the
+        process included: an orderly close would look like the answer's end.
+        """
+        self.is_unframed_answer_open = True
+        self.close_connection = True
+        # The library uses chunks for requests of HTTP/1.1 only.
+        self.request_version = HTTP_1_0
+        self._set_reset_on_close(True)
+
+    def end_unframed_answer(self) -> None:
+        """Let the connection be closed in order, once the answer was written to its end."""
+        if self.is_unframed_answer_open:
+            self.is_unframed_answer_open = False
+            self._set_reset_on_close(False)
+
+    def _set_reset_on_close(self, resets: bool) -> None:
+        linger = LINGER.pack(resets, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    def finish(self) -> None:
+        """Close the connection, without a shutdown if it is to be reset."""
+        if not self.is_unframed_answer_open:
+            super().finish()
+            return
+        try:
+            BaseHTTPRequestHandler.finish(self)
+        except OSError as error:
+            logger.debug("A broken answer was not written completely. %s", error)
+        self.connection.close()
+
     def get_environ(self) -> dict[str, object]:
         """Add what the front needs: the target as sent, the connection, the start time."""
         environ = super().get_environ()
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -10,6 +10,7 @@
 from ruddersaddle_base.ids import PoolId, UpstreamId
 from ruddersaddle_routing.retries import RetryBudget
 
+from ruddersaddle_serving.answer_framings import Framing
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.event_streams import EventSplitter
@@ -18,7 +19,7 @@
     Choice,
     Placement,
 )
-from ruddersaddle_serving.ports import AnswerHead, CompleteAnswer, Wire
+from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
 from ruddersaddle_serving.prompts import CallerRequest, RelayTerms
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import Relaying, RelayPeers
@@ -43,6 +44,8 @@
 ROOM_POLL_S = 0.01
 REMAINING_MIN_S = 0.02
 """Nothing is sent with less time than this left before the deadline."""
+LOGGED_ID_CHARS = 40
+"""Characters of an event's id in the log."""
 
 
 FINAL_CODES = frozenset(
@@ -119,7 +122,7 @@
         self._may_have_run = False
         self._first_events = b""
 
-    def begin(self) -> CompleteAnswer | AnswerHead | Failure:
+    def begin(self) -> BufferedAnswer | AnswerHead | Failure:
         """Return a complete answer, a stream's head once its first event is read, or a failure."""
         self.pool = self.forwarder.placement.pick_pool(self.request.route)
         if self.pool is None:
@@ -140,7 +143,7 @@
                     self._as_unknown(result) if self._may_have_run else self._with_backoff(result)
                 )
 
-    def _relay_if_reached_elsewhere(self) -> CompleteAnswer | AnswerHead | Failure | None:
+    def _relay_if_reached_elsewhere(self) -> BufferedAnswer | AnswerHead | Failure | None:
         """Relay the request if other hosts reach more of the pool's upstreams than this one.
 
         With no path to any, it is relayed as well if this host hasn't heard yet whether others have
@@ -164,7 +167,7 @@
             )
         return relayed
 
-    def _relay(self, reason: str) -> CompleteAnswer | AnswerHead | Failure | None:
+    def _relay(self, reason: str) -> BufferedAnswer | AnswerHead | Failure | None:
         """Return another host's answer; None if no host accepts the request."""
         peers = self.forwarder.relay_peers
         if peers is None or self.request.terms is not None or self.relaying is not None:
@@ -181,13 +184,13 @@
         result = self.relaying.begin()
         if result is None:
             self.relaying = None
-        elif isinstance(result, CompleteAnswer):
+        elif isinstance(result, BufferedAnswer):
             if self._sent_count and result.status in NOT_RUN_STATUSES:
                 return self._as_refusal(result)
             self._record_first()
         return result
 
-    def _as_refusal(self, answer: CompleteAnswer) -> Failure:
+    def _as_refusal(self, answer: BufferedAnswer) -> Failure:
         """Return another host's refusal as a failure.
 
         It speaks of its own attempts alone, and an earlier one of this host may have run.
@@ -211,7 +214,7 @@
         code = Code.DEADLINE if failure.code is Code.DEADLINE else Code.UPSTREAM_FAILED
         return msgspec.structs.replace(failure, code=code, ran=Ran.UNKNOWN)
 
-    def _attempt_once(self, last_event: str | None) -> CompleteAnswer | AnswerHead | Failure:
+    def _attempt_once(self, last_event: str | None) -> BufferedAnswer | AnswerHead | Failure:
         opened = self._open(last_event)
         if isinstance(opened, Failure) or self.relaying is not None:
             return opened
@@ -219,7 +222,7 @@
             return self._await_first(opened)
         return self._read_complete(opened)
 
-    def _open(self, last_event: str | None) -> CompleteAnswer | AnswerHead | Failure:
+    def _open(self, last_event: str | None) -> BufferedAnswer | AnswerHead | Failure:
         """Send the request to the best upstream that accepts a connection, or relay it."""
         forwarder = self.forwarder
         relayed = self._relay_if_reached_elsewhere() if self._sent_count else None
@@ -254,7 +257,7 @@
                     return relayed
         return self._relay_without_connection() or self._without_connection(failure)
 
-    def _relay_without_connection(self) -> CompleteAnswer | AnswerHead | Failure | None:
+    def _relay_without_connection(self) -> BufferedAnswer | AnswerHead | Failure | None:
         """Relay a request that got no connection; None if no host accepts it."""
         return self._relay("no upstream accepted a connection")
 
@@ -329,25 +332,26 @@
             trace.fetched_parts = sum(place is not None for place in choice.transfer.fetch_from)
             trace.saved_parts = sum(place is not None for place in choice.transfer.save_to)
 
-    def _read_complete(self, head: AnswerHead) -> CompleteAnswer | Failure:
+    def _read_complete(self, head: AnswerHead) -> BufferedAnswer | Failure:
         body = self.attempt.exchange.read_all(ANSWER_BYTES_MAX)
         upstream = self.attempt.choice.tracker.id
-        self._record_data(body)
         if isinstance(body, Failure):
-            self._end_attempt(True, f"{upstream} {body.detail}")
+            self._end_broken(body)
             return body
+        self._record_data(body)
         failed = head.status >= 500
         if head.status < 300:
-            self.forwarder.crash_watch.record_complete(self.request.fingerprint)
-        self._end_attempt(failed, f"{upstream} status {head.status}")
+            self._record_ending(head.framing)
+        note = "" if head.framing is Framing.DELIMITED else ", ended with its connection"
+        self._end_attempt(failed, f"{upstream} status {head.status}{note}")
         if failed and self._may_repeat():
             again = self._retry_after_error()
             if again is not None:
                 return again
         self._record_first()
-        return CompleteAnswer(head.status, head.headers, body)
+        return BufferedAnswer(head.status, head.headers, body, head.framing)
 
-    def _retry_after_error(self) -> CompleteAnswer | AnswerHead | None:
+    def _retry_after_error(self) -> BufferedAnswer | AnswerHead | None:
         """Retry a repeatable request after an error answer; None if no upstream did better."""
         failure = Failure(Code.UPSTREAM_FAILED, Step.READ, self.trace.upstream, "", Ran.RAN)
         if not self._may_retry(failure):
@@ -358,22 +362,36 @@
     def _await_first(self, head: AnswerHead) -> AnswerHead | Failure:
         """Read up to the first complete event; a stream that breaks before it can be retried."""
         self._first_events = b""
-        while not self._first_events:
-            data = self.attempt.exchange.read_some()
-            if isinstance(data, Failure):
-                self._record_data(data)
-                self.splitter.discard_partial()
-                self._end_attempt(True, f"{self.attempt.choice.tracker.id} {data.detail}")
-                return data
-            if not data:
-                self._first_events = self.splitter.flush()
-                break
-            self._first_events = self.splitter.feed(data)
-        self._record_data(self._first_events)
+        self.splitter.begin_answer()
+        events = self._read_events()
+        if not events and head.framing is Framing.CONNECTION:
+            events = self.attempt.break_off("the connection ended before the first event")
+        if isinstance(events, Failure):
+            self._end_broken(events)
+            return events
+        self._first_events = events
+        self._record_data(events)
         self.attempt.record_first_event()
         self._record_first()
         return head
 
+    def _read_events(self) -> bytes | Failure:
+        """Return the next complete events of the attempt's stream; empty at its end."""
+        exchange = self.attempt.exchange
+        while True:
+            data = exchange.read_some()
+            if isinstance(data, Failure):
+                return data
+            if not data and self.splitter.is_inside_event:
+                return self.attempt.break_off(f"ended inside an event after {self._last_event()}")
+            events = self.splitter.feed(data) if data else self.splitter.flush()
+            if events or not data:
+                return events
+
+    def _last_event(self) -> str:
+        last_id = self.splitter.last_id
+        return "no event" if last_id is None else f"event {last_id[:LOGGED_ID_CHARS]}"
+
     def _record_first(self) -> None:
         if self.trace.first_s is None:
             self.trace.first_s = clocks.now_s() - self.request.started_at
@@ -383,30 +401,36 @@
         if self.relaying is not None:
             yield from self._relayed_events()
             return
+        framing = self.attempt.exchange.head.framing
         yield self._first_events
         while True:
-            data = self.attempt.exchange.read_some()
-            if isinstance(data, Failure):
-                self._record_data(data)
-                self.splitter.discard_partial()
-                self._end_attempt(True, f"{self.attempt.choice.tracker.id} {data.detail}")
-                failure = self._resume(data)
+            events = self._read_events()
+            if isinstance(events, Failure):
+                self._end_broken(events)
+                failure = self._resume(events)
                 if failure is not None:
                     yield failure
                     return
-                yield self._first_events
-                continue
-            if not data:
-                rest = self.splitter.flush()
-                self.forwarder.crash_watch.record_complete(self.request.fingerprint)
-                self._end_attempt(False, "whole")
-                if rest:
-                    yield rest
+                events = self._first_events
+            elif not events:
+                yield from self._end_stream(framing)
                 return
-            events = self.splitter.feed(data)
-            if events:
+            else:
                 self._record_data(events)
-                yield events
+            yield events
+
+    def _end_stream(self, framing: Framing) -> Iterator[Failure]:
+        """End a stream that ended between events; `framing` is that of the caller's answer.
+
+        The caller isn't told that it is complete if its last part ended with its connection.
+        """
+        found = self.attempt.exchange.head.framing
+        self._record_ending(found)
+        outcome = f"ended with its connection after {self._last_event()}"
+        self._end_attempt(False, "whole" if found is Framing.DELIMITED else outcome)
+        if framing is Framing.DELIMITED and found is Framing.CONNECTION:
+            detail = f"the resumed part ended with its connection after {self._last_event()}"
+            yield Failure(Code.UPSTREAM_FAILED, Step.READ, self.trace.upstream, detail, Ran.RAN)
 
     def _relayed_events(self) -> Iterator[bytes | Failure]:
         for events in self.relaying.events():
@@ -425,7 +449,7 @@
                     "Stream of %s resumed after event %s.", self.request.id, self.splitter.last_id
                 )
                 return None
-            if isinstance(result, CompleteAnswer):
+            if isinstance(result, BufferedAnswer):
                 return failure
             failure = result
         return failure
@@ -454,6 +478,16 @@
         else:
             self.outcome.record_data()
 
+    def _record_ending(self, framing: Framing) -> None:
+        """Record that an answer ended in order; only a complete one clears its request."""
+        if framing is Framing.DELIMITED:
+            self.forwarder.crash_watch.record_complete(self.request.fingerprint)
+
+    def _end_broken(self, failure: Failure) -> None:
+        """End an attempt whose answer broke off."""
+        self._record_data(failure)
+        self._end_attempt(True, f"{self.attempt.choice.tracker.id} {failure.detail}")
+
     def _finish_outcome(self, is_cut: bool) -> None:
         if self.outcome is not None:
             self.outcome.finish(is_cut)
@@ -487,5 +521,5 @@
         return waited_s > UNRESPONSIVE_FACTOR * expected_s
 
 
-def _may_have_run(result: CompleteAnswer | AnswerHead | Failure) -> bool:
+def _may_have_run(result: BufferedAnswer | AnswerHead | Failure) -> bool:
     return isinstance(result, Failure) and result.ran is not Ran.NOT_RUN
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -1,7 +1,6 @@
 """The caller-facing WSGI application: authenticates and routes requests, and writes answers."""
 
 import logging
-import socket
 from collections.abc import Callable, Iterable, Iterator
 from http.client import responses
 from typing import Any
@@ -12,14 +11,17 @@
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.histograms import Histograms, Measure
 
+from ruddersaddle_serving.answer_framings import Framing
 from ruddersaddle_serving.caller_bodies import read_body
+from ruddersaddle_serving.caller_protocols import CallerProtocol
 from ruddersaddle_serving.caller_watches import CallerLeftError, CallerWatch
 from ruddersaddle_serving.deferred_timeouts import DeferredTimeout
-from ruddersaddle_serving.forwarders import CompleteAnswer, Forwarder, Forwarding
+from ruddersaddle_serving.forwarders import BufferedAnswer, Forwarder, Forwarding
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, RelayTerms
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import (
+    FRAMING_HEADER,
     REFUSAL_HEADER,
     read_terms,
     refusal_of,
@@ -163,7 +165,7 @@
     def _end_after(self, body: list[bytes], outcome: str = ANSWERED) -> "_CompleteBody":
         """Return a buffered answer; the request ends once it is written."""
         self._release()
-        return _CompleteBody(body, outcome, self._finish, self.environ["caller.connection"])
+        return _CompleteBody(body, outcome, self._finish, self._protocol)
 
     # Reading the request
 
@@ -251,29 +253,50 @@
         result = self.forwarding.begin()
         if isinstance(result, Failure):
             return self._end_after(self._refuse(result))
-        if isinstance(result, CompleteAnswer):
+        if isinstance(result, BufferedAnswer):
             return self._end_after(self._answer(result))
         return self._stream(result)
 
-    def _answer(self, answer: CompleteAnswer) -> list[bytes]:
-        headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+    def _answer(self, answer: BufferedAnswer) -> list[bytes]:
+        headers = list(answer.headers)
+        if answer.framing is Framing.CONNECTION and self.terms is None:
+            self._protocol.begin_unframed_answer()
+        else:
+            headers += [*self._relayed_ending(answer.framing), _length_header(answer.body)]
         self._start(answer.status, headers)
         return [answer.body]
 
     def _stream(self, head: AnswerHead) -> Iterator[bytes]:
-        self._start(head.status, list(head.headers))
+        is_unframed = head.framing is Framing.CONNECTION and self.terms is None
+        if is_unframed or not self._protocol.can_use_chunks:
+            self._protocol.begin_unframed_answer()
+        self._start(head.status, [*head.headers, *self._relayed_ending(head.framing)])
         return self._events()
 
+    @property
+    def _protocol(self) -> CallerProtocol:
+        return self.environ["caller.protocol"]
+
+    def _relayed_ending(self, framing: Framing) -> list[tuple[str, str]]:
+        """Return the header that tells another host of an answer that ended with its connection.
+
+        The answer to that host is framed, so that it notices if this host fails.
+        """
+        if self.terms is None or framing is Framing.DELIMITED:
+            return []
+        return [(FRAMING_HEADER, framing.value)]
+
     def _events(self) -> Iterator[bytes]:
         outcome = "ended with its task"
         try:
             for data in self.forwarding.events():
                 if isinstance(data, Failure):
                     outcome = f"stream broke: {data.detail}"
-                    # Raising closes the connection without the stream's end mark, so that the
-                    # caller can't take a partial answer for a complete one.
+                    # Raising closes the connection without the last chunk, or resets it, so that
+                    # the caller can't take a partial answer for a complete one.
                     raise StreamBrokenError(data.detail)
                 yield data
+            self._protocol.end_unframed_answer()
             outcome = ANSWERED
         except CallerLeftError:
             outcome = "caller left"
@@ -304,7 +327,7 @@
         # A caller that was not sent "100 Continue" may still send its body, which would be taken
         # for the next request.
         if self.front.draining or self.environ["eventlet.input"].should_send_hundred_continue:
-            self.environ["caller.protocol"].close_connection = 1
+            self._protocol.close_connection = 1
         self.start(f"{status} {responses.get(status, 'Unknown')}", headers)
 
     def _deadline_passed(self) -> Failure:
@@ -316,7 +339,7 @@
         It may have closed only its sending side and still read the answer. Unlike the library's
         500, this one says whether the request may have run; before forwarding it has not.
         """
-        self.environ["caller.protocol"].close_connection = 1
+        self._protocol.close_connection = 1
         detail = "the caller has closed its side of the connection"
         if self.forwarding is None:
             return Failure(Code.PEER_GONE, Step.ADMIT, "caller", detail)
@@ -325,7 +348,7 @@
     def _refuse(self, failure: Failure) -> list[bytes]:
         status = STATUS_BY_CODE.get(failure.code, NOT_RUN_STATUS)
         body = msgspec.json.encode({"error": failure.code.value, "detail": failure.detail})
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+        headers = [("Content-Type", "application/json"), _length_header(body)]
         request = None if self.head is None else self.head.id
         may_retry = status == NOT_RUN_STATUS and not _is_lasting(failure)
         retry_after_s = failure.retry_after_s if may_retry else None
@@ -335,7 +358,7 @@
             headers.append((REFUSAL_HEADER, relay_refusal.value))
         if failure.code is Code.TOO_LARGE or failure.step is Step.PARSE:
             # The unread rest of the body would be taken for the next request.
-            self.environ["caller.protocol"].close_connection = 1
+            self._protocol.close_connection = 1
         self.failure = failure
         self._start(status, headers)
         # A body after the head of an answer to HEAD would be taken for the next answer.
@@ -459,21 +482,22 @@
         parts: list[bytes],
         outcome: str,
         finish: Callable[[str], None],
-        connection: socket.socket,
+        protocol: CallerProtocol,
     ) -> None:
         self.parts = parts
         self.outcome = outcome
         self.finish = finish
-        self.connection = connection
+        self.protocol = protocol
         self.written = False
         """Whether the server has come back after the last part, so that writing it did not fail."""
 
     def __iter__(self) -> Iterator[bytes]:
         if sum(map(len, self.parts)) > LONG_ANSWER_BYTES:
-            with bounded_writes(self.connection):
+            with bounded_writes(self.protocol.connection):
                 yield from self.parts
         else:
             yield from self.parts
+        self.protocol.end_unframed_answer()
         self.written = True
 
     def close(self) -> None:
@@ -486,6 +510,10 @@
     """Raised to close a caller's connection if its stream can't be completed."""
 
 
+def _length_header(body: bytes) -> tuple[str, str]:
+    return "Content-Length", str(len(body))
+
+
 def _is_lasting(failure: Failure) -> bool:
     """Return whether a retry would be refused as well, so that no Retry-After is sent."""
     if failure.code is Code.NO_ALLOWED_REGION:
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -11,6 +11,7 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import ModelId, PoolId, RequestId, SoftwareVersion, UpstreamId
 
+from ruddersaddle_serving.answer_framings import Framing
 from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Headers, PartId
 from ruddersaddle_serving.rollouts.orders import RolloutOrder, RolloutState
@@ -171,14 +172,16 @@
     headers: Headers
     """Headers that are forwarded to the caller unchanged."""
     report: SelfReport = EMPTY_REPORT
+    framing: Framing = Framing.DELIMITED
 
 
-class CompleteAnswer(msgspec.Struct, frozen=True):
-    """A buffered, complete answer."""
+class BufferedAnswer(msgspec.Struct, frozen=True):
+    """An answer that was read to its end; whether it is complete depends on its framing."""
 
     status: int
     headers: Headers
     body: bytes
+    framing: Framing
 
 
 class Wire(Protocol):
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -11,15 +11,17 @@
 from collections.abc import Callable, Iterator
 from enum import Enum
 
+import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import is_decimal_integer
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, HostId
 from ruddersaddle_routing.rendezvous import rank_names
 
+from ruddersaddle_serving.answer_framings import Framing
 from ruddersaddle_serving.event_streams import EventSplitter
 from ruddersaddle_serving.hosts import HostRecord, Hosts
-from ruddersaddle_serving.ports import AnswerHead, CompleteAnswer, Wire
+from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers, RelayTerms
 from ruddersaddle_serving.request_traces import RequestTrace
 from ruddersaddle_serving.upstream_connections import (
@@ -32,6 +34,9 @@
 VERSION_HEADER = "Relay-Configuration"
 UPSTREAMS_HEADER = "Relay-Upstreams"
 REFUSAL_HEADER = "Relay-Refusal"
+FRAMING_HEADER = "Relay-Framing"
+"""How the upstream's answer was framed, if it ended with its connection. Answers between hosts are
+always framed."""
 TERMS_HEADERS = frozenset(
     name.lower() for name in (SENDER_HEADER, VERSION_HEADER, UPSTREAMS_HEADER)
 )
@@ -95,6 +100,14 @@
     return tuple(each for each in headers if each[0].lower() not in TERMS_HEADERS)
 
 
+def _as_framed_by_upstream(head: AnswerHead) -> AnswerHead:
+    """Return the head of a relayed answer with the framing that the upstream's answer had."""
+    headers = tuple(each for each in head.headers if each[0].lower() != FRAMING_HEADER.lower())
+    if len(headers) == len(head.headers):
+        return head
+    return msgspec.structs.replace(head, headers=headers, framing=Framing.CONNECTION)
+
+
 class RelayPeer:
     """Another host as a target of relayed requests."""
 
@@ -256,7 +269,7 @@
         self._exchange: Exchange | None = None
         self._excluded: set[HostId] = set()
 
-    def begin(self) -> CompleteAnswer | AnswerHead | Failure | None:
+    def begin(self) -> BufferedAnswer | AnswerHead | Failure | None:
         """Return another host's answer; None if no host accepted the request, which has not run.
 
         A stream's head is returned without its events; see `events`.
@@ -281,7 +294,7 @@
             self._excluded.add(peer.host)
         return peer
 
-    def _offer(self) -> CompleteAnswer | AnswerHead | Failure:
+    def _offer(self) -> BufferedAnswer | AnswerHead | Failure:
         peer = self._peer
         peer.in_flight += 1
         exchange = self.peers.open_exchange(peer)
@@ -300,6 +313,9 @@
         refusal = exchange.raw.headers.get(REFUSAL_HEADER)
         if refusal is not None:
             return self._apply_refusal(refusal)
+        if head.framing is Framing.CONNECTION:
+            return self._break(exchange.break_off("the relayed answer has no framing"))
+        head = _as_framed_by_upstream(head)
         self.trace.relayed_to = peer.host
         if head.status == 200 and self.request.is_stream:
             self.peers.record_accepted(self._peer)
@@ -317,13 +333,13 @@
             request.method, request.target, request.body, headers, remaining_s
         )
 
-    def _read_complete(self, head: AnswerHead) -> CompleteAnswer | Failure:
+    def _read_complete(self, head: AnswerHead) -> BufferedAnswer | Failure:
         body = self._exchange.read_all(ANSWER_BYTES_MAX)
         if isinstance(body, Failure):
             return self._break(body)
         self.peers.record_accepted(self._peer)
         self.trace.attempts.append(f"relayed to {self._peer.host}: status {head.status}")
-        return CompleteAnswer(head.status, head.headers, body)
+        return BufferedAnswer(head.status, head.headers, body, head.framing)
 
     def _apply_refusal(self, refusal: str) -> Failure:
         self._exchange.read_all(ANSWER_BYTES_MAX)
@@ -352,18 +368,17 @@
         """Yield complete events as they arrive; a failure, if any, comes last."""
         while True:
             data = self._exchange.read_some()
+            if not data and self.splitter.is_inside_event:
+                data = self._exchange.break_off("ended inside an event")
             if isinstance(data, Failure):
                 yield self._break(data)
                 return
+            events = self.splitter.feed(data) if data else self.splitter.flush()
+            if events:
+                yield events
             if not data:
-                rest = self.splitter.flush()
                 self.trace.attempts.append(f"relayed to {self._peer.host}: whole")
-                if rest:
-                    yield rest
                 return
-            events = self.splitter.feed(data)
-            if events:
-                yield events
 
     def finish(self) -> None:
         """End the request at any stage; an incomplete answer's connection is closed."""
--- a/libs/serving/ruddersaddle_serving/tests/test_event_streams.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_event_streams.py
@@ -24,8 +24,8 @@
     def test_partial_event_is_buffered_and_discarded(self) -> None:
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(b"id: 1\n\nid: 2\nda"), b"id: 1\n\n")
-        self.assertFalse(splitter.is_between_events)
-        splitter.discard_partial()
+        self.assertTrue(splitter.is_inside_event)
+        splitter.begin_answer()
         self.assertEqual(splitter.feed(b"id: 2\n\n"), b"id: 2\n\n")
         self.assertEqual(splitter.last_id, "2")
 
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -9,11 +9,12 @@
 from ruddersaddle_base.ids import PoolId, RequestId
 from ruddersaddle_routing.retries import RetryBudget
 
+from ruddersaddle_serving.answer_framings import Framing
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.forwarders import Forwarder, Forwarding
 from ruddersaddle_serving.placements import Choice
-from ruddersaddle_serving.ports import CompleteAnswer
+from ruddersaddle_serving.ports import BufferedAnswer
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import Relaying
@@ -80,20 +81,20 @@
         self.assertFalse(self.is_unresponsive_after(3.2 * TARGET_S, predicted_s=4.0 * TARGET_S))
         self.assertTrue(self.is_unresponsive_after(13.0 * TARGET_S, predicted_s=4.0 * TARGET_S))
 
-    def relay(self, sent: int, status: int) -> CompleteAnswer | Failure:
+    def relay(self, sent: int, status: int) -> BufferedAnswer | Failure:
         """Return what a request gets that another host answers after attempts of this one."""
         forwarding = self.make_forwarding()
         forwarding._sent_count = sent
         forwarding.request.route = msgspec.structs.replace(ROUTE, upstreams_max=2)
         forwarding.forwarder.relay_peers = mock.Mock()
-        answer = CompleteAnswer(status, (), b"")
+        answer = BufferedAnswer(status, (), b"", Framing.DELIMITED)
         with mock.patch.object(Relaying, "begin", return_value=answer):
             return forwarding._relay("lost")
 
     def test_refusal_of_another_host_is_no_promise_after_an_attempt_here(self) -> None:
-        self.assertIsInstance(self.relay(0, 503), CompleteAnswer)
+        self.assertIsInstance(self.relay(0, 503), BufferedAnswer)
         self.assertIsInstance(self.relay(1, 503), Failure)
-        self.assertIsInstance(self.relay(1, 200), CompleteAnswer)
+        self.assertIsInstance(self.relay(1, 200), BufferedAnswer)
 
     def test_request_without_attempts_left_is_not_relayed(self) -> None:
         self.assertIsNone(self.relay(2, 200))
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping
 from http.client import HTTPException
 
+import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from urllib3.exceptions import HTTPError, ProtocolError
@@ -15,6 +16,7 @@
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from ruddersaddle_serving.answer_framings import Framing, framing_of
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS, UNACKNOWLEDGED_MS
@@ -73,9 +75,11 @@
         """Whether the connection was opened for it."""
         self.raw: BaseHTTPResponse | None = None
         self.head: AnswerHead | None = None
-        self.is_complete = False
+        self.has_ended = False
+        """Whether the answer was read to its end, and the end is not known to be too early."""
         self.is_broken = False
         """Whether the connection ended before the answer was complete, other than by a timeout."""
+        self._method = ""
         self._is_long = False
         self._send_error: Exception | None = None
         """The error that ended sending early."""
@@ -92,6 +96,7 @@
 
         How late an upstream may read a long body is bounded by the request's remaining time.
         """
+        self._method = method
         sent = {
             name: value for name, value in SKIPPED.items() if name.lower() not in _names(headers)
         }
@@ -125,11 +130,13 @@
             self.raw = self.connection.getresponse()
         except ERRORS as error:
             return self._fail(Step.READ, self._send_error or error)
-        if self._send_error is not None and not self._is_delimited:
+        framing = framing_of(self._method, self.raw.status, self.raw.headers)
+        if self._send_error is not None and framing is Framing.CONNECTION:
             # Without a length, the answer's end looks the same as the lost connection.
             return self._fail(Step.SEND, self._send_error)
         headers = tuple((name, value) for name, value in self.raw.headers.items())
-        self.head = wire.read_answer(self.raw.status, headers)
+        head = wire.read_answer(self.raw.status, headers)
+        self.head = msgspec.structs.replace(head, framing=framing)
         return self.head
 
     def read_some(self) -> bytes | Failure:
@@ -139,9 +146,18 @@
         except ERRORS as error:
             return self._fail(Step.READ, error)
         if not data:
-            self.is_complete = True
+            self.has_ended = True
         return data
 
+    def break_off(self, detail: str) -> Failure:
+        """Return the failure of an answer whose content shows that it ended too early.
+
+        If the answer has no framing, its connection was lost, perhaps with the upstream's process.
+        """
+        self.has_ended = False
+        self.is_broken = self.head.framing is Framing.CONNECTION
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, self.pool.address, detail, Ran.UNKNOWN)
+
     def read_all(self, bytes_max: int) -> bytes | Failure:
         """Return the complete body."""
         parts: list[bytes] = []
@@ -159,7 +175,7 @@
 
     def finish(self) -> None:
         """Release the connection for reuse if its answer was read completely, else close it."""
-        if not self.is_complete or not self._is_reusable():
+        if not self.has_ended or not self._is_reusable():
             self.connection.close()
             return
         if self._is_long:
@@ -169,7 +185,9 @@
     def _is_reusable(self) -> bool:
         if self.raw is None or self.raw.version != 11 or self._send_error is not None:
             return False
-        if "close" in self.raw.headers.get("Connection", "").lower() or not self._is_delimited:
+        if "close" in self.raw.headers.get("Connection", "").lower():
+            return False
+        if self.head.framing is Framing.CONNECTION:
             return False
         # An upstream may answer before it has read the body; a next request would queue behind it.
         return not (self._is_long and self.connection.has_unacknowledged_bytes)
@@ -188,13 +206,6 @@
             self.connection.set_user_timeout(UNACKNOWLEDGED_S)
         return Acknowledgement.COMPLETE
 
-    @property
-    def _is_delimited(self) -> bool:
-        """Whether the answer is framed by a length or by chunks."""
-        headers = self.raw.headers
-        sized = headers.get("Content-Length") is not None
-        return sized or headers.get("Transfer-Encoding", "").lower() == "chunked"
-
     def _fail(self, step: Step, error: Exception) -> Failure:
         self.is_broken = isinstance(error, CONNECTION_LOST_ERRORS) and not isinstance(
             error, TIMEOUTS
