--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -49,6 +49,8 @@
         self.exchange: Exchange | None = None
         self.is_invalid = False
         """Whether the answer violated the protocol."""
+        self.is_cut_short = False
+        """Whether the answer ended in order, but its content shows that this was too early."""
         self._instance = choice.tracker.entry.instance
         choice.tracker.in_flight += 1
         self._finished = False
@@ -179,6 +181,7 @@
     def break_off(self, detail: str) -> Failure:
         """Return the failure of an answer whose content shows that it ended too early."""
         failure = self.exchange.break_off(detail)
+        self.is_cut_short = True
         # Framing that says that it is complete is wrong, but its connection is alive.
         self.is_invalid = self.is_invalid or not self.exchange.is_broken
         return failure
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -10,7 +10,7 @@
 from ruddersaddle_base.ids import PoolId, UpstreamId
 from ruddersaddle_routing.retries import RetryBudget
 
-from ruddersaddle_serving.answer_framings import Framing
+from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, Framing, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.event_streams import EventSplitter
@@ -82,6 +82,7 @@
         self.publications = publications
         self.budget = budget
         self.key_age_max_s = key_age_max_s
+        self.ends = AnswerEnds()
         self.relay_peers: RelayPeers | None = None
         """Hosts that requests may be relayed to; None if there are no relays."""
         self.outcomes: AttemptOutcomes | None = None
@@ -340,9 +341,8 @@
             return body
         self._record_data(body)
         failed = head.status >= 500
-        if head.status < 300:
-            self._record_ending(head.framing)
-        note = "" if head.framing is Framing.DELIMITED else ", ended with its connection"
+        is_complete = self._record_ordinary_end(head) is AnswerEnd.COMPLETE
+        note = "" if is_complete else ", ended with its connection"
         self._end_attempt(failed, f"{upstream} status {head.status}{note}")
         if failed and self._may_repeat():
             again = self._retry_after_error()
@@ -424,12 +424,13 @@
 
         The caller isn't told that it is complete if its last part ended with its connection.
         """
-        found = self.attempt.exchange.head.framing
-        self._record_ending(found)
-        outcome = f"ended with its connection after {self._last_event()}"
-        self._end_attempt(False, "whole" if found is Framing.DELIMITED else outcome)
-        if framing is Framing.DELIMITED and found is Framing.CONNECTION:
-            detail = f"the resumed part ended with its connection after {self._last_event()}"
+        outcome = "whole"
+        is_complete = self._record_ordinary_end(self.attempt.exchange.head) is AnswerEnd.COMPLETE
+        if not is_complete:
+            outcome = f"ended with its connection after {self._last_event()}"
+        self._end_attempt(False, outcome)
+        if framing is Framing.DELIMITED and not is_complete:
+            detail = f"the resumed part {outcome}"
             yield Failure(Code.UPSTREAM_FAILED, Step.READ, self.trace.upstream, detail, Ran.RAN)
 
     def _relayed_events(self) -> Iterator[bytes | Failure]:
@@ -478,13 +479,18 @@
         else:
             self.outcome.record_data()
 
-    def _record_ending(self, framing: Framing) -> None:
-        """Record that an answer ended in order; only a complete one clears its request."""
-        if framing is Framing.DELIMITED:
+    def _record_ordinary_end(self, head: AnswerHead) -> AnswerEnd:
+        """Record that an answer came to its end; only a complete success clears its request."""
+        end = ordinary_end(head.framing)
+        self.forwarder.ends.record(end)
+        if end is AnswerEnd.COMPLETE and head.status < 300:
             self.forwarder.crash_watch.record_complete(self.request.fingerprint)
+        return end
 
     def _end_broken(self, failure: Failure) -> None:
         """End an attempt whose answer broke off."""
+        is_cut_short = self.attempt.is_cut_short
+        self.forwarder.ends.record(AnswerEnd.CUT_SHORT if is_cut_short else AnswerEnd.BROKEN_OFF)
         self._record_data(failure)
         self._end_attempt(True, f"{self.attempt.choice.tracker.id} {failure.detail}")
 
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -18,7 +18,7 @@
 from ruddersaddle_base.ids import HallId, HostId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.answer_framings import Framing
+from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.event_streams import EventSplitter
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -9,7 +9,7 @@
 from ruddersaddle_base.ids import PoolId, RequestId
 from ruddersaddle_routing.retries import RetryBudget
 
-from ruddersaddle_serving.answer_framings import Framing
+from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.forwarders import Forwarder, Forwarding
