An isolation ends once all upstreams whose paths were lost are gone

A host counts as partitioned from all upstreams after two lost paths. If these upstreams left the list meanwhile, no path was probed any more, and requests went to upstreams that counted as unhealthy until one of them answered. Found by reading; the new test failed before.

--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_paths.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_paths.py
@@ -55,6 +55,16 @@
         self.second.record_connect_failure()
         self.assertFalse(self.paths.is_isolated)
 
+    def test_isolation_ends_if_all_upstreams_whose_paths_were_lost_are_gone(self) -> None:
+        self.now += 1.0
+        self.first.record_connect_failure()
+        self.second.record_connect_failure()
+        self.paths.keep_only({self.first.id, self.third.id})
+        self.assertTrue(self.paths.is_isolated)
+        self.paths.keep_only({self.third.id})
+        self.assertFalse(self.paths.is_isolated)
+        self.assertIs(self.reached_by(self.third), ReachedBy.THIS_HOST)
+
     def test_upstreams_that_no_host_reaches_show_no_lost_path(self) -> None:
         for tracker in (self.first, self.second):
             tracker.liveness.apply_report("peer", self.now, self.now)
--- a/libs/serving/ruddersaddle_serving/upstream_paths.py
+++ b/libs/serving/ruddersaddle_serving/upstream_paths.py
@@ -168,8 +168,7 @@
         self._lost.discard(upstream)
         self._lost_since_reached.clear()
         if self.isolated_at is not None:
-            since_s = clocks.now_s() - self.isolated_at
-            self.isolated_at = None
+            since_s = self._end_isolation()
             logger.info(
                 "This host reaches upstreams again after %.1f s.",
                 since_s,
@@ -193,10 +192,22 @@
         for listener in self.listeners:
             listener()
 
+    def _end_isolation(self) -> float:
+        """Apply that there may be a path, and return for how long there was none, in seconds."""
+        since_s = clocks.now_s() - self.isolated_at
+        self.isolated_at = None
+        return since_s
+
     def keep_only(self, upstreams: set[UpstreamId]) -> None:
-        """Forget upstreams that are gone."""
+        """Forget upstreams that are gone.
+
+        Only lost paths are probed. Without any, nothing would end an isolation.
+        """
         self._lost &= upstreams
         self._lost_since_reached &= upstreams
+        if self.isolated_at is not None and not self._lost:
+            since_s = self._end_isolation()
+            logger.info("All upstreams to which paths were lost %.1f s ago are gone.", since_s)
 
     # Unacknowledged bytes
 
