Upstreams' own relay headers no longer speak for a host

A relayed request whose upstream answered with a `Relay-Refusal` header got 503, which promises that it has not run, although it had; with `Relay-Framing` its framed answer reached the caller without framing.

Cause: the host that runs a relayed request passed these headers of the upstream on to the host that relays, which takes them for that host's own.

The headers are now dropped from upstreams' answers before a host adds its own, also where no relay is involved.

--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -25,6 +25,7 @@
     REFUSAL_HEADER,
     read_terms,
     refusal_of,
+    without_answer_headers,
     without_terms,
 )
 from ruddersaddle_serving.request_ends import (
@@ -258,11 +259,11 @@
         return self._stream(result)
 
     def _answer(self, answer: BufferedAnswer) -> list[bytes]:
-        headers = list(answer.headers)
+        headers = self._headers_of(answer)
         if answer.framing is Framing.CONNECTION and self.terms is None:
             self._protocol.begin_unframed_answer()
         else:
-            headers += [*self._relayed_ending(answer.framing), _length_header(answer.body)]
+            headers.append(_length_header(answer.body))
         self._start(answer.status, headers)
         return [answer.body]
 
@@ -270,21 +271,23 @@
         is_unframed = head.framing is Framing.CONNECTION and self.terms is None
         if is_unframed or not self._protocol.can_use_chunks:
             self._protocol.begin_unframed_answer()
-        self._start(head.status, [*head.headers, *self._relayed_ending(head.framing)])
+        self._start(head.status, self._headers_of(head))
         return self._events()
 
     @property
     def _protocol(self) -> CallerProtocol:
         return self.environ["caller.protocol"]
 
-    def _relayed_ending(self, framing: Framing) -> list[tuple[str, str]]:
-        """Return the header that tells another host of an answer that ended with its connection.
+    def _headers_of(self, answer: AnswerHead | BufferedAnswer) -> list[tuple[str, str]]:
+        """Return the headers of an upstream's answer as this host sends them.
 
-        The answer to that host is framed, so that it notices if this host fails.
+        Another host is told of an answer that ended with its connection: the answer to that host
+        is framed, so that it notices if this host fails.
         """
-        if self.terms is None or framing is Framing.DELIMITED:
-            return []
-        return [(FRAMING_HEADER, framing.value)]
+        headers = list(without_answer_headers(answer.headers))
+        if self.terms is not None and answer.framing is Framing.CONNECTION:
+            headers.append((FRAMING_HEADER, answer.framing.value))
+        return headers
 
     def _events(self) -> Iterator[bytes]:
         outcome = "ended with its task"
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -40,6 +40,8 @@
 TERMS_HEADERS = frozenset(
     name.lower() for name in (SENDER_HEADER, VERSION_HEADER, UPSTREAMS_HEADER)
 )
+ANSWER_HEADERS = frozenset(name.lower() for name in (REFUSAL_HEADER, FRAMING_HEADER))
+"""Headers that only hosts add to answers."""
 PEERS_PER_HALL = 4
 """Hosts of each hall that one host relays to, by rendezvous hashing: connections grow with hosts,
 not with their square."""
@@ -100,11 +102,16 @@
     return tuple(each for each in headers if each[0].lower() not in TERMS_HEADERS)
 
 
+def without_answer_headers(headers: Headers) -> Headers:
+    """Return the headers of an upstream's answer without those that only hosts may add."""
+    return tuple(each for each in headers if each[0].lower() not in ANSWER_HEADERS)
+
+
 def _as_framed_by_upstream(head: AnswerHead) -> AnswerHead:
     """Return the head of a relayed answer with the framing that the upstream's answer had."""
-    headers = tuple(each for each in head.headers if each[0].lower() != FRAMING_HEADER.lower())
-    if len(headers) == len(head.headers):
+    if FRAMING_HEADER.lower() not in {name.lower() for name, _ in head.headers}:
         return head
+    headers = without_answer_headers(head.headers)
     return msgspec.structs.replace(head, headers=headers, framing=Framing.CONNECTION)
 
 
