A chunked answer that is cut in a chunk's size no longer looks complete

If an upstream writes the sizes of chunks with leading zeros (0a), and its answer was cut after the first digit, callers got what had come as a complete answer. The same where the store, engines' reports and context stores are read.

Cause: the HTTP library takes an unended line with a chunk's size for the size, so the 0 of 0a for the size of the last chunk, and accepts the end of the connection in place of the trailer.

All connections now use an answer class that requires the line's end and plain hexadecimal digits.

--- a/libs/serving/ruddersaddle_serving/reset_sockets.py
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -12,6 +12,7 @@
 
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import trampoline
+from ruddersaddle_base.chunk_sizes import StrictAnswer
 from urllib3.connection import HTTPConnection
 
 MS_PER_S = 1000
@@ -34,6 +35,8 @@
 class UpstreamConnection(HTTPConnection):
     """A connection of the HTTP library on a `ResetAwareSocket`."""
 
+    response_class = StrictAnswer
+
     def _new_conn(self) -> ResetAwareSocket:
         """Return a connected socket; called by the library."""
         plain = super()._new_conn()
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -7,7 +7,13 @@
 # The library's sockets have to be green, as in the program.
 import socket  # noqa: E402
 import unittest  # noqa: E402
+from unittest import mock  # noqa: E402
 
+from ruddersaddle_base.failures import Failure  # noqa: E402
+
+from ruddersaddle_serving import upstream_connections  # noqa: E402
+from ruddersaddle_serving.answer_ends import Framing  # noqa: E402
+from ruddersaddle_serving.ports import AnswerHead  # noqa: E402
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS  # noqa: E402
 from ruddersaddle_serving.upstream_connections import (  # noqa: E402
     Exchange,
@@ -72,5 +78,59 @@
         self.assertIsNot(self.pool.open_exchange().connection, released.connection)
 
 
+class AnswersTest(unittest.TestCase):
+    """Answers that an upstream sends in two parts before it closes its connection."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.parts: tuple[bytes, ...] = ()
+        task = eventlet.spawn(self.serve)
+        self.addCleanup(task.kill)
+        self.pool = UpstreamConnections(f"127.0.0.1:{self.listener.getsockname()[1]}")
+        self.addCleanup(self.pool.close)
+
+    def serve(self) -> None:
+        while True:
+            connection, _ = self.listener.accept()
+            connection.recv(65536)
+            for part in self.parts:
+                connection.sendall(part)
+                eventlet.sleep(0.001)
+            connection.close()
+
+    def read(self, *parts: bytes) -> tuple[Framing, bytes | Failure]:
+        """Return an answer's framing, and its body or the failure to read it."""
+        self.parts = parts
+        exchange = self.pool.open_exchange()
+        self.assertIsInstance(exchange, Exchange)
+        exchange.send("GET", "/", b"", {}, 1.0)
+        head = AnswerHead(200, None, False, False, None, None, None, False, ())
+        head = exchange.read_head(mock.Mock(read_answer=lambda status, headers: head))
+        body = exchange.read_all(65536)
+        exchange.finish()
+        self.pool.close()
+        return head.framing, body
+
+    def test_delimited_answer_that_is_cut_anywhere_is_never_whole(self) -> None:
+        """A chunk of size 0a that was cut after its first digit looked like the last chunk."""
+        chunks = b"a\r\n0123456789\r\n0a;x=0\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n"
+        whole_at = len(chunks) - len(b"\r\n")
+        for headers, body, complete_size in (
+            (b"Content-Length: 30", b"0123456789" * 3, 30),
+            (b"Transfer-Encoding: chunked", chunks, whole_at),
+        ):
+            for version in (b"1.1", b"1.0"):
+                head = b"HTTP/%s 200 OK\r\n%s\r\n\r\n" % (version, headers)
+                for read_bytes in (1, 7, 65536):
+                    with mock.patch.object(upstream_connections, "READ_BYTES", read_bytes):
+                        for size in range(complete_size):
+                            with self.subTest(headers=headers, size=size, read=read_bytes):
+                                framing, read = self.read(head, body[:size])
+                                self.assertIs(framing, Framing.DELIMITED)
+                                self.assertIsInstance(read, Failure)
+                        self.assertNotIsInstance(self.read(head, body)[1], Failure)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/upstreams/ruddersaddle_upstreams/connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/connections.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import urllib3
+from ruddersaddle_base.chunk_sizes import StrictAnswer
 from ruddersaddle_base.codecs import is_decimal_integer
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
@@ -86,6 +87,12 @@
         self.raw.release_conn()
 
 
+class StrictConnection(urllib3.connection.HTTPConnection):
+    """A connection on which a cut chunked answer is noticed wherever it was cut."""
+
+    response_class = StrictAnswer
+
+
 class Connections:
     """The connections to one address."""
 
@@ -94,6 +101,7 @@
         self.timeout = urllib3.Timeout(connect=connect_s, read=read_s)
         host, _, port = address.partition(":")
         self.pool = urllib3.HTTPConnectionPool(host, int(port), maxsize=idle_max, retries=False)
+        self.pool.ConnectionCls = StrictConnection
 
     def open(
         self, method: str, path: str, body: bytes = b"", headers: Mapping[str, str] | None = None
--- /dev/null
+++ b/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
@@ -0,0 +1,57 @@
+"""Tests of answers that were cut, or whose framing is malformed."""
+
+import contextlib
+import socket
+import threading
+import unittest
+
+from ruddersaddle_base.failures import Failure
+
+from ruddersaddle_upstreams.connections import Connections, Reply
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class ConnectionsTest(unittest.TestCase):
+    """An upstream that sends `answer` and closes its connection."""
+
+    def setUp(self) -> None:
+        self.answer = b""
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.addCleanup(self.listener.shutdown, socket.SHUT_RDWR)
+        threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                connection, _ = self.listener.accept()
+                with connection:
+                    connection.recv(65536)
+                    connection.sendall(self.answer)
+
+    def call(self, body: bytes) -> Reply | Failure:
+        self.answer = HEAD + body
+        connections = Connections(f"127.0.0.1:{self.listener.getsockname()[1]}", 1.0, 2.0)
+        try:
+            return connections.call("GET", "/")
+        finally:
+            connections.close()
+
+    def test_chunked_answer_that_is_cut_anywhere_is_never_whole(self) -> None:
+        """A chunk of size 0a that was cut after its first digit looked like the last chunk."""
+        body = b"a\r\n0123456789\r\n0a;x=0\r\n0123456789\r\n0\r\n\r\n"
+        for size in range(len(body) - len(b"\r\n")):
+            with self.subTest(size=size):
+                self.assertIsInstance(self.call(body[:size]), Failure)
+        self.assertEqual(self.call(body).body, b"0123456789" * 2)
+
+    def test_malformed_sizes_of_chunks_are_failures(self) -> None:
+        """The library read them as Python does integers: 0x0 and -0 passed for the last chunk."""
+        for size in (b"-1", b"+1", b"0x1", b"1_0", b"", b"-0", b"0x0"):
+            with self.subTest(size=size):
+                self.assertIsInstance(self.call(size + b"\r\nx\r\n0\r\n\r\n"), Failure)
+
+
+if __name__ == "__main__":
+    unittest.main()
