Answers of other types on streaming routes are delivered again

A JSON answer on a route of streams got 502, after up to three runs, as it was taken for a stream that ended inside an event. Found by review.

--- a/libs/serving/ruddersaddle_serving/event_streams.py
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -14,6 +14,21 @@
 LINE_ENDS = (b"\n", b"\r")
 
 
+class ByteStream:
+    """Stands in for `EventSplitter` in answers that aren't event streams: all bytes pass."""
+
+    is_inside_event = False
+    last_id = None
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes."""
+        return data
+
+    def flush(self) -> bytes:
+        """Return nothing, as nothing is buffered."""
+        return b""
+
+
 class EventSplitter:
     """Buffers bytes and returns complete events."""
 
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -173,6 +173,8 @@
     """Headers that are forwarded to the caller unchanged."""
     report: SelfReport = EMPTY_REPORT
     framing: Framing = Framing.DELIMITED
+    is_event_stream: bool = True
+    """Whether the body is a stream of events (text/event-stream), as far as its type is stated."""
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -19,7 +19,7 @@
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.answer_ends import Framing
-from ruddersaddle_serving.event_streams import EventSplitter
+from ruddersaddle_serving.event_streams import ByteStream, EventSplitter
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers, RelayTerms
@@ -271,7 +271,7 @@
         self.request = request
         self.terms = terms
         self.trace = trace
-        self.splitter = EventSplitter()
+        self.splitter: EventSplitter | ByteStream = EventSplitter()
         self._peer: RelayPeer | None = None
         self._exchange: Exchange | None = None
         self._excluded: set[HostId] = set()
@@ -326,6 +326,8 @@
         self.trace.relayed_to = peer.host
         if head.status == 200 and self.request.is_stream:
             self.peers.record_accepted(self._peer)
+            if not head.is_event_stream:
+                self.splitter = ByteStream()
             return head
         return self._read_complete(head)
 
