The end of an answer without framing isn't lost if more came from its caller

A caller that sent a line end after its body got a reset in place of the end of an answer without framing: a connection that is closed with unread bytes is reset. Found by review. The host waits up to a second for the caller's close.

--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -19,6 +19,8 @@
 
 HTTP_1_0 = "HTTP/1.0"
 HTTP_1_1 = "HTTP/1.1"
+AWAIT_CLOSE_S = 1.0
+DISCARD_BYTES = 65536
 LINGER = struct.Struct("ii")
 """The value of SO_LINGER: whether it is on, and seconds; 0 s resets the connection on close."""
 HEAD_BYTES_MAX = 1 << 20
@@ -53,6 +55,8 @@
     """Forward events as they arrive; by default, the server buffers 4 KB."""
     is_unframed_answer_open = False
     """Whether an answer that ends with its connection is being written."""
+    has_unframed_answer = False
+    """Whether the connection's last answer ends with it."""
 
     @property
     def limits(self) -> CallerLimits:
@@ -145,6 +149,7 @@
         process included: an orderly close would look like the answer's end.
         """
         self.is_unframed_answer_open = True
+        self.has_unframed_answer = True
         self.close_connection = True
         # The library uses chunks for requests of HTTP/1.1 only.
         self.request_version = HTTP_1_0
@@ -163,6 +168,8 @@
     def finish(self) -> None:
         """Close the connection, without a shutdown if it is to be reset."""
         if not self.is_unframed_answer_open:
+            if self.has_unframed_answer:
+                self._await_close()
             super().finish()
             return
         try:
@@ -171,6 +178,19 @@
             logger.debug("A broken answer was not written completely. %s", error)
         self.connection.close()
 
+    def _await_close(self) -> None:
+        """Wait a moment for the caller's close after the end of the answer.
+
+        Closing a connection with unread bytes resets it, and the caller would lose the end.
+        """
+        with DeferredTimeout(AWAIT_CLOSE_S, False):
+            try:
+                self.connection.shutdown(socket.SHUT_WR)
+                while self.connection.recv(DISCARD_BYTES):
+                    pass
+            except OSError as error:
+                logger.debug("The caller closed its connection first. %s", error)
+
     def get_environ(self) -> dict[str, object]:
         """Add what the front needs: the target as sent, the connection, the start time."""
         environ = super().get_environ()
