A resumed part without framing goes on, and may be empty

A framed stream that went on at an upstream without framing was broken off after it, though max_attempts allowed another try; an empty part of this kind counted as broken, so that complete streams ended broken. Whether a resumed part is empty is no sign of a break: its upstream may have had nothing left to send.

--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -13,7 +13,7 @@
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, Framing, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
 from ruddersaddle_serving.crash_watches import CrashWatch
-from ruddersaddle_serving.event_streams import EventSplitter
+from ruddersaddle_serving.event_streams import ByteStream, EventSplitter
 from ruddersaddle_serving.placements import (
     RETRY_SOON_S,
     Choice,
@@ -116,7 +116,7 @@
         self.outcome: AttemptOutcome | None = None
         """Record of the attempt's outcome, once it was sent."""
         self.relaying: Relaying | None = None
-        self.splitter = EventSplitter()
+        self.splitter: EventSplitter | ByteStream = EventSplitter()
         self.pool: PoolId | None = None
         self._excluded: set[UpstreamId] = set()
         self._sent_count = 0
@@ -362,9 +362,8 @@
     def _await_first(self, head: AnswerHead) -> AnswerHead | Failure:
         """Read up to the first complete event; a stream that breaks before it can be retried."""
         self._first_events = b""
-        self.splitter.begin_answer()
-        events = self._read_events()
-        if not events and head.framing is Framing.CONNECTION:
+        events = self._read_first_events(head)
+        if not events and head.framing is Framing.CONNECTION and self.attempt.last_event is None:
             events = self.attempt.break_off("the connection ended before the first event")
         if isinstance(events, Failure):
             self._end_broken(events)
@@ -375,6 +374,17 @@
         self._record_first()
         return head
 
+    def _read_first_events(self, head: AnswerHead) -> bytes | Failure:
+        if not head.is_event_stream:
+            if self.splitter.last_id is not None:
+                return self.attempt.break_off("the resumed part is not a stream of events")
+            self.splitter = ByteStream()
+        else:
+            if isinstance(self.splitter, ByteStream):
+                self.splitter = EventSplitter()
+            self.splitter.begin_answer()
+        return self._read_events()
+
     def _read_events(self) -> bytes | Failure:
         """Return the next complete events of the attempt's stream; empty at its end."""
         exchange = self.attempt.exchange
@@ -402,36 +412,41 @@
             yield from self._relayed_events()
             return
         framing = self.attempt.exchange.head.framing
-        yield self._first_events
+        events = self._first_events
         while True:
+            yield events
             events = self._read_events()
-            if isinstance(events, Failure):
-                self._end_broken(events)
-                failure = self._resume(events)
+            failure = events if isinstance(events, Failure) else None
+            if failure is not None:
+                self._end_broken(failure)
+            elif events:
+                self._record_data(events)
+            else:
+                failure = self._end_stream(framing)
+                if failure is None:
+                    return
+            if failure is not None:
+                failure = self._resume(failure)
                 if failure is not None:
                     yield failure
                     return
                 events = self._first_events
-            elif not events:
-                yield from self._end_stream(framing)
-                return
-            else:
-                self._record_data(events)
-            yield events
 
-    def _end_stream(self, framing: Framing) -> Iterator[Failure]:
+    def _end_stream(self, framing: Framing) -> Failure | None:
         """End a stream that ended between events; `framing` is that of the caller's answer.
 
-        The caller isn't told that it is complete if its last part ended with its connection.
+        The caller isn't told that it is complete if its last part ended with its connection: more
+        may follow at another upstream.
         """
         outcome = "whole"
         is_complete = self._record_ordinary_end(self.attempt.exchange.head) is AnswerEnd.COMPLETE
         if not is_complete:
             outcome = f"ended with its connection after {self._last_event()}"
         self._end_attempt(False, outcome)
-        if framing is Framing.DELIMITED and not is_complete:
-            detail = f"the resumed part {outcome}"
-            yield Failure(Code.UPSTREAM_FAILED, Step.READ, self.trace.upstream, detail, Ran.RAN)
+        if is_complete or framing is Framing.CONNECTION:
+            return None
+        detail = f"the resumed part {outcome}"
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, self.trace.upstream, detail, Ran.RAN)
 
     def _relayed_events(self) -> Iterator[bytes | Failure]:
         for events in self.relaying.events():
