Answers whose length is stated wrongly fail instead of ending somewhere

Callers got 200 for answers whose Content-Length is no number or given twice, or which have a transfer coding other than chunks (gzip, chunked); the coding's header was dropped, so the body reached them coded. With a Content-Length beside such a coding, the answer even counted as complete.

Cause: framing_of took what it didn't recognize for an answer without framing.

Framing has a third value, invalid: such an answer fails with 502 (at most once, and counted as invalid for rollouts), its connection isn't reused, and a refusal with such a body is still a refusal. Chunks decide if a length is given as well, as the HTTP library reads them. A body is read to its length and no further.

--- a/libs/serving/ruddersaddle_serving/answer_ends.py
+++ b/libs/serving/ruddersaddle_serving/answer_ends.py
@@ -16,6 +16,8 @@
     """By a length or by chunks, or there is no body: an answer that ended in order is complete."""
     CONNECTION = "connection"
     """The answer ends with its connection: whether it is complete can't be known."""
+    INVALID = "invalid"
+    """The headers contradict each other or can't be read: where the body ends can't be known."""
 
 
 class AnswerEnd(Enum):
@@ -52,12 +54,21 @@
             return AnswerEnd.COMPLETE
         case Framing.CONNECTION:
             return AnswerEnd.CONNECTION_CLOSED
+        case Framing.INVALID:
+            return AnswerEnd.BROKEN_OFF
 
 
 def framing_of(method: str, status: int, headers: Mapping[str, str]) -> Framing:
-    """Return the framing of an answer; `headers` must ignore the case of names."""
-    has_no_body = method == "HEAD" or status in BODILESS_STATUSES
-    is_chunked = headers.get("Transfer-Encoding", "").strip().lower() == "chunked"
-    if has_no_body or is_chunked or is_decimal_integer(headers.get("Content-Length", "").strip()):
+    """Return the framing of an answer.
+
+    `headers` must ignore the case of names and join repeated values. Hosts ask for no transfer
+    coding, so that an upstream may use none but chunks; these decide if a length is given as well.
+    """
+    if method == "HEAD" or status in BODILESS_STATUSES:
         return Framing.DELIMITED
+    codings, length = headers.get("Transfer-Encoding"), headers.get("Content-Length")
+    if codings is not None:
+        return Framing.DELIMITED if codings.strip().lower() == "chunked" else Framing.INVALID
+    if length is not None:
+        return Framing.DELIMITED if is_decimal_integer(length.strip()) else Framing.INVALID
     return Framing.CONNECTION
--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -8,6 +8,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
+from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
 from ruddersaddle_serving.prompts import CallerRequest
@@ -94,6 +95,7 @@
             return failure
         head = self._await_head()
         if isinstance(head, Failure):
+            self.is_invalid = self.exchange.has_invalid_head
             return head
         self.choice.tracker.record_reached()
         if self._is_from_chosen(head):
@@ -139,6 +141,8 @@
         """Return the head, or why this answer must not reach the caller."""
         if head.not_run:
             return self._refusal(head)
+        if head.framing is Framing.INVALID:
+            return self._invalid("the length of the body is stated wrongly")
         if head.request != self.request.id:
             return self._invalid("the answer belongs to another request")
         if head.encoded:
@@ -169,6 +173,8 @@
 
     def _drain_refusal(self) -> None:
         """Read the refusal's body so that its connection can be reused."""
+        if self.exchange.head.framing is Framing.INVALID:
+            return
         data = self.exchange.read_all(65536)
         if isinstance(data, Failure):
             logger.debug("Body of a refusal was not read completely. %s", data.detail)
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -320,7 +320,7 @@
         refusal = exchange.raw.headers.get(REFUSAL_HEADER)
         if refusal is not None:
             return self._apply_refusal(refusal)
-        if head.framing is Framing.CONNECTION:
+        if head.framing is not Framing.DELIMITED:
             return self._break(exchange.break_off("the relayed answer has no framing"))
         head = _as_framed_by_upstream(head)
         self.trace.relayed_to = peer.host
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -131,6 +131,48 @@
                                 self.assertIsInstance(read, Failure)
                         self.assertNotIsInstance(self.read(head, body)[1], Failure)
 
+    def test_answer_whose_length_is_unclear_is_not_taken_for_delimited(self) -> None:
+        """The library ignored such a length, or read to a length that the codings overrule."""
+        for headers in (
+            b"Content-Length: abc",
+            b"Content-Length: -4",
+            b"Content-Length: +4",
+            b"Content-Length:",
+            b"Content-Length: 4, 4",
+            b"Content-Length: 4\r\nContent-Length: 4",
+            b"Content-Length: 4\r\nTransfer-Encoding: gzip, chunked",
+            b"Content-Length: 4\r\nTransfer-Encoding: identity",
+            b"Transfer-Encoding: gzip, chunked",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            b"Transfer-Encoding: chunked, chunked",
+            b"Transfer-Encoding: gzip",
+            b"Transfer-Encoding:",
+        ):
+            with self.subTest(headers=headers):
+                framing, _ = self.read(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % headers, b"data")
+                self.assertIs(framing, Framing.INVALID)
+
+    def test_lengths_that_contradict_each_other_are_an_invalid_head(self) -> None:
+        self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",)
+        exchange = self.pool.open_exchange()
+        exchange.send("GET", "/", b"", {}, 1.0)
+        self.assertIsInstance(exchange.read_head(mock.Mock()), Failure)
+        self.assertEqual((exchange.has_invalid_head, exchange.is_broken), (True, False))
+
+    def test_chunks_decide_if_a_length_is_given_as_well(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: Chunked\r\n\r\n"
+        self.assertEqual(self.read(head, b"4\r\ndata\r\n0\r\n\r\n"), (Framing.DELIMITED, b"data"))
+        self.assertIsInstance(self.read(head, b"4\r\nda")[1], Failure)
+
+    def test_body_ends_at_its_length(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+        self.assertEqual(self.read(head + b"data and more"), (Framing.DELIMITED, b"data"))
+
+    def test_answers_without_bodies_are_delimited(self) -> None:
+        for status in (b"204 No Content", b"304 Not Modified"):
+            framing, body = self.read(b"HTTP/1.1 %s\r\n\r\n" % status)
+            self.assertEqual((framing, body), (Framing.DELIMITED, b""))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -11,7 +11,7 @@
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from urllib3.exceptions import HTTPError, ProtocolError
+from urllib3.exceptions import HTTPError, InvalidHeader, ProtocolError
 from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import SKIP_HEADER
@@ -79,6 +79,8 @@
         """Whether the answer was read to its end, and the end is not known to be too early."""
         self.is_broken = False
         """Whether the connection ended before the answer was complete, other than by a timeout."""
+        self.has_invalid_head = False
+        """Whether the head of the answer contradicts itself, so that the library refused it."""
         self._method = ""
         self._is_long = False
         self._send_error: Exception | None = None
@@ -129,9 +131,10 @@
         try:
             self.raw = self.connection.getresponse()
         except ERRORS as error:
+            self.has_invalid_head = isinstance(error, InvalidHeader)
             return self._fail(Step.READ, self._send_error or error)
         framing = framing_of(self._method, self.raw.status, self.raw.headers)
-        if self._send_error is not None and framing is Framing.CONNECTION:
+        if self._send_error is not None and framing is not Framing.DELIMITED:
             # Without a length, the answer's end looks the same as the lost connection.
             return self._fail(Step.SEND, self._send_error)
         headers = tuple((name, value) for name, value in self.raw.headers.items())
@@ -187,7 +190,7 @@
             return False
         if "close" in self.raw.headers.get("Connection", "").lower():
             return False
-        if self.head.framing is Framing.CONNECTION:
+        if self.head.framing is not Framing.DELIMITED:
             return False
         # An upstream may answer before it has read the body; a next request would queue behind it.
         return not (self._is_long and self.connection.has_unacknowledged_bytes)
