Tests: what the ends of streams say for crash suspicion and rollouts

Cut short without framing: crash suspicion, and a break for rollouts. Cut short although framed: invalid, no suspicion, connection not reused. Ended with the connection between events: neither suspects nor clears; a good answer for rollouts.

--- a/libs/serving/ruddersaddle_serving/rollouts/tests/test_attempt_outcomes.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/tests/test_attempt_outcomes.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import UpstreamId
 
 from ruddersaddle_serving.ports import AnswerHead
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
@@ -12,6 +13,7 @@
 from ruddersaddle_serving.rollouts.tests.host_worlds import NEW, OLD, POOL, ROUTES, HostWorld
 
 REFUSED = Failure(Code.OVERLOADED, Step.SEND, "u", "status 503", Ran.NOT_RUN)
+CUT_SHORT = Failure(Code.UPSTREAM_FAILED, Step.READ, "u", "ended inside an event", Ran.UNKNOWN)
 BROKEN = Failure(Code.UPSTREAM_FAILED, Step.READ, "u", "reset", Ran.UNKNOWN)
 
 
@@ -59,6 +61,10 @@
         counts = self.host.participant.exchange.counts_of(self.host.rollout).recorder.counts()
         return counts.by_route[ROUTES[0].name].target
 
+    def target_breaks(self) -> dict[UpstreamId, int]:
+        recorder = self.host.participant.exchange.counts_of(self.host.rollout).recorder
+        return recorder.counts().target_breaks
+
     def test_answers_are_compared_with_the_old_versions_median(self) -> None:
         for _ in range(5):
             self.answer(OLD, 200, 0.02)
@@ -93,6 +99,27 @@
             counts = self.host.participant.exchange.counts_of(self.host.rollout)
             self.assertEqual(sum(counts.recorder.counts().target_breaks.values()), breaks)
 
+    def test_streams_that_were_cut_short_count_against_their_version(self) -> None:
+        """Ends of a version that breaks off its answers in order looked like good answers."""
+        for is_broken, failed, breaks in ((False, 1, 0), (True, 1, 1)):
+            with self.subTest(is_broken=is_broken):
+                outcome = self.start(NEW)
+                outcome.record_head(mock.Mock(spec=AnswerHead, status=200))
+                outcome.record_data()
+                outcome.attempt.is_broken = is_broken
+                outcome.attempt.is_invalid = not is_broken
+                outcome.record_failure(CUT_SHORT)
+                outcome.finish()
+                self.assertEqual((self.target().good, self.target().failed), (0, failed))
+                self.assertEqual(sum(self.target_breaks().values()), breaks)
+
+    def test_stream_that_ended_with_its_connection_is_a_good_answer(self) -> None:
+        """Versions that frame no answer would otherwise never be shown to be good."""
+        for _ in range(5):
+            self.answer(OLD, 200, 0.02)
+        self.answer(NEW, 200, 0.02)
+        self.assertEqual(self.target(), Tally(1, 1, 0, 0))
+
     def test_runs_at_old_upstreams_are_counted_unless_they_can_be_resumed(self) -> None:
         """Completion stops these upstreams without draining."""
         outcome = self.start(OLD)
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -10,19 +10,22 @@
 from ruddersaddle_routing.retries import RetryBudget
 
 from ruddersaddle_serving.answer_ends import Framing
+from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.forwarders import Forwarder, Forwarding
 from ruddersaddle_serving.placements import Choice
-from ruddersaddle_serving.ports import BufferedAnswer
+from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import Relaying
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
+from ruddersaddle_serving.upstream_connections import Exchange
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
 TARGET_S = 1.0
 POOL = PoolId("p")
+EVENT, PARTIAL_EVENT = b"id: 1\ndata: a\n\n", b"id: 2\nda"
 ROUTE = Route(RouteName("r"), "h", "/", RouteKind.STREAM, 9.0, TARGET_S, (Target(POOL),))
 
 
@@ -122,6 +125,72 @@
             self.assertIs(forwarding._open(None), refusal)
         self.assertEqual(forwarding._sent_count, 0)
 
+    def end_stream(self, framing: Framing, *data: bytes) -> Forwarding:
+        """Return the forwarding of a stream that came to this end."""
+        forwarding = self.make_forwarding()
+        forwarding.forwarder.crash_watch = mock.Mock()
+        attempt = forwarding.attempt = Attempt(
+            forwarding.request,
+            Choice(mock.Mock(in_flight=0), 1, None, 1),
+            mock.Mock(),
+            None,
+            mock.Mock(),
+        )
+        exchange = attempt.exchange = Exchange(mock.Mock(address="e:1"), mock.Mock())
+        exchange.raw = mock.Mock(read1=mock.Mock(side_effect=[*data, b""]))
+        exchange.head = AnswerHead(
+            200, None, True, False, None, None, None, False, (), framing=framing
+        )
+        if isinstance(forwarding._await_first(exchange.head), AnswerHead):
+            self.events = list(forwarding.events())
+        return forwarding
+
+    def suspicions(self, forwarding: Forwarding) -> tuple[bool, bool]:
+        """Return whether a request got suspected of crashing its upstream, and whether cleared."""
+        watch = forwarding.forwarder.crash_watch
+        return watch.record_broken.called, watch.record_complete.called
+
+    def kinds(self, forwarding: Forwarding) -> dict[str, int]:
+        """Return the kinds of ends that were counted."""
+        counts = forwarding.forwarder.ends.counts()
+        return {kind: count for kind, count in counts.items() if count}
+
+    def test_complete_stream_clears_its_request(self) -> None:
+        forwarding = self.end_stream(Framing.DELIMITED, EVENT)
+        self.assertEqual(self.events, [EVENT])
+        self.assertEqual(self.suspicions(forwarding), (False, True))
+        self.assertEqual(self.kinds(forwarding), {"complete": 1})
+
+    def test_stream_that_ended_with_its_connection_neither_clears_nor_suspects(self) -> None:
+        """It cleared a request that had just crashed its upstream."""
+        forwarding = self.end_stream(Framing.CONNECTION, EVENT)
+        self.assertEqual(self.events, [EVENT])
+        self.assertEqual(self.suspicions(forwarding), (False, False))
+        self.assertEqual(self.kinds(forwarding), {"connection_closed": 1})
+        self.assertEqual(forwarding.trace.attempts, ["ended with its connection after event 1"])
+
+    def test_connection_that_ended_inside_an_event_is_suspicious(self) -> None:
+        forwarding = self.end_stream(Framing.CONNECTION, EVENT, PARTIAL_EVENT)
+        self.assertEqual(self.events[:-1], [EVENT])
+        self.assertIsInstance(self.events[-1], Failure)
+        self.assertEqual(self.suspicions(forwarding), (True, False))
+        self.assertFalse(forwarding.attempt.is_invalid)
+        self.assertEqual(self.kinds(forwarding), {"cut_short": 1})
+
+    def test_connection_that_ended_before_the_first_event_is_suspicious(self) -> None:
+        forwarding = self.end_stream(Framing.CONNECTION)
+        self.assertEqual(self.suspicions(forwarding), (True, False))
+        self.assertEqual(self.kinds(forwarding), {"cut_short": 1})
+
+    def test_framed_stream_that_ended_inside_an_event_is_invalid_without_suspicion(self) -> None:
+        """Its connection lives, and so does its upstream."""
+        forwarding = self.end_stream(Framing.DELIMITED, EVENT, PARTIAL_EVENT)
+        self.assertEqual(self.events[:-1], [EVENT])
+        self.assertIsInstance(self.events[-1], Failure)
+        self.assertEqual(self.suspicions(forwarding), (False, False))
+        self.assertTrue(forwarding.attempt.is_invalid)
+        self.assertEqual(self.kinds(forwarding), {"cut_short": 1})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -85,6 +85,9 @@
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.addCleanup(self.listener.close)
         self.parts: tuple[bytes, ...] = ()
+        self.keeps_open = False
+        self.connections: list[socket.socket] = []
+        self.addCleanup(lambda: [each.close() for each in self.connections])
         task = eventlet.spawn(self.serve)
         self.addCleanup(task.kill)
         self.pool = UpstreamConnections(f"127.0.0.1:{self.listener.getsockname()[1]}")
@@ -97,7 +100,9 @@
             for part in self.parts:
                 connection.sendall(part)
                 eventlet.sleep(0.001)
-            connection.close()
+            if not self.keeps_open:
+                connection.close()
+            self.connections.append(connection)
 
     def read(self, *parts: bytes) -> tuple[Framing, bytes | Failure]:
         """Return an answer's framing, and its body or the failure to read it."""
@@ -168,6 +173,23 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
         self.assertEqual(self.read(head + b"data and more"), (Framing.DELIMITED, b"data"))
 
+    def test_connection_of_an_answer_that_was_broken_off_is_not_reused(self) -> None:
+        """A stream whose chunks end inside an event; its rest may follow on the connection."""
+        self.keeps_open = True
+        head = AnswerHead(200, None, False, False, None, None, None, False, ())
+        self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata",)
+        for is_broken_off in (False, True):
+            with self.subTest(is_broken_off=is_broken_off):
+                exchange = self.pool.open_exchange()
+                exchange.send("GET", "/", b"", {}, 1.0)
+                exchange.read_head(mock.Mock(read_answer=lambda status, headers: head))
+                self.assertEqual(exchange.read_all(65536), b"data")
+                if is_broken_off:
+                    self.assertIsInstance(exchange.break_off("inside an event"), Failure)
+                exchange.finish()
+                self.assertEqual(self.pool.has_idle, not is_broken_off)
+                self.pool.close()
+
     def test_answers_without_bodies_are_delimited(self) -> None:
         for status in (b"204 No Content", b"304 Not Modified"):
             framing, body = self.read(b"HTTP/1.1 %s\r\n\r\n" % status)
