Tests: what one host takes from the answer of another that it relayed to

The framing comes from the header, which is dropped; an answer without clear framing, and a stream that ended inside an event, are broken off.

--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -1,25 +1,33 @@
 """Tests of which host a request is relayed to, and of what is said between the hosts."""
 
 import unittest
+from collections import Counter
 from unittest import mock
 
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, HostId
+from urllib3 import HTTPHeaderDict
 
+from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer
 from ruddersaddle_serving.prompts import RelayTerms
 from ruddersaddle_serving.regions.maps import RegionMap
 from ruddersaddle_serving.relays import (
     EXPLORE_PAUSE_S,
     FAR_PENALTY,
     PEERS_PER_HALL,
+    Relaying,
     RelayPeers,
     RelayRefusal,
     read_terms,
     refusal_of,
+    without_answer_headers,
     without_terms,
 )
+from ruddersaddle_serving.request_traces import RequestTrace
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
+from ruddersaddle_serving.upstream_connections import Exchange
 
 NEAR, FAR, ABROAD = HallId("near"), HallId("far"), HallId("abroad")
 REGIONS = {NEAR: "home", FAR: "home", ABROAD: "abroad"}
@@ -125,6 +133,60 @@
         self.assertIsNone(self.choose())
 
 
+class RelayingTest(unittest.TestCase):
+    """One request, relayed to a host that answers as a test says."""
+
+    def relay(
+        self, framing: Framing, *data: bytes, is_stream: bool = False, **headers: str
+    ) -> BufferedAnswer | AnswerHead | Failure | None:
+        peer = mock.Mock(host=HostId("host-2"), in_flight=0)
+        exchange = Exchange(mock.Mock(address="host-2:1"), mock.Mock())
+        peers = self.peers = mock.Mock(counts=Counter())
+        peers.choose.side_effect = [peer, None]
+        peers.open_exchange.return_value = exchange
+        sent = tuple((name.replace("_", "-"), value) for name, value in headers.items())
+        head = AnswerHead(200, None, True, False, None, None, None, False, sent, framing=framing)
+
+        def read_head(wire: object) -> AnswerHead:
+            exchange.raw = mock.Mock(headers=HTTPHeaderDict(sent))
+            exchange.raw.read1.side_effect = [*data, b""]
+            exchange.head = head
+            return head
+
+        request = mock.Mock(id="q", body=b"", is_stream=is_stream, remaining_s=1.0, raw_headers=())
+        peers.wire.write_relayed.return_value = {}
+        self.relaying = Relaying(peers, request, RelayTerms("host-1", 7, 2), RequestTrace())
+        with mock.patch.object(exchange, "read_head", read_head):
+            return self.relaying.begin()
+
+    def test_upstreams_framing_is_taken_from_the_header_which_is_dropped(self) -> None:
+        answer = self.relay(Framing.DELIMITED, b"whole", Relay_Framing="connection", Other="x")
+        self.assertEqual(
+            answer, BufferedAnswer(200, (("Other", "x"),), b"whole", Framing.CONNECTION)
+        )
+        head = self.relay(Framing.DELIMITED, is_stream=True, Relay_Framing="connection")
+        self.assertEqual((head.framing, head.headers), (Framing.CONNECTION, ()))
+        head = self.relay(Framing.DELIMITED, is_stream=True, Other="x")
+        self.assertEqual((head.framing, head.headers), (Framing.DELIMITED, (("Other", "x"),)))
+
+    def test_answer_of_a_host_without_clear_framing_is_broken_off(self) -> None:
+        """Hosts frame all answers to others; one that dies would look like the answer's end."""
+        for framing in (Framing.CONNECTION, Framing.INVALID):
+            for is_stream in (False, True):
+                with self.subTest(framing=framing, is_stream=is_stream):
+                    answer = self.relay(framing, b"id: 1\n\n", is_stream=is_stream)
+                    self.assertIsInstance(answer, Failure)
+                    self.assertIs(answer.ran, Ran.UNKNOWN)
+                    self.assertEqual(self.peers.counts, {"broken": 1})
+
+    def test_relayed_stream_that_ended_inside_an_event_is_broken_off(self) -> None:
+        self.relay(Framing.DELIMITED, b"id: 1\n\nid: 2", is_stream=True)
+        events = list(self.relaying.events())
+        self.assertEqual(events[0], b"id: 1\n\n")
+        self.assertIsInstance(events[1], Failure)
+        self.assertEqual(len(events), 2)
+
+
 class TermsTest(unittest.TestCase):
     def test_terms_are_read_and_taken_out(self) -> None:
         headers = (("Accept", "any"), *TERMS)
@@ -137,6 +199,10 @@
             headers[number] = (TERMS[number][0], "" if number == 0 else bad)
             self.assertEqual(read_terms(tuple(headers)).code, Code.BAD_REQUEST)
 
+    def test_headers_that_only_hosts_may_send_are_dropped_from_answers(self) -> None:
+        headers = (("relay-refusal", "no path"), ("Relay-Framing", "connection"), ("Other", "x"))
+        self.assertEqual(without_answer_headers(headers), (("Other", "x"),))
+
     def test_only_what_another_host_may_serve_is_refused_as_a_relay(self) -> None:
         lost = Failure(Code.NO_UPSTREAM, Step.CONNECT, "p")
         self.assertIs(refusal_of(lost), RelayRefusal.NO_PATH)
