An answer whose head is cut is broken off, not an answer without a body

A connection that ended inside the head gave 200 with an empty body, and a cut 204 or answer to HEAD even one that looked complete on a kept connection: the HTTP library takes the end of the connection for the end of the head. Found by review. Each line of a head has to be complete now.

Both readers share one definition of framing, which follows what the library decodes: chunks only for that exact value, lengths of up to 18 digits.

--- a/libs/serving/ruddersaddle_serving/answer_ends.py
+++ b/libs/serving/ruddersaddle_serving/answer_ends.py
@@ -1,23 +1,9 @@
-"""How answers state where their bodies end (RFC 9112, section 6.3), and what their ends mean."""
+"""What the ends of upstreams' answers mean."""
 
 from collections import Counter
-from collections.abc import Mapping
 from enum import Enum
 
-from ruddersaddle_base.codecs import is_decimal_integer
-
-BODILESS_STATUSES = frozenset({204, 304})
-
-
-class Framing(Enum):
-    """What the end of an answer's bytes says about the answer."""
-
-    DELIMITED = "delimited"
-    """By a length or by chunks, or there is no body: an answer that ended in order is complete."""
-    CONNECTION = "connection"
-    """The answer ends with its connection: whether it is complete can't be known."""
-    INVALID = "invalid"
-    """The headers contradict each other or can't be read: where the body ends can't be known."""
+from ruddersaddle_base.answer_framings import Framing
 
 
 class AnswerEnd(Enum):
@@ -56,19 +42,3 @@
             return AnswerEnd.CONNECTION_CLOSED
         case Framing.INVALID:
             return AnswerEnd.BROKEN_OFF
-
-
-def framing_of(method: str, status: int, headers: Mapping[str, str]) -> Framing:
-    """Return the framing of an answer.
-
-    `headers` must ignore the case of names and join repeated values. Hosts ask for no transfer
-    coding, so that an upstream may use none but chunks; these decide if a length is given as well.
-    """
-    if method == "HEAD" or status in BODILESS_STATUSES:
-        return Framing.DELIMITED
-    codings, length = headers.get("Transfer-Encoding"), headers.get("Content-Length")
-    if codings is not None:
-        return Framing.DELIMITED if codings.strip().lower() == "chunked" else Framing.INVALID
-    if length is not None:
-        return Framing.DELIMITED if is_decimal_integer(length.strip()) else Framing.INVALID
-    return Framing.CONNECTION
--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -6,9 +6,9 @@
 from typing import Any
 
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
-from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
 from ruddersaddle_serving.prompts import CallerRequest
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -6,11 +6,12 @@
 import eventlet
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, UpstreamId
 from ruddersaddle_routing.retries import RetryBudget
 
-from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, Framing, ordinary_end
+from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.event_streams import ByteStream, EventSplitter
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -8,10 +8,10 @@
 import eventlet
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.histograms import Histograms, Measure
 
-from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.caller_bodies import read_body
 from ruddersaddle_serving.caller_protocols import CallerProtocol
 from ruddersaddle_serving.caller_watches import CallerLeftError, CallerWatch
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -8,10 +8,10 @@
 from typing import Protocol
 
 import msgspec
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import ModelId, PoolId, RequestId, SoftwareVersion, UpstreamId
 
-from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Headers, PartId
 from ruddersaddle_serving.rollouts.orders import RolloutOrder, RolloutState
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -13,12 +13,12 @@
 
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.codecs import is_decimal_integer
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, HostId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.event_streams import ByteStream, EventSplitter
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
--- a/libs/serving/ruddersaddle_serving/reset_sockets.py
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -12,7 +12,7 @@
 
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import trampoline
-from ruddersaddle_base.chunk_sizes import StrictAnswer
+from ruddersaddle_base.strict_answers import StrictAnswer
 from urllib3.connection import HTTPConnection
 
 MS_PER_S = 1000
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -5,11 +5,11 @@
 
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, RequestId
 from ruddersaddle_routing.retries import RetryBudget
 
-from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -4,11 +4,11 @@
 from collections import Counter
 from unittest import mock
 
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, HostId
 from urllib3 import HTTPHeaderDict
 
-from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer
 from ruddersaddle_serving.prompts import RelayTerms
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -9,10 +9,10 @@
 import unittest  # noqa: E402
 from unittest import mock  # noqa: E402
 
+from ruddersaddle_base.answer_framings import Framing  # noqa: E402
 from ruddersaddle_base.failures import Failure  # noqa: E402
 
 from ruddersaddle_serving import upstream_connections  # noqa: E402
-from ruddersaddle_serving.answer_ends import Framing  # noqa: E402
 from ruddersaddle_serving.ports import AnswerHead  # noqa: E402
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS  # noqa: E402
 from ruddersaddle_serving.upstream_connections import (  # noqa: E402
@@ -78,6 +78,9 @@
         self.assertIsNot(self.pool.open_exchange().connection, released.connection)
 
 
+ANY_HEAD = AnswerHead(200, None, False, False, None, None, None, False, ())
+
+
 class AnswersTest(unittest.TestCase):
     """Answers that an upstream sends in two parts before it closes its connection."""
 
@@ -110,13 +113,31 @@
         exchange = self.pool.open_exchange()
         self.assertIsInstance(exchange, Exchange)
         exchange.send("GET", "/", b"", {}, 1.0)
-        head = AnswerHead(200, None, False, False, None, None, None, False, ())
-        head = exchange.read_head(mock.Mock(read_answer=lambda status, headers: head))
+        head = exchange.read_head(mock.Mock(read_answer=lambda status, headers: ANY_HEAD))
         body = exchange.read_all(65536)
         exchange.finish()
         self.pool.close()
         return head.framing, body
 
+    def test_answer_whose_head_is_cut_is_never_whole(self) -> None:
+        """The library takes the end of the connection for the end of the head."""
+        for status in (b"200 OK", b"204 No Content", b"404 Not Found"):
+            head = b"HTTP/1.1 %s\r\nContent-Length: 0\r\nX-More: some\r\n\r\n" % status
+            for size in range(len(head)):
+                with self.subTest(head=head[:size]):
+                    self.parts = (head[:size],)
+                    exchange = self.pool.open_exchange()
+                    exchange.send("GET", "/", b"", {}, 1.0)
+                    wire = mock.Mock(read_answer=lambda status, headers: ANY_HEAD)
+                    self.assertIsInstance(exchange.read_head(wire), Failure)
+                    self.assertTrue(exchange.is_broken)
+                    exchange.finish()
+
+    def test_coding_that_the_library_does_not_read_as_chunks_is_invalid(self) -> None:
+        for framing in (b"Transfer-Encoding: chunked ", b"Content-Length: " + b"9" * 5000):
+            found, _ = self.read(b"HTTP/1.1 200 OK\r\n%s\r\n\r\na\r\n01234" % framing)
+            self.assertIs(found, Framing.INVALID)
+
     def test_delimited_answer_that_is_cut_anywhere_is_never_whole(self) -> None:
         """A chunk of size 0a that was cut after its first digit looked like the last chunk."""
         chunks = b"a\r\n0123456789\r\n0a;x=0\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n"
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -10,13 +10,13 @@
 
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing, framing_of
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from urllib3.exceptions import HTTPError, InvalidHeader, ProtocolError
 from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import SKIP_HEADER
 
-from ruddersaddle_serving.answer_ends import Framing, framing_of
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS, UNACKNOWLEDGED_MS
--- a/libs/upstreams/ruddersaddle_upstreams/connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/connections.py
@@ -8,14 +8,12 @@
 
 import msgspec
 import urllib3
-from ruddersaddle_base.chunk_sizes import StrictAnswer
-from ruddersaddle_base.codecs import is_decimal_integer
+from ruddersaddle_base.answer_framings import Framing, framing_of
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.strict_answers import StrictAnswer
 
 READ_BYTES = 65536
 OK = 200
-BODILESS_STATUSES = (204, 304)
-"""Statuses of answers that have no body."""
 CHUNK_END = b"\r\n"
 """End of a chunk; stays in the buffer until the next chunk is read."""
 HTTP_ERRORS = (urllib3.exceptions.HTTPError, OSError)
@@ -38,16 +36,17 @@
 class OpenReply:
     """An answer that is still being read; must be closed unless it is read to its end."""
 
-    def __init__(self, raw: urllib3.BaseHTTPResponse, address: str) -> None:
+    def __init__(self, raw: urllib3.BaseHTTPResponse, address: str, method: str) -> None:
         self.raw = raw
+        self.method = method
         self.address = address
         self.status = raw.status
 
     @property
     def is_delimited(self) -> bool:
         """Whether the answer is framed by a length or chunks, so that truncation is detected."""
-        sized = is_decimal_integer(self.raw.headers.get("Content-Length", "").strip())
-        return sized or self.raw.chunked or self.status in BODILESS_STATUSES
+        framing = framing_of(self.method, self.status, self.raw.headers)
+        return framing is Framing.DELIMITED
 
     def read_some(self) -> bytes | Failure:
         """Return the bytes that have arrived, waiting for some; empty at the end."""
@@ -121,7 +120,7 @@
             return transport_failure(Step.CONNECT, self.address, error, Ran.NOT_RUN)
         except HTTP_ERRORS as error:
             return transport_failure(Step.SEND, self.address, error, Ran.UNKNOWN)
-        return OpenReply(raw, self.address)
+        return OpenReply(raw, self.address, method)
 
     def call(
         self, method: str, path: str, body: bytes = b"", headers: Mapping[str, str] | None = None
