--- a/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
@@ -31,7 +31,11 @@
                     connection.sendall(self.answer)
 
     def call(self, body: bytes) -> Reply | Failure:
-        self.answer = HEAD + body
+        return self.call_for(HEAD + body)
+
+    def call_for(self, answer: bytes) -> Reply | Failure:
+        """Return what a call makes of an answer."""
+        self.answer = answer
         connections = Connections(f"127.0.0.1:{self.listener.getsockname()[1]}", 1.0, 2.0)
         try:
             return connections.call("GET", "/")
@@ -52,6 +56,24 @@
             with self.subTest(size=size):
                 self.assertIsInstance(self.call(size + b"\r\nx\r\n0\r\n\r\n"), Failure)
 
+    def test_answer_whose_head_is_cut_is_never_whole(self) -> None:
+        for status in (b"200 OK", b"204 No Content", b"404 Not Found"):
+            head = b"HTTP/1.1 %s\r\nContent-Length: 0\r\nX-More: some\r\n\r\n" % status
+            for size in range(len(head)):
+                with self.subTest(head=head[:size]):
+                    self.assertIsInstance(self.call_for(head[:size]), Failure)
+
+    def test_answer_whose_framing_is_stated_wrongly_is_never_whole(self) -> None:
+        for framing in (
+            b"Transfer-Encoding: chunked ",
+            b"Transfer-Encoding: gzip, chunked",
+            b"Transfer-Encoding: gzip, chunked\r\nContent-Length: 100",
+            b"Content-Length: " + b"9" * 5000,
+        ):
+            with self.subTest(framing=framing[:60]):
+                answer = b"HTTP/1.1 200 OK\r\n%s\r\n\r\na\r\n01234" % framing
+                self.assertIsInstance(self.call_for(answer), Failure)
+
 
 if __name__ == "__main__":
     unittest.main()
