Relayed streams are logged as whole only if they are known to be

Cause: Relaying logged each stream that ended between events as whole, also if its upstream's answer had ended with its connection.

--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -18,7 +18,7 @@
 from ruddersaddle_base.ids import HallId, HostId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.answer_ends import Framing
+from ruddersaddle_serving.answer_ends import AnswerEnd, Framing, ordinary_end
 from ruddersaddle_serving.event_streams import EventSplitter
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
@@ -274,6 +274,8 @@
         self.splitter = EventSplitter()
         self._peer: RelayPeer | None = None
         self._exchange: Exchange | None = None
+        self._framing = Framing.DELIMITED
+        """Framing of the upstream's answer."""
         self._excluded: set[HostId] = set()
 
     def begin(self) -> BufferedAnswer | AnswerHead | Failure | None:
@@ -323,6 +325,7 @@
         if head.framing is not Framing.DELIMITED:
             return self._break(exchange.break_off("the relayed answer has no framing"))
         head = _as_framed_by_upstream(head)
+        self._framing = head.framing
         self.trace.relayed_to = peer.host
         if head.status == 200 and self.request.is_stream:
             self.peers.record_accepted(self._peer)
@@ -384,9 +387,14 @@
             if events:
                 yield events
             if not data:
-                self.trace.attempts.append(f"relayed to {self._peer.host}: whole")
+                self.trace.attempts.append(f"relayed to {self._peer.host}: {self._end()}")
                 return
 
+    def _end(self) -> str:
+        """Return what is known of a stream that ended between events."""
+        is_complete = ordinary_end(self._framing) is AnswerEnd.COMPLETE
+        return "whole" if is_complete else "ended with the upstream's connection"
+
     def finish(self) -> None:
         """End the request at any stage; an incomplete answer's connection is closed."""
         if self._peer is None:
--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -31,6 +31,7 @@
 
 NEAR, FAR, ABROAD = HallId("near"), HallId("far"), HallId("abroad")
 REGIONS = {NEAR: "home", FAR: "home", ABROAD: "abroad"}
+CONNECTION_ENDED = "ended with the upstream's connection"
 TERMS = (("Relay-Sender", "host-1"), ("Relay-Configuration", "7"), ("relay-upstreams", "2"))
 
 
@@ -179,6 +180,14 @@
                     self.assertIs(answer.ran, Ran.UNKNOWN)
                     self.assertEqual(self.peers.counts, {"broken": 1})
 
+    def test_relayed_stream_is_logged_as_whole_only_if_it_is_known_to_be(self) -> None:
+        """One whose upstream's answer ended with its connection was logged as whole."""
+        for headers, end in (({}, "whole"), ({"Relay_Framing": "connection"}, CONNECTION_ENDED)):
+            with self.subTest(end=end):
+                self.relay(Framing.DELIMITED, b"id: 1\n\n", is_stream=True, **headers)
+                self.assertEqual(list(self.relaying.events()), [b"id: 1\n\n"])
+                self.assertEqual(self.relaying.trace.attempts, [f"relayed to host-2: {end}"])
+
     def test_relayed_stream_that_ended_inside_an_event_is_broken_off(self) -> None:
         self.relay(Framing.DELIMITED, b"id: 1\n\nid: 2", is_stream=True)
         events = list(self.relaying.events())
