Suspects are cleared also by upstreams whose answers have no framing

A request suspected of crashing upstreams is cleared by a complete run. Answers without framing can't be known to be complete, so a frequent request of such a service could not be cleared and would have been refused for ten minutes after three crashes that others caused. After the answer of a suspect that ended with its connection the upstream is probed: if it is alive, the request is cleared, else the run counts as broken. Not covered: a request that isn't suspected yet and crashes its upstream between two events.

--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -105,6 +105,22 @@
         if self.records.record_complete(fingerprint, clocks.unix_ms()):
             self.notify_cleared(fingerprint)
 
+    def record_closed(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
+        """Record a run whose answer ended with its connection, maybe by a crash of its upstream.
+
+        The upstream is probed for suspects only. Probing it after each answer would double the
+        calls to upstreams whose answers all end so.
+        """
+        if self.records.count(fingerprint):
+            eventlet.spawn(self._check_closed, tracker, fingerprint)
+
+    def _check_closed(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
+        match self.engines.presence(tracker.entry.address, tracker.entry.instance):
+            case Presence.PRESENT:
+                self.record_complete(fingerprint)
+            case Presence.DOWN | Presence.REPLACED:
+                self.record_broken(tracker, fingerprint)
+
     def record_broken(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
         """Record that a run broke off, and start to probe its upstream."""
         entry = tracker.entry
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -496,11 +496,14 @@
             self.outcome.record_data()
 
     def _record_ordinary_end(self, head: AnswerHead) -> AnswerEnd:
-        """Record that an answer came to its end; only a complete success clears its request."""
+        """Record that an answer came to its end; a complete success clears its request."""
         end = ordinary_end(head.framing)
         self.forwarder.ends.record(end)
-        if end is AnswerEnd.COMPLETE and head.status < 300:
-            self.forwarder.crash_watch.record_complete(self.request.fingerprint)
+        crash_watch, fingerprint = self.forwarder.crash_watch, self.request.fingerprint
+        if head.status < 300 and end is AnswerEnd.COMPLETE:
+            crash_watch.record_complete(fingerprint)
+        elif head.status < 300 and end is AnswerEnd.CONNECTION_CLOSED:
+            crash_watch.record_closed(self.attempt.choice.tracker, fingerprint)
         return end
 
     def _end_broken(self, failure: Failure) -> None:
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
@@ -54,6 +54,31 @@
         eventlet.sleep(0.1)
         return len(self.crashes)
 
+    def close(self, presence: Presence) -> None:
+        """Record that a run's answer ended with its connection, and answer probes like this."""
+        self.engines.presence.side_effect = None
+        self.engines.presence.return_value = presence
+        self.watch.record_closed(self.make_tracker(5), BAD)
+        eventlet.sleep(0.1)
+
+    def test_suspect_whose_answer_ended_with_its_connection_is_cleared_by_a_live_upstream(
+        self,
+    ) -> None:
+        self.count_crashes(Presence.DOWN)
+        self.close(Presence.UNKNOWN)
+        self.assertEqual((self.cleared, len(self.crashes)), ([], 1))
+        self.close(Presence.PRESENT)
+        self.assertEqual((self.cleared, len(self.crashes)), ([BAD], 1))
+
+    def test_suspect_whose_answer_ended_with_a_crash_is_recorded(self) -> None:
+        self.count_crashes(Presence.DOWN)
+        self.close(Presence.DOWN)
+        self.assertEqual((self.cleared, len(self.crashes)), ([], 2))
+
+    def test_answer_that_ended_with_its_connection_costs_no_probe_without_suspicion(self) -> None:
+        self.close(Presence.PRESENT)
+        self.engines.presence.assert_not_called()
+
     def test_address_that_refuses_connections_is_a_crash(self) -> None:
         self.assertEqual(self.count_crashes(Presence.DOWN), 1)
         self.assertEqual(self.crashes[0].fingerprints, (BAD,))
