Streams without framing that had comments alone are broken off

An upstream that sent a comment and crashed before its first event, without framing, reached its caller as a stream that had ended in order.

Cause: a comment with its blank line passed for the first event. Whether an answer has had an event is now counted by its fields; before the first one, an end with the connection is a break (a reset for the caller, another upstream or 502 if nothing was passed on). The new test failed before and passes now.

--- a/libs/serving/ruddersaddle_serving/event_streams.py
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -22,6 +22,8 @@
         self._is_at_start = True
         """Whether nothing of the present answer was returned."""
         self._has_returned = False
+        self.has_event = False
+        """Whether the present answer has had a complete event; comments are none."""
         self.last_id: str | None = None
         self.events = 0
 
@@ -57,6 +59,7 @@
         """Discard a partial event; what follows is the answer of another upstream."""
         self._buffer.clear()
         self._is_at_start = True
+        self.has_event = False
 
     def _take(self, size: int) -> bytes:
         complete = bytes(self._buffer[:size])
@@ -76,6 +79,7 @@
 
     def _record_ids(self, events: bytes) -> None:
         for line in events.splitlines():
+            self.has_event = self.has_event or (bool(line) and not line.startswith(COMMENT))
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
                 self.events += 1
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -364,8 +364,6 @@
         self._first_events = b""
         self.splitter.begin_answer()
         events = self._read_events()
-        if not events and head.framing is Framing.CONNECTION:
-            events = self.attempt.break_off("the connection ended before the first event")
         if isinstance(events, Failure):
             self._end_broken(events)
             return events
@@ -382,12 +380,22 @@
             data = exchange.read_some()
             if isinstance(data, Failure):
                 return data
-            if not data and self.splitter.is_inside_event:
-                return self.attempt.break_off(f"ended inside an event after {self._last_event()}")
+            cut_short = None if data else self._find_early_end()
+            if cut_short is not None:
+                return self.attempt.break_off(cut_short)
             events = self.splitter.feed(data) if data else self.splitter.flush()
             if events or not data:
                 return events
 
+    def _find_early_end(self) -> str | None:
+        """Return what shows that the attempt's stream has ended too early; None if nothing does."""
+        if self.splitter.is_inside_event:
+            return f"ended inside an event after {self._last_event()}"
+        is_unframed = self.attempt.exchange.head.framing is Framing.CONNECTION
+        if is_unframed and not self.splitter.has_event:
+            return "the connection ended before the first event"
+        return None
+
     def _last_event(self) -> str:
         last_id = self.splitter.last_id
         return "no event" if last_id is None else f"event {last_id[:LOGGED_ID_CHARS]}"
--- a/libs/serving/ruddersaddle_serving/tests/test_event_streams.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_event_streams.py
@@ -70,6 +70,15 @@
                 splitter.feed(b"id: 1\n\n" + rest)
                 self.assertEqual(splitter.is_inside_event, is_inside)
 
+    def test_comments_are_no_events(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b": ping\n\n\n\n")
+        self.assertFalse(splitter.has_event)
+        splitter.feed(b"data: x\n\n")
+        self.assertTrue(splitter.has_event)
+        splitter.begin_answer()
+        self.assertFalse(splitter.has_event)
+
     def test_byte_order_mark_is_kept_at_the_start_only(self) -> None:
         splitter = EventSplitter()
         self.assertFalse(splitter.is_inside_event)
