Answers of another type on routes of streams need no blank line

A JSON answer on a route of streams got 502 since streams that end inside an event are broken off: it has no blank line at its end.

The rule now holds for answers of the type text/event-stream or of none, and for whatever a stream goes on with; others are passed on as before, with the upstream's framing, also through a relay.

--- a/libs/serving/ruddersaddle_serving/event_streams.py
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -4,6 +4,9 @@
 be resumed at another upstream without a partial event before it. Lines end with CR, LF or CRLF.
 """
 
+from ruddersaddle_serving.prompts import Headers
+
+EVENT_STREAM = "text/event-stream"
 BLANK_LINE_MARKS = (b"\n\n", b"\n\r", b"\r\r")
 """The ends of a line and of the blank line after it, as far as all line ends have them in common:
 CRLF after LF or CRLF begins with the second mark, after CR with the third."""
@@ -14,6 +17,12 @@
 LINE_ENDS = (b"\n", b"\r")
 
 
+def content_type(headers: Headers) -> str | None:
+    """Return the media type of an answer in lower case, without parameters; None if not given."""
+    values = [value for name, value in headers if name.lower() == "content-type"]
+    return values[0].partition(";")[0].strip().lower() if values else None
+
+
 class EventSplitter:
     """Buffers bytes and returns complete events."""
 
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -13,7 +13,7 @@
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, Framing, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
 from ruddersaddle_serving.crash_watches import CrashWatch
-from ruddersaddle_serving.event_streams import EventSplitter
+from ruddersaddle_serving.event_streams import EVENT_STREAM, EventSplitter, content_type
 from ruddersaddle_serving.placements import (
     RETRY_SOON_S,
     Choice,
@@ -122,6 +122,8 @@
         self._sent_count = 0
         self._may_have_run = False
         self._first_events = b""
+        self._has_events = True
+        """Whether the caller's answer is a stream of events, not of another type."""
 
     def begin(self) -> BufferedAnswer | AnswerHead | Failure:
         """Return a complete answer, a stream's head once its first event is read, or a failure."""
@@ -363,6 +365,9 @@
         """Read up to the first complete event; a stream that breaks before it can be retried."""
         self._first_events = b""
         self.splitter.begin_answer()
+        # What a stream of events goes on with has to be one.
+        is_resumed = self.splitter.last_id is not None
+        self._has_events = is_resumed or content_type(head.headers) in (None, EVENT_STREAM)
         events = self._read_events()
         if isinstance(events, Failure):
             self._end_broken(events)
@@ -390,7 +395,9 @@
     def _find_early_end(self) -> str | None:
         """Return what shows that the attempt's stream has ended too early; None if nothing does."""
         if self.splitter.is_inside_event:
-            return f"ended inside an event after {self._last_event()}"
+            # An answer of another type, JSON say, needs no blank line at its end.
+            is_cut = self._has_events
+            return f"ended inside an event after {self._last_event()}" if is_cut else None
         is_unframed = self.attempt.exchange.head.framing is Framing.CONNECTION
         if is_unframed and not self.splitter.has_event:
             return "the connection ended before the first event"
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -19,7 +19,7 @@
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, Framing, ordinary_end
-from ruddersaddle_serving.event_streams import EventSplitter
+from ruddersaddle_serving.event_streams import EVENT_STREAM, EventSplitter, content_type
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers, RelayTerms
@@ -276,6 +276,8 @@
         self._exchange: Exchange | None = None
         self._framing = Framing.DELIMITED
         """Framing of the upstream's answer."""
+        self._has_events = True
+        """Whether the answer is a stream of events, not of another type."""
         self._excluded: set[HostId] = set()
 
     def begin(self) -> BufferedAnswer | AnswerHead | Failure | None:
@@ -326,6 +328,7 @@
             return self._break(exchange.break_off("the relayed answer has no framing"))
         head = _as_framed_by_upstream(head)
         self._framing = head.framing
+        self._has_events = content_type(head.headers) in (None, EVENT_STREAM)
         self.trace.relayed_to = peer.host
         if head.status == 200 and self.request.is_stream:
             self.peers.record_accepted(self._peer)
@@ -378,7 +381,7 @@
         """Yield complete events as they arrive; a failure, if any, comes last."""
         while True:
             data = self._exchange.read_some()
-            if not data and self.splitter.is_inside_event:
+            if not data and self._has_events and self.splitter.is_inside_event:
                 data = self._exchange.break_off("ended inside an event")
             if isinstance(data, Failure):
                 yield self._break(data)
--- a/libs/serving/ruddersaddle_serving/tests/test_event_streams.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_event_streams.py
@@ -5,7 +5,7 @@
 from hypothesis import given, strategies
 from ruddersaddle_base.tests.property_tests import DETERMINISTIC
 
-from ruddersaddle_serving.event_streams import EventSplitter
+from ruddersaddle_serving.event_streams import EVENT_STREAM, EventSplitter, content_type
 
 STREAM = b"".join(b"id: %d\ndata: word %d\n\n" % (number, number) for number in range(1, 6))
 
@@ -79,6 +79,11 @@
         splitter.begin_answer()
         self.assertFalse(splitter.has_event)
 
+    def test_media_type_is_read_without_parameters(self) -> None:
+        headers = (("content-type", "Text/Event-Stream ; charset=utf-8"),)
+        self.assertEqual(content_type(headers), EVENT_STREAM)
+        self.assertIsNone(content_type(()))
+
     def test_byte_order_mark_is_kept_at_the_start_only(self) -> None:
         splitter = EventSplitter()
         self.assertFalse(splitter.is_inside_event)
