Buffered streams that end inside an event are broken off

A stream (text/event-stream) on a route of another kind than streams reached its caller as complete, with its partial event.

Cause: buffered answers were never looked at. They are now once read: 502, or another upstream where the route may be repeated.

--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -338,6 +338,8 @@
     def _read_complete(self, head: AnswerHead) -> BufferedAnswer | Failure:
         body = self.attempt.exchange.read_all(ANSWER_BYTES_MAX)
         upstream = self.attempt.choice.tracker.id
+        if not isinstance(body, Failure) and _ends_inside_event(head, body):
+            body = self.attempt.break_off("ended inside an event")
         if isinstance(body, Failure):
             self._end_broken(body)
             return body
@@ -542,5 +544,14 @@
         return waited_s > UNRESPONSIVE_FACTOR * expected_s
 
 
+def _ends_inside_event(head: AnswerHead, body: bytes) -> bool:
+    """Return whether a buffered answer is a stream that was broken off."""
+    if content_type(head.headers) != EVENT_STREAM:
+        return False
+    splitter = EventSplitter()
+    splitter.feed(body)
+    return splitter.is_inside_event
+
+
 def _may_have_run(result: BufferedAnswer | AnswerHead | Failure) -> bool:
     return isinstance(result, Failure) and result.ran is not Ran.NOT_RUN
