--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -14,7 +14,12 @@
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
 from ruddersaddle_serving.crash_watches import CrashWatch
-from ruddersaddle_serving.event_streams import ByteStream, EventSplitter
+from ruddersaddle_serving.event_streams import (
+    EVENT_STREAM,
+    ByteStream,
+    EventSplitter,
+    content_type,
+)
 from ruddersaddle_serving.placements import (
     RETRY_SOON_S,
     Choice,
@@ -337,6 +342,8 @@
     def _read_complete(self, head: AnswerHead) -> BufferedAnswer | Failure:
         body = self.attempt.exchange.read_all(ANSWER_BYTES_MAX)
         upstream = self.attempt.choice.tracker.id
+        if not isinstance(body, Failure) and _ends_inside_event(head, body):
+            body = self.attempt.break_off("ended inside an event")
         if isinstance(body, Failure):
             self._end_broken(body)
             return body
@@ -364,8 +371,6 @@
         """Read up to the first complete event; a stream that breaks before it can be retried."""
         self._first_events = b""
         events = self._read_first_events(head)
-        if not events and head.framing is Framing.CONNECTION and self.attempt.last_event is None:
-            events = self.attempt.break_off("the connection ended before the first event")
         if isinstance(events, Failure):
             self._end_broken(events)
             return events
@@ -376,7 +381,7 @@
         return head
 
     def _read_first_events(self, head: AnswerHead) -> bytes | Failure:
-        if not head.is_event_stream:
+        if content_type(head.headers) not in (None, EVENT_STREAM):
             if self.splitter.last_id is not None:
                 return self.attempt.break_off("the resumed part is not a stream of events")
             self.splitter = ByteStream()
@@ -393,12 +398,24 @@
             data = exchange.read_some()
             if isinstance(data, Failure):
                 return data
-            if not data and self.splitter.is_inside_event:
-                return self.attempt.break_off(f"ended inside an event after {self._last_event()}")
+            cut_short = None if data else self._find_early_end()
+            if cut_short is not None:
+                return self.attempt.break_off(cut_short)
             events = self.splitter.feed(data) if data else self.splitter.flush()
             if events or not data:
                 return events
 
+    def _find_early_end(self) -> str | None:
+        """Return what shows that the attempt's stream has ended too early; None if nothing does."""
+        if self.splitter.is_inside_event:
+            return f"ended inside an event after {self._last_event()}"
+        # A part that goes on after an event may have nothing left to send.
+        is_resumed = self.attempt.last_event is not None
+        is_unframed = self.attempt.exchange.head.framing is Framing.CONNECTION
+        if is_unframed and not self.splitter.has_event and not is_resumed:
+            return "the connection ended before the first event"
+        return None
+
     def _last_event(self) -> str:
         last_id = self.splitter.last_id
         return "no event" if last_id is None else f"event {last_id[:LOGGED_ID_CHARS]}"
@@ -546,5 +563,14 @@
         return waited_s > UNRESPONSIVE_FACTOR * expected_s
 
 
+def _ends_inside_event(head: AnswerHead, body: bytes) -> bool:
+    """Return whether a buffered answer is a stream that was broken off."""
+    if content_type(head.headers) != EVENT_STREAM:
+        return False
+    splitter = EventSplitter()
+    splitter.feed(body)
+    return splitter.is_inside_event
+
+
 def _may_have_run(result: BufferedAnswer | AnswerHead | Failure) -> bool:
     return isinstance(result, Failure) and result.ran is not Ran.NOT_RUN
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -20,7 +20,12 @@
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, ordinary_end
-from ruddersaddle_serving.event_streams import ByteStream, EventSplitter
+from ruddersaddle_serving.event_streams import (
+    EVENT_STREAM,
+    ByteStream,
+    EventSplitter,
+    content_type,
+)
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers, RelayTerms
@@ -330,7 +335,7 @@
         self.trace.relayed_to = peer.host
         if head.status == 200 and self.request.is_stream:
             self.peers.record_accepted(self._peer)
-            if not head.is_event_stream:
+            if content_type(head.headers) not in (None, EVENT_STREAM):
                 self.splitter = ByteStream()
             return head
         return self._read_complete(head)
