Calls refuse transfer codings beside chunks, whose end they can't know

The reader of the store, engines' reports and context stores took the part of an answer with Transfer-Encoding: gzip, chunked, cut by the end of its connection, for the whole answer, also beside a Content-Length.

Cause: the HTTP library reports such an answer as chunked, but reads to the end of the connection. The reader now decides by the header as the forwarder does.

--- a/libs/upstreams/ruddersaddle_upstreams/connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/connections.py
@@ -46,8 +46,12 @@
     @property
     def is_delimited(self) -> bool:
         """Whether the answer is framed by a length or chunks, so that truncation is detected."""
-        sized = is_decimal_integer(self.raw.headers.get("Content-Length", "").strip())
-        return sized or self.raw.chunked or self.status in BODILESS_STATUSES
+        if self.status in BODILESS_STATUSES:
+            return True
+        codings = self.raw.headers.get("Transfer-Encoding")
+        if codings is not None:
+            return codings.strip().lower() == "chunked"
+        return is_decimal_integer(self.raw.headers.get("Content-Length", "").strip())
 
     def read_some(self) -> bytes | Failure:
         """Return the bytes that have arrived, waiting for some; empty at the end."""
--- a/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
@@ -9,7 +9,7 @@
 
 from ruddersaddle_upstreams.connections import Connections, Reply
 
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked"
 
 
 class ConnectionsTest(unittest.TestCase):
@@ -30,8 +30,8 @@
                     connection.recv(65536)
                     connection.sendall(self.answer)
 
-    def call(self, body: bytes) -> Reply | Failure:
-        self.answer = HEAD + body
+    def call(self, body: bytes, headers: bytes = CHUNKED) -> Reply | Failure:
+        self.answer = b"HTTP/1.1 200 OK\r\n%s\r\n\r\n%s" % (headers, body)
         connections = Connections(f"127.0.0.1:{self.listener.getsockname()[1]}", 1.0, 2.0)
         try:
             return connections.call("GET", "/")
@@ -46,6 +46,28 @@
                 self.assertIsInstance(self.call(body[:size]), Failure)
         self.assertEqual(self.call(body).body, b"0123456789" * 2)
 
+    def test_answer_that_is_shorter_than_its_length_is_never_whole(self) -> None:
+        for size in range(4):
+            with self.subTest(size=size):
+                self.assertIsInstance(self.call(b"data"[:size], b"Content-Length: 4"), Failure)
+        self.assertEqual(self.call(b"data", b"Content-Length: 4").body, b"data")
+
+    def test_answer_whose_end_is_not_stated_clearly_is_never_whole(self) -> None:
+        """The library takes gzip, chunked for chunks, and reads until the connection ends."""
+        for headers in (
+            b"Connection: close",
+            b"Transfer-Encoding: gzip, chunked",
+            b"Transfer-Encoding: gzip, chunked\r\nContent-Length: 4",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            b"Transfer-Encoding: gzip",
+            b"Content-Length: 4, 4",
+            b"Content-Length: 4\r\nContent-Length: 4",
+            b"Content-Length: -4",
+            b"Content-Length: x",
+        ):
+            with self.subTest(headers=headers):
+                self.assertIsInstance(self.call(b"data", headers), Failure)
+
     def test_malformed_sizes_of_chunks_are_failures(self) -> None:
         """The library read them as Python does integers: 0x0 and -0 passed for the last chunk."""
         for size in (b"-1", b"+1", b"0x1", b"1_0", b"", b"-0", b"0x0"):
