--- a/libs/serving/ruddersaddle_serving/event_streams.py
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -4,6 +4,9 @@
 be resumed at another upstream without a partial event before it. Lines end with CR, LF or CRLF.
 """
 
+from ruddersaddle_serving.prompts import Headers
+
+EVENT_STREAM = "text/event-stream"
 BLANK_LINE_MARKS = (b"\n\n", b"\n\r", b"\r\r")
 """The ends of a line and of the blank line after it, as far as all line ends have them in common:
 CRLF after LF or CRLF begins with the second mark, after CR with the third."""
@@ -14,6 +17,32 @@
 LINE_ENDS = (b"\n", b"\r")
 
 
+def content_type(headers: Headers) -> str | None:
+    """Return the media type of an answer in lower case, without parameters; None if not given."""
+    values = [value for name, value in headers if name.lower() == "content-type"]
+    return values[0].partition(";")[0].strip().lower() if values else None
+
+
+class ByteStream:
+    """Stands in for `EventSplitter` in answers that aren't event streams: all bytes pass."""
+
+    is_inside_event = False
+    last_id = None
+
+    def __init__(self) -> None:
+        self.has_event = False
+        """Whether any byte has come."""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes."""
+        self.has_event = True
+        return data
+
+    def flush(self) -> bytes:
+        """Return nothing, as nothing is buffered."""
+        return b""
+
+
 class EventSplitter:
     """Buffers bytes and returns complete events."""
 
@@ -22,6 +51,8 @@
         self._is_at_start = True
         """Whether nothing of the present answer was returned."""
         self._has_returned = False
+        self.has_event = False
+        """Whether the present answer has had a complete event; comments are none."""
         self.last_id: str | None = None
         self.events = 0
 
@@ -57,6 +88,7 @@
         """Discard a partial event; what follows is the answer of another upstream."""
         self._buffer.clear()
         self._is_at_start = True
+        self.has_event = False
 
     def _take(self, size: int) -> bytes:
         complete = bytes(self._buffer[:size])
@@ -76,6 +108,7 @@
 
     def _record_ids(self, events: bytes) -> None:
         for line in events.splitlines():
+            self.has_event = self.has_event or (bool(line) and not line.startswith(COMMENT))
             if line.startswith(ID_FIELD):
                 self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
                 self.events += 1
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -13,13 +13,19 @@
 
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.codecs import is_decimal_integer
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, HostId
 from ruddersaddle_routing.rendezvous import rank_names
 
-from ruddersaddle_serving.answer_ends import Framing
-from ruddersaddle_serving.event_streams import EventSplitter
+from ruddersaddle_serving.answer_ends import AnswerEnd, ordinary_end
+from ruddersaddle_serving.event_streams import (
+    EVENT_STREAM,
+    ByteStream,
+    EventSplitter,
+    content_type,
+)
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers, RelayTerms
@@ -40,6 +46,8 @@
 TERMS_HEADERS = frozenset(
     name.lower() for name in (SENDER_HEADER, VERSION_HEADER, UPSTREAMS_HEADER)
 )
+ANSWER_HEADERS = frozenset(name.lower() for name in (REFUSAL_HEADER, FRAMING_HEADER))
+"""Headers that only hosts add to answers."""
 PEERS_PER_HALL = 4
 """Hosts of each hall that one host relays to, by rendezvous hashing: connections grow with hosts,
 not with their square."""
@@ -100,11 +108,16 @@
     return tuple(each for each in headers if each[0].lower() not in TERMS_HEADERS)
 
 
+def without_answer_headers(headers: Headers) -> Headers:
+    """Return the headers of an upstream's answer without those that only hosts may add."""
+    return tuple(each for each in headers if each[0].lower() not in ANSWER_HEADERS)
+
+
 def _as_framed_by_upstream(head: AnswerHead) -> AnswerHead:
     """Return the head of a relayed answer with the framing that the upstream's answer had."""
-    headers = tuple(each for each in head.headers if each[0].lower() != FRAMING_HEADER.lower())
-    if len(headers) == len(head.headers):
+    if FRAMING_HEADER.lower() not in {name.lower() for name, _ in head.headers}:
         return head
+    headers = without_answer_headers(head.headers)
     return msgspec.structs.replace(head, headers=headers, framing=Framing.CONNECTION)
 
 
@@ -264,9 +277,11 @@
         self.request = request
         self.terms = terms
         self.trace = trace
-        self.splitter = EventSplitter()
+        self.splitter: EventSplitter | ByteStream = EventSplitter()
         self._peer: RelayPeer | None = None
         self._exchange: Exchange | None = None
+        self._framing = Framing.DELIMITED
+        """Framing of the upstream's answer."""
         self._excluded: set[HostId] = set()
 
     def begin(self) -> BufferedAnswer | AnswerHead | Failure | None:
@@ -313,12 +328,15 @@
         refusal = exchange.raw.headers.get(REFUSAL_HEADER)
         if refusal is not None:
             return self._apply_refusal(refusal)
-        if head.framing is Framing.CONNECTION:
+        if head.framing is not Framing.DELIMITED:
             return self._break(exchange.break_off("the relayed answer has no framing"))
         head = _as_framed_by_upstream(head)
+        self._framing = head.framing
         self.trace.relayed_to = peer.host
         if head.status == 200 and self.request.is_stream:
             self.peers.record_accepted(self._peer)
+            if content_type(head.headers) not in (None, EVENT_STREAM):
+                self.splitter = ByteStream()
             return head
         return self._read_complete(head)
 
@@ -377,9 +395,14 @@
             if events:
                 yield events
             if not data:
-                self.trace.attempts.append(f"relayed to {self._peer.host}: whole")
+                self.trace.attempts.append(f"relayed to {self._peer.host}: {self._end()}")
                 return
 
+    def _end(self) -> str:
+        """Return what is known of a stream that ended between events."""
+        is_complete = ordinary_end(self._framing) is AnswerEnd.COMPLETE
+        return "whole" if is_complete else "ended with the upstream's connection"
+
     def finish(self) -> None:
         """End the request at any stage; an incomplete answer's connection is closed."""
         if self._peer is None:
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -7,7 +7,13 @@
 # The library's sockets have to be green, as in the program.
 import socket  # noqa: E402
 import unittest  # noqa: E402
+from unittest import mock  # noqa: E402
 
+from ruddersaddle_base.answer_framings import Framing  # noqa: E402
+from ruddersaddle_base.failures import Failure  # noqa: E402
+
+from ruddersaddle_serving import upstream_connections  # noqa: E402
+from ruddersaddle_serving.ports import AnswerHead  # noqa: E402
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS  # noqa: E402
 from ruddersaddle_serving.upstream_connections import (  # noqa: E402
     Exchange,
@@ -72,5 +78,144 @@
         self.assertIsNot(self.pool.open_exchange().connection, released.connection)
 
 
+ANY_HEAD = AnswerHead(200, None, False, False, None, None, None, False, ())
+
+
+class AnswersTest(unittest.TestCase):
+    """Answers that an upstream sends in two parts before it closes its connection."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.parts: tuple[bytes, ...] = ()
+        self.keeps_open = False
+        self.connections: list[socket.socket] = []
+        self.addCleanup(lambda: [each.close() for each in self.connections])
+        task = eventlet.spawn(self.serve)
+        self.addCleanup(task.kill)
+        self.pool = UpstreamConnections(f"127.0.0.1:{self.listener.getsockname()[1]}")
+        self.addCleanup(self.pool.close)
+
+    def serve(self) -> None:
+        while True:
+            connection, _ = self.listener.accept()
+            connection.recv(65536)
+            for part in self.parts:
+                connection.sendall(part)
+                eventlet.sleep(0.001)
+            if not self.keeps_open:
+                connection.close()
+            self.connections.append(connection)
+
+    def read(self, *parts: bytes) -> tuple[Framing, bytes | Failure]:
+        """Return an answer's framing, and its body or the failure to read it."""
+        self.parts = parts
+        exchange = self.pool.open_exchange()
+        self.assertIsInstance(exchange, Exchange)
+        exchange.send("GET", "/", b"", {}, 1.0)
+        head = exchange.read_head(mock.Mock(read_answer=lambda status, headers: ANY_HEAD))
+        body = exchange.read_all(65536)
+        exchange.finish()
+        self.pool.close()
+        return head.framing, body
+
+    def test_answer_whose_head_is_cut_is_never_whole(self) -> None:
+        """The library takes the end of the connection for the end of the head."""
+        for status in (b"200 OK", b"204 No Content", b"404 Not Found"):
+            head = b"HTTP/1.1 %s\r\nContent-Length: 0\r\nX-More: some\r\n\r\n" % status
+            for size in range(len(head)):
+                with self.subTest(head=head[:size]):
+                    self.parts = (head[:size],)
+                    exchange = self.pool.open_exchange()
+                    exchange.send("GET", "/", b"", {}, 1.0)
+                    wire = mock.Mock(read_answer=lambda status, headers: ANY_HEAD)
+                    self.assertIsInstance(exchange.read_head(wire), Failure)
+                    self.assertTrue(exchange.is_broken)
+                    exchange.finish()
+
+    def test_coding_that_the_library_does_not_read_as_chunks_is_invalid(self) -> None:
+        for framing in (b"Transfer-Encoding: chunked ", b"Content-Length: " + b"9" * 5000):
+            found, _ = self.read(b"HTTP/1.1 200 OK\r\n%s\r\n\r\na\r\n01234" % framing)
+            self.assertIs(found, Framing.INVALID)
+
+    def test_delimited_answer_that_is_cut_anywhere_is_never_whole(self) -> None:
+        """A chunk of size 0a that was cut after its first digit looked like the last chunk."""
+        chunks = b"a\r\n0123456789\r\n0a;x=0\r\n0123456789\r\n1\r\nx\r\n0\r\n\r\n"
+        whole_at = len(chunks) - len(b"\r\n")
+        for headers, body, complete_size in (
+            (b"Content-Length: 30", b"0123456789" * 3, 30),
+            (b"Transfer-Encoding: chunked", chunks, whole_at),
+        ):
+            for version in (b"1.1", b"1.0"):
+                head = b"HTTP/%s 200 OK\r\n%s\r\n\r\n" % (version, headers)
+                for read_bytes in (1, 7, 65536):
+                    with mock.patch.object(upstream_connections, "READ_BYTES", read_bytes):
+                        for size in range(complete_size):
+                            with self.subTest(headers=headers, size=size, read=read_bytes):
+                                framing, read = self.read(head, body[:size])
+                                self.assertIs(framing, Framing.DELIMITED)
+                                self.assertIsInstance(read, Failure)
+                        self.assertNotIsInstance(self.read(head, body)[1], Failure)
+
+    def test_answer_whose_length_is_unclear_is_not_taken_for_delimited(self) -> None:
+        """The library ignored such a length, or read to a length that the codings overrule."""
+        for headers in (
+            b"Content-Length: abc",
+            b"Content-Length: -4",
+            b"Content-Length: +4",
+            b"Content-Length:",
+            b"Content-Length: 4, 4",
+            b"Content-Length: 4\r\nContent-Length: 4",
+            b"Content-Length: 4\r\nTransfer-Encoding: gzip, chunked",
+            b"Content-Length: 4\r\nTransfer-Encoding: identity",
+            b"Transfer-Encoding: gzip, chunked",
+            b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            b"Transfer-Encoding: chunked, chunked",
+            b"Transfer-Encoding: gzip",
+            b"Transfer-Encoding:",
+        ):
+            with self.subTest(headers=headers):
+                framing, _ = self.read(b"HTTP/1.1 200 OK\r\n%s\r\n\r\n" % headers, b"data")
+                self.assertIs(framing, Framing.INVALID)
+
+    def test_lengths_that_contradict_each_other_are_an_invalid_head(self) -> None:
+        self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",)
+        exchange = self.pool.open_exchange()
+        exchange.send("GET", "/", b"", {}, 1.0)
+        self.assertIsInstance(exchange.read_head(mock.Mock()), Failure)
+        self.assertEqual((exchange.has_invalid_head, exchange.is_broken), (True, False))
+
+    def test_chunks_decide_if_a_length_is_given_as_well(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: Chunked\r\n\r\n"
+        self.assertEqual(self.read(head, b"4\r\ndata\r\n0\r\n\r\n"), (Framing.DELIMITED, b"data"))
+        self.assertIsInstance(self.read(head, b"4\r\nda")[1], Failure)
+
+    def test_body_ends_at_its_length(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+        self.assertEqual(self.read(head + b"data and more"), (Framing.DELIMITED, b"data"))
+
+    def test_connection_of_an_answer_that_was_broken_off_is_not_reused(self) -> None:
+        """A stream whose chunks end inside an event; its rest may follow on the connection."""
+        self.keeps_open = True
+        head = AnswerHead(200, None, False, False, None, None, None, False, ())
+        self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata",)
+        for is_broken_off in (False, True):
+            with self.subTest(is_broken_off=is_broken_off):
+                exchange = self.pool.open_exchange()
+                exchange.send("GET", "/", b"", {}, 1.0)
+                exchange.read_head(mock.Mock(read_answer=lambda status, headers: head))
+                self.assertEqual(exchange.read_all(65536), b"data")
+                if is_broken_off:
+                    self.assertIsInstance(exchange.break_off("inside an event"), Failure)
+                exchange.finish()
+                self.assertEqual(self.pool.has_idle, not is_broken_off)
+                self.pool.close()
+
+    def test_answers_without_bodies_are_delimited(self) -> None:
+        for status in (b"204 No Content", b"304 Not Modified"):
+            framing, body = self.read(b"HTTP/1.1 %s\r\n\r\n" % status)
+            self.assertEqual((framing, body), (Framing.DELIMITED, b""))
+
+
 if __name__ == "__main__":
     unittest.main()
