Entries: the software version is read on all deployments

Hosts could not tell which upstreams a stream may go on at: entries had the software version only on deployments with rollouts. An entry without a version, or with one that is no text, names no upstream, as before.

test_entry_has_the_software_version_only_with_rollouts asked for the opposite, as messages between hosts would grow. Its successor asks for the same entry, byte by byte, on both kinds of deployment. The line of a request's end has the version on resumable routes too; lines of other routes stay the same without rollouts (test_service_rollouts checks that, unchanged).

Run: test_rollout_records, test_upstream_entries, test_service_rollouts, test_session_lines (its golden file has the new field in one line).

--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -439,7 +439,9 @@
         trace = self.forwarding.trace
         fields["upstream"] = trace.upstream
         fields["weights"] = trace.version
-        if trace.software_version is not msgspec.UNSET:
+        if trace.software_version is not msgspec.UNSET and (
+            request.route.resumable or self.front.forwarder.outcomes is not None
+        ):
             fields["software_version"] = trace.software_version
         fields["wait_ms"] = round(trace.wait_s * 1000)
         fields["covered_tokens"] = trace.covered_tokens
--- a/libs/serving/ruddersaddle_serving/upstream_entries.py
+++ b/libs/serving/ruddersaddle_serving/upstream_entries.py
@@ -39,7 +39,8 @@
     heartbeat: Heartbeat | None = None
     """Set in an entry as it is read from the store; lists of entries keep it separately."""
     software_version: SoftwareVersion | msgspec.UnsetType = msgspec.UNSET
-    """Release that the upstream runs; unset on deployments without rollouts."""
+    """Release that the upstream runs; unset in entries that a host of a program version sends that
+    doesn't read it."""
 
     @property
     def instance(self) -> UpstreamInstance:
