A host goes on with a broken stream only at the version that began it

A request is now pinned at its first event to the software version in the entry by which its upstream was chosen. An eligibility rule selects only entries of that version, and the check before sending applies to it as well, so that all ways to send pass it: retries, connect failures, resumes. If the entry has become that of another process meanwhile, the version is unknown and the stream isn't resumed. Without an upstream of the version left, the stream ends with its own failure code.

--- a/libs/base/ruddersaddle_base/failures.py
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -66,6 +66,10 @@
     """Operators have evacuated every hall with upstreams for this request."""
     NO_ALLOWED_REGION = "no_allowed_region"
     """No upstream for this request is in a region that its route and its workspace allow."""
+    UNKNOWN_STREAM = "unknown_stream"
+    """It is not known which software version began the stream that is to go on."""
+    STREAM_VERSION_GONE = "stream_version_gone"
+    """No upstream of the software version that began the stream accepts requests."""
     INTERNAL = "internal"
 
 
--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -51,7 +51,9 @@
         """Whether the answer violated the protocol."""
         self.is_cut_short = False
         """Whether the answer ended in order, but its content shows that this was too early."""
-        self._instance = choice.tracker.entry.instance
+        self.entry = choice.tracker.entry
+        """The upstream's entry when it was chosen."""
+        self._instance = self.entry.instance
         choice.tracker.in_flight += 1
         self._finished = False
         self._is_withdrawn = False
@@ -186,6 +188,15 @@
         self.is_invalid = self.is_invalid or not self.exchange.is_broken
         return failure
 
+    @property
+    def has_same_upstream(self) -> bool:
+        """Whether the upstream's entry is still that of the process that was chosen."""
+        now = self.choice.tracker.entry
+        return (
+            now.instance == self.entry.instance
+            and now.software_version == self.entry.software_version
+        )
+
     @property
     def is_broken(self) -> bool:
         """Whether the connection ended before the answer was complete."""
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -66,6 +66,7 @@
 from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.upstream_quotas import UpstreamQuotas
+from ruddersaddle_serving.version_pins import VersionPinRule
 from ruddersaddle_serving.weight_rollouts import WeightRollouts
 
 logger = logging.getLogger(__name__)
@@ -213,7 +214,7 @@
             self.cached_parts,
             self.quotas,
         )
-        placement.rules.append(self.residency)
+        placement.rules += [VersionPinRule(), self.residency]
         self.forwarder = Forwarder(
             placement,
             wire,
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -7,7 +7,7 @@
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from ruddersaddle_base.ids import PoolId, UpstreamId
+from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
 from ruddersaddle_routing.retries import RetryBudget
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, Framing, ordinary_end
@@ -20,7 +20,7 @@
     Placement,
 )
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
-from ruddersaddle_serving.prompts import CallerRequest, RelayTerms
+from ruddersaddle_serving.prompts import CallerRequest, RelayTerms, VersionPin
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import Relaying, RelayPeers
 from ruddersaddle_serving.request_traces import RequestTrace
@@ -57,6 +57,8 @@
         Code.FITS_NO_ENGINE,
         Code.EVACUATED,
         Code.NO_ALLOWED_REGION,
+        Code.UNKNOWN_STREAM,
+        Code.STREAM_VERSION_GONE,
     }
 )
 """Failures that are not retried, as another upstream would give the same result."""
@@ -362,6 +364,8 @@
     def _await_first(self, head: AnswerHead) -> AnswerHead | Failure:
         """Read up to the first complete event; a stream that breaks before it can be retried."""
         self._first_events = b""
+        if self.request.pin is not None and not self.attempt.has_same_upstream:
+            return self._leave_replaced()
         self.splitter.begin_answer()
         events = self._read_events()
         if not events and head.framing is Framing.CONNECTION:
@@ -373,8 +377,27 @@
         self._record_data(events)
         self.attempt.record_first_event()
         self._record_first()
+        self._pin_to_attempt()
         return head
 
+    def _leave_replaced(self) -> Failure:
+        """Leave an upstream that may have another software version than the stream's."""
+        upstream = self.attempt.entry.id
+        detail = "another process has taken its place since it was chosen"
+        self._end_attempt(None, f"{upstream} {detail}")
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, upstream, detail, Ran.UNKNOWN)
+
+    def _pin_to_attempt(self) -> None:
+        """Pin a stream to the software version of the upstream that brought its first event.
+
+        If another process may have sent it, its version is unknown and the stream can't go on.
+        """
+        request = self.request
+        if not request.route.resumable:
+            return
+        if request.pin is None and self.attempt.has_same_upstream:
+            request.pin = VersionPin(self.pool, self.attempt.entry.software_version)
+
     def _read_events(self) -> bytes | Failure:
         """Return the next complete events of the attempt's stream; empty at its end."""
         exchange = self.attempt.exchange
@@ -443,11 +466,17 @@
         """Resume after the last complete event at another upstream, if the route allows it."""
         if not self.request.route.resumable or self.splitter.last_id is None:
             return failure
+        if self.request.pin is None:
+            logger.info("Stream of %s not resumed: its version is unknown.", self.request.id)
+            return failure
         while self._may_retry(failure):
             result = self._attempt_once(self.splitter.last_id)
             if isinstance(result, AnswerHead):
                 logger.info(
-                    "Stream of %s resumed after event %s.", self.request.id, self.splitter.last_id
+                    "Stream of %s resumed after event %s.",
+                    self.request.id,
+                    self.splitter.last_id,
+                    extra={"software_version": self._pinned_version()},
                 )
                 return None
             if isinstance(result, BufferedAnswer):
@@ -455,6 +484,10 @@
             failure = result
         return failure
 
+    def _pinned_version(self) -> SoftwareVersion | None:
+        pin = self.request.pin
+        return None if pin is None or pin.version is msgspec.UNSET else pin.version
+
     def _may_repeat(self) -> bool:
         return self.request.route.is_repeatable
 
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -53,6 +53,8 @@
 """Status by failure code; all other codes get `NOT_RUN_STATUS`."""
 NOT_RUN_STATUS = 503
 """Promises that the request has not run and never will."""
+LASTING_CODES = frozenset({Code.FITS_NO_ENGINE, Code.UNKNOWN_STREAM, Code.STREAM_VERSION_GONE})
+"""Refusals that a retry would get as well; the detail says what a caller may do instead."""
 NOT_READY_RETRY_S = 0.5
 """Retry delay while a host has no configuration yet; it polls for one every 0.3 to 0.6 s."""
 STARTUP_POLL_S = 0.01
@@ -520,7 +522,7 @@
     """Return whether a retry would be refused as well, so that no Retry-After is sent."""
     if failure.code is Code.NO_ALLOWED_REGION:
         return failure.retry_after_s <= 0
-    return failure.code is Code.FITS_NO_ENGINE
+    return failure.code in LASTING_CODES
 
 
 def _milliseconds(seconds: float) -> int | None:
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import ModelId, RequestId
+from ruddersaddle_base.ids import ModelId, PoolId, RequestId, SoftwareVersion
 
 from ruddersaddle_serving.admissions import JUDGED_AS_MEDIAN_SHARE
 from ruddersaddle_serving.fingerprints import Fingerprint, make_fingerprint
@@ -58,6 +58,8 @@
     last_event_id: str | None
     forwarded_headers: Headers
     """Headers that are forwarded to the upstream unchanged."""
+    resumes: RequestId | None = None
+    """Request that brought the first event of the stream that is taken up again, if stated."""
 
 
 class RelayTerms(msgspec.Struct, frozen=True):
@@ -71,6 +73,16 @@
     """Most upstreams that the request may be sent to."""
 
 
+class VersionPin(msgspec.Struct, frozen=True):
+    """The software version of a pool at which a stream began, and at which alone it may go on.
+
+    The version is unset if no entry of the pool has one.
+    """
+
+    pool: PoolId
+    version: SoftwareVersion | msgspec.UnsetType
+
+
 class CallerRequest:
     """One request that this host handles."""
 
@@ -97,6 +109,8 @@
         self.route = route
         self.workspace = workspace
         self.started_at = began
+        self.pin: VersionPin | None = None
+        """Where the request must go on; None while it may begin at any software version."""
         budget_s = route.timeout_s if head.budget_s is None else head.budget_s
         self.budget_s = min(budget_s, route.timeout_s)
 
