Streams that go on are neither drawn for a rollout nor evidence of its version

Selection for a rollout would have sent a pinned stream to the other side, and refused it at a version that was stopped, superseded or replaced; only that version can go on with it. Its attempts don't count for or against the target, as it wasn't drawn.

--- a/libs/serving/ruddersaddle_serving/rollouts/attempt_outcomes.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/attempt_outcomes.py
@@ -62,7 +62,9 @@
         """Record that a request is sent now; return the record of this attempt."""
         entry = attempt.choice.tracker.entry
         rollout = self.book.by_pool.get(entry.pool)
-        if rollout is not None and not rollout.is_serving:
+        is_pinned = attempt.request.pin is not None
+        if rollout is not None and (is_pinned or not rollout.is_serving):
+            # A stream that goes on was not drawn for its version, so it is no evidence of it.
             rollout = None
         side = VersionSide.BASELINE if rollout is None else rollout.side_of(entry)
         outcome = AttemptOutcome(self, attempt, rollout, side)
--- a/libs/serving/ruddersaddle_serving/rollouts/selections.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/selections.py
@@ -62,7 +62,8 @@
     ) -> list[UpstreamEntry] | Failure:
         """Return the entries of the side that the request goes to, or why there is none."""
         rollout = self.book.by_pool.get(entries[0].pool) if entries else None
-        if rollout is None:
+        if rollout is None or request.pin is not None:
+            # A stream goes on at the version that began it, whatever became of that version.
             return entries
         if rollout.state is RolloutState.COMPLETED:
             return self._select_completed(rollout, entries)
@@ -150,7 +151,7 @@
     def check(self, request: CallerRequest, entry: UpstreamEntry) -> str | None:
         """Return why a request may no longer be sent to its chosen upstream, or None."""
         rollout = self.book.by_pool.get(entry.pool)
-        if rollout is None:
+        if rollout is None or request.pin is not None:
             return None
         side = rollout.side_of(entry)
         if rollout.state is RolloutState.COMPLETED:
