A stream that its caller takes up again goes on at the version that began it

The host that runs a stream now records its version at the first event, by workspace and request, and tells up to four hosts of its region, chosen by rendezvous hashing. They acknowledge; a message that isn't acknowledged is sent four times. A host that a caller comes back to looks at its own records, then asks the holders at the same time, for 0.2 s at most, and pins the request. It refuses at once, with its own code and without Retry-After, what nobody knows. Nothing is told or asked while one version alone has served for longer than streams last; a host that has just started, or whose list is old, doesn't know that, and asks. Streams don't begin at a version within 3.5 s after it has first been listed while there are others: a host whose list is that old may take the others for alone. A host that starts fetches the records that it should hold.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -37,6 +37,7 @@
 from ruddersaddle_serving.path_probes import PathProbes
 from ruddersaddle_serving.peers import limit_threads
 from ruddersaddle_serving.placements import Placement
+from ruddersaddle_serving.pool_versions import PoolVersions
 from ruddersaddle_serving.ports import Engines, MetadataStore, Wire
 from ruddersaddle_serving.probes import Probes
 from ruddersaddle_serving.publications import Publications
@@ -62,6 +63,9 @@
     StoreLink,
     UpstreamFollower,
 )
+from ruddersaddle_serving.stream_exchanges import StreamExchange
+from ruddersaddle_serving.stream_origins import StreamOrigins, StreamTimes
+from ruddersaddle_serving.stream_records import StreamRecords
 from ruddersaddle_serving.tasks import pause, spawn_forever
 from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -131,7 +135,10 @@
         self.retry_budget = RetryBudget(settings.number("bounds.retry_share") * RETRY_BUDGET_SHARE)
         self.residency = Residency(RegionMap.from_settings(settings), self.publications)
         self.cached_parts.rule = self.residency
+        self.stream_times = StreamTimes()
+        self.pool_versions = PoolVersions(self.upstreams, self.stream_times.version_memory_s)
         self.publications.listeners += [
+            self.stream_times.apply_table,
             self.residency.apply_table,
             self.trackers.apply_table,
             self.cached_parts.apply_table,
@@ -214,7 +221,7 @@
             self.cached_parts,
             self.quotas,
         )
-        placement.rules += [VersionPinRule(), self.residency]
+        placement.rules += [VersionPinRule(self.pool_versions), self.residency]
         self.forwarder = Forwarder(
             placement,
             wire,
@@ -239,6 +246,8 @@
             self.cached_parts,
             self.crash_records,
         )
+        self.streams = self._make_stream_exchange()
+        self.forwarder.origins = StreamOrigins(self.pool_versions, self.streams)
         self.chooser = LocalFirstChooser.attach(
             self.forwarder.placement,
             self.neighbours.links,
@@ -265,6 +274,12 @@
         )
         self.restricted_parts = RestrictedParts(self.residency, self.hosts, self.cached_parts)
 
+    def _make_stream_exchange(self) -> StreamExchange:
+        own, held = (StreamRecords(self.stream_times.record_memory_s) for _ in range(2))
+        exchange = StreamExchange(self.hosts, self.neighbours.peers, self.pool_versions, own, held)
+        self.neighbours.streams = exchange
+        return exchange
+
     def _apply_report(self, upstream: UpstreamId, report: SelfReport) -> None:
         """Apply what an upstream reports of itself in its answer to this host's own call."""
         tracker = self.trackers.by_id.get(upstream)
@@ -337,6 +352,7 @@
             follower.is_divided = self.hosts.regions.is_divided
         spawn_forever("crashes", crashes.run, CRASH_WAIT_S, 0.0, *duty)
         self.neighbours.start()
+        self.streams.start()
         self.probes.start()
         self.part_relay.start()
         self.cached_parts.start()
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -26,6 +26,7 @@
 from ruddersaddle_serving.request_traces import RequestTrace
 from ruddersaddle_serving.rollouts.attempt_outcomes import AttemptOutcome, AttemptOutcomes
 from ruddersaddle_serving.routes import RouteKind
+from ruddersaddle_serving.stream_origins import StreamOrigins
 from ruddersaddle_serving.trackers import Notice
 from ruddersaddle_serving.upstream_connections import ANSWER_BYTES_MAX
 from ruddersaddle_serving.upstream_paths import ReachedBy
@@ -87,6 +88,8 @@
         self.ends = AnswerEnds()
         self.relay_peers: RelayPeers | None = None
         """Hosts that requests may be relayed to; None if there are no relays."""
+        self.origins: StreamOrigins | None = None
+        """Knows at which software versions streams began; None if callers can't take them up."""
         self.outcomes: AttemptOutcomes | None = None
         """Records outcomes by software version; None on deployments without rollouts."""
 
@@ -124,12 +127,17 @@
         self._sent_count = 0
         self._may_have_run = False
         self._first_events = b""
+        self._is_recorded = False
+        """Whether it is recorded at which software version the stream began."""
 
     def begin(self) -> BufferedAnswer | AnswerHead | Failure:
         """Return a complete answer, a stream's head once its first event is read, or a failure."""
         self.pool = self.forwarder.placement.pick_pool(self.request.route)
         if self.pool is None:
             return Failure(Code.NO_UPSTREAM, Step.ADMIT, self.request.route.name, "no target pool")
+        refusal = self._pin_return()
+        if refusal is not None:
+            return refusal
         relayed = self._relay_if_reached_elsewhere()
         if relayed is not None:
             return self._as_unknown(relayed) if _may_have_run(relayed) else relayed
@@ -146,6 +154,18 @@
                     self._as_unknown(result) if self._may_have_run else self._with_backoff(result)
                 )
 
+    def _pin_return(self) -> Failure | None:
+        """Pin a stream that its caller takes up again to the version that began it."""
+        origins, request = self.forwarder.origins, self.request
+        if origins is None or not request.takes_up_stream:
+            return None
+        found = self.trace.take_up = origins.find(request, self.pool)
+        if found.failure is not None:
+            return found.failure
+        request.pin = found.pin
+        self.pool = found.pin.pool
+        return None
+
     def _relay_if_reached_elsewhere(self) -> BufferedAnswer | AnswerHead | Failure | None:
         """Relay the request if other hosts reach more of the pool's upstreams than this one.
 
@@ -397,6 +417,9 @@
             return
         if request.pin is None and self.attempt.has_same_upstream:
             request.pin = VersionPin(self.pool, self.attempt.entry.software_version)
+        if request.pin is not None and not self._is_recorded and self.forwarder.origins is not None:
+            self._is_recorded = True
+            self.forwarder.origins.record_first_event(request)
 
     def _read_events(self) -> bytes | Failure:
         """Return the next complete events of the attempt's stream; empty at its end."""
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -441,6 +441,8 @@
         trace = self.forwarding.trace
         fields["upstream"] = trace.upstream
         fields["weights"] = trace.version
+        if trace.take_up is not None:
+            fields.update(trace.take_up.fields(request.head))
         if trace.software_version is not msgspec.UNSET and (
             request.route.resumable or self.front.forwarder.outcomes is not None
         ):
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -34,6 +34,9 @@
     lines += format_counters("retries", "retries by outcome", budget)
     relays = host.forwarder.relay_peers.counts
     lines += format_counters("relays", "offers to other hosts by outcome", relays)
+    take_ups = host.forwarder.origins.counts()
+    lines += format_counters("stream_returns", "streams taken up again by finding", take_ups)
+    lines += format_counters("stream_records", "records of streams by event", host.streams.counts)
     lines += format_counters("crashes", "broken runs by outcome", host.crash_watch.counts)
     lines += format_counters("store_calls", "calls to the store", host.store.calls_by_kind)
     lines += format_counters("contexts", "cached context by action", host.cached_parts.counts)
@@ -103,6 +106,8 @@
         ("isolated", "1 if this host has no path to any upstream", host.trackers.paths.is_isolated),
         ("isolations", "times that it lost all paths", host.trackers.paths.isolations),
         ("path_probes", "probes of lost paths", host.path_probes.count),
+        ("streams_recorded", "own streams on record", len(host.streams.own)),
+        ("streams_held", "streams of other hosts on record", len(host.streams.held)),
         ("crash_suspects", "requests that may have crashed an upstream", suspects),
         ("crash_records_shared", "suspects known to all hosts", len(records.shared())),
         ("crash_suspects_cleared", "suspects that completed", records.cleared),
--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -24,6 +24,13 @@
 from ruddersaddle_serving.rollouts.orders import SharedRollout
 from ruddersaddle_serving.routes import PublishedConfiguration
 from ruddersaddle_serving.store_eras import ERA_UNKNOWN
+from ruddersaddle_serving.stream_records import (
+    HeldRequest,
+    StreamQuestion,
+    StreamReply,
+    StreamsNoted,
+    StreamsTold,
+)
 from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamInstance
 
 
@@ -140,5 +147,10 @@
     | RolloutNotice
     | CloseOld
     | OldClosed
+    | StreamsTold
+    | StreamsNoted
+    | StreamQuestion
+    | StreamReply
+    | HeldRequest
     | Ack
 )
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -42,6 +42,8 @@
 from ruddersaddle_serving.rollouts.messages import CloseOld, CountReport, RolloutNotice
 from ruddersaddle_serving.rollouts.participants import RolloutParticipant
 from ruddersaddle_serving.store_eras import ERA_UNKNOWN
+from ruddersaddle_serving.stream_exchanges import StreamExchange
+from ruddersaddle_serving.stream_records import HeldRequest, StreamQuestion, StreamsTold
 from ruddersaddle_serving.tasks import TICK_S, pause, spawn_forever
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -66,6 +68,9 @@
     LoadSumsRequest,
     RegionLoads,
     LinkReports,
+    StreamsTold,
+    StreamQuestion,
+    HeldRequest,
 )
 """Messages that are handled without waiting for anything."""
 REGION_READERS_TRIED = 2
@@ -100,6 +105,8 @@
         self.crashes = CrashShares(hosts, self.peers, store, crashes)
         self.rollouts: RolloutParticipant | None = None
         """This host's part in rollouts; None on deployments without them."""
+        self.streams: StreamExchange | None = None
+        """Knows where streams began; None before the host is complete."""
         self.sources = StateSources(hosts)
         self.traffic = RegionTraffic(hosts, self.peers)
         self.host_list.listeners.append(self.traffic.update)
@@ -327,9 +334,14 @@
             case StoreLost():
                 self._handle_store_lost(message)
             case _:
-                return self._handle_rollout(message)
+                return self._handle_stream(message) or self._handle_rollout(message)
         return Ack()
 
+    def _handle_stream(self, message: NeighbourMessage) -> NeighbourMessage | None:
+        """Handle a message on where streams began; return None for any other message."""
+        is_known = isinstance(message, StreamsTold | StreamQuestion | HeldRequest)
+        return self.streams.handle(message) if is_known and self.streams is not None else None
+
     def _handle_rollout(self, message: NeighbourMessage) -> NeighbourMessage:
         """Handle a message on rollouts; a host without them doesn't know any order."""
         is_rollout = isinstance(message, CountReport | CloseOld | RolloutNotice)
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -0,0 +1,114 @@
+"""Which software versions have served in each pool, and for how long one alone has.
+
+While one version alone has served for longer than any stream lasts, a stream can only have begun at
+that version. Otherwise hosts must know which version began it.
+"""
+
+import math
+from collections.abc import Callable
+
+import msgspec
+from ruddersaddle_base import clocks
+from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
+
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UP_TO_DATE_S, UpstreamList
+
+Version = SoftwareVersion | msgspec.UnsetType
+
+SETTLE_S = UP_TO_DATE_S + 0.5
+"""No stream begins at a version for this long after a host has first listed it, while there are
+others. A host whose list is so old that it knows only one version may still send it a stream that
+began at the other."""
+
+
+class Sight(msgspec.Struct):
+    """When a version of a pool was listed, by the boot-time clock in seconds."""
+
+    first_at: float
+    """Negative infinity if it was in the first list that this host knew."""
+    last_at: float = math.inf
+    """Infinity while it is listed."""
+
+
+class PoolVersions:
+    """The software versions of all pools, as this host has seen them."""
+
+    def __init__(self, upstreams: UpstreamList, memory_s: Callable[[], float]) -> None:
+        self.upstreams = upstreams
+        self.memory_s = memory_s
+        """Time for which a version counts after its last upstream has gone."""
+        self._sight_by_version: dict[PoolId, dict[Version, Sight]] = {}
+        self._revision: int | None = None
+        self._known_since = math.inf
+
+    def _observe(self) -> None:
+        """Apply the present list, if it has changed."""
+        if not self.upstreams.complete or self.upstreams.revision == self._revision:
+            return
+        now = clocks.now_s()
+        is_first = self._revision is None
+        self._revision = self.upstreams.revision
+        self._known_since = min(self._known_since, now)
+        listed = {(each.pool, each.software_version) for each in self.upstreams.by_id.values()}
+        for pool, sights in self._sight_by_version.items():
+            for version, sight in sights.items():
+                if (pool, version) not in listed and sight.last_at == math.inf:
+                    sight.last_at = now
+        for pool, version in listed:
+            sights = self._sight_by_version.setdefault(pool, {})
+            sight = sights.get(version)
+            if sight is None:
+                sights[version] = Sight(-math.inf if is_first else now)
+            else:
+                sight.last_at = math.inf
+        self._forget()
+
+    def _forget(self) -> None:
+        oldest_at = clocks.now_s() - self.memory_s()
+        for pool, sights in list(self._sight_by_version.items()):
+            for version in [each for each, sight in sights.items() if sight.last_at < oldest_at]:
+                del sights[version]
+            if not sights:
+                del self._sight_by_version[pool]
+
+    def seen(self, pool: PoolId) -> set[Version]:
+        """Return the versions of a pool at which a stream may have begun, as far as known here."""
+        self._observe()
+        oldest_at = clocks.now_s() - self.memory_s()
+        sights = self._sight_by_version.get(pool, {})
+        return {version for version, sight in sights.items() if sight.last_at >= oldest_at}
+
+    def alone(self, pool: PoolId) -> Version | None:
+        """Return the version that has served alone for longer than streams last; None if unknown.
+
+        It is unknown on a host that has not been up for as long, and while its list may lack
+        upstreams that others know.
+        """
+        seen = self.seen(pool)
+        if seen == {msgspec.UNSET}:
+            # Hosts of an earlier program version, which don't read it, send the list.
+            return msgspec.UNSET
+        if len(seen) != 1 or not self.upstreams.is_up_to_date:
+            return None
+        if clocks.now_s() - self._known_since < self.memory_s():
+            return None
+        return next(iter(seen))
+
+    def has_several(self) -> bool:
+        """Return whether several versions of any pool are known here."""
+        self._observe()
+        return any(len(self.seen(pool)) > 1 for pool in list(self._sight_by_version))
+
+    def select_settled(
+        self, entries: list[UpstreamEntry], excluded: set[UpstreamId]
+    ) -> list[UpstreamEntry]:
+        """Return the upstreams at whose version a stream may begin; all if there are no others."""
+        self._observe()
+        newest_at = clocks.now_s() - SETTLE_S
+        settled = [each for each in entries if self._first_at(each) <= newest_at]
+        return settled if any(each.id not in excluded for each in settled) else entries
+
+    def _first_at(self, entry: UpstreamEntry) -> float:
+        sight = self._sight_by_version.get(entry.pool, {}).get(entry.software_version)
+        return -math.inf if sight is None else sight.first_at
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -141,6 +141,11 @@
         """Whether a successful answer is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller goes on with a stream whose first events it has."""
+        return self.route.resumable and self.is_stream and self.head.last_event_id is not None
+
     @property
     def remaining_s(self) -> float:
         """Time left until the caller's or the route's deadline."""
--- a/libs/serving/ruddersaddle_serving/request_traces.py
+++ b/libs/serving/ruddersaddle_serving/request_traces.py
@@ -3,6 +3,8 @@
 import msgspec
 from ruddersaddle_base.ids import HostId, SoftwareVersion
 
+from ruddersaddle_serving.stream_origins import TakeUp
+
 
 class RequestTrace:
     """How a request was forwarded, as logged when it ends.
@@ -28,4 +30,6 @@
         """Host that a relayed request was answered by."""
         self.relay_reason: str | None = None
         """Why it was relayed, with the time for which this host has had no path."""
+        self.take_up: TakeUp | None = None
+        """How a stream that its caller takes up again was found; None for other requests."""
         self.software_version: SoftwareVersion | msgspec.UnsetType = msgspec.UNSET
--- a/libs/serving/ruddersaddle_serving/version_pins.py
+++ b/libs/serving/ruddersaddle_serving/version_pins.py
@@ -4,12 +4,19 @@
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import UpstreamId
 
+from ruddersaddle_serving.pool_versions import PoolVersions
 from ruddersaddle_serving.prompts import CallerRequest, VersionPin
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 
 class VersionPinRule:
-    """Restricts a request that is pinned to a software version to the upstreams of it."""
+    """Restricts a request that is pinned to a software version to the upstreams of it.
+
+    Streams don't begin at a version that other hosts may not know of yet.
+    """
+
+    def __init__(self, versions: PoolVersions | None = None) -> None:
+        self.versions = versions
 
     def select(
         self, request: CallerRequest, entries: list[UpstreamEntry], excluded: set[UpstreamId]
@@ -17,7 +24,9 @@
         """Return the entries of the request's version, or a failure if there is none."""
         pin = request.pin
         if pin is None:
-            return entries
+            if self.versions is None or not request.route.resumable:
+                return entries
+            return self.versions.select_settled(entries, excluded)
         if _is_unknown_among_known(pin, entries):
             detail = "its version was not known when it began; begin it anew"
             return Failure(Code.UNKNOWN_STREAM, Step.ADMIT, pin.pool, detail)
