explain shows the requests that take up a request's stream

The lines of one stream could not be joined: a caller's return has an id of its own. The line of its end names the first request, from which event it goes on, and from whom the version is known; explain lists it with the first request's lines. It is no end of the first request, whose own may be missing.

--- a/libs/serving/ruddersaddle_serving/explanations.py
+++ b/libs/serving/ruddersaddle_serving/explanations.py
@@ -25,7 +25,7 @@
     records.sort(key=lambda record: str(record.get("time", "")))
     related = [record for record in records if _is_related(record, request)]
     formatted = [_format(record, request) for record in related]
-    if not any(_reports_end(record) for record in related):
+    if not any(_reports_end(record) for record in related if not _takes_up(record, request)):
         formatted += _explain_missing_end(records)
     return formatted
 
@@ -43,11 +43,20 @@
 
 
 def _is_related(record: Record, request: str) -> bool:
-    if record.get("request") == request or request in str(record.get("text", "")).split():
+    # A request that takes up a stream names the one that brought its first event.
+    if (
+        request in (record.get("request"), record.get("resumes"))
+        or request in str(record.get("text", "")).split()
+    ):
         return True
     return _find_cut(record, request) is not None
 
 
+def _takes_up(record: Record, request: str) -> bool:
+    """Return whether a line is of another request, which takes up a stream of this one."""
+    return record.get("resumes") == request and record.get("request") != request
+
+
 def _find_cut(record: Record, request: str) -> str | None:
     """Return the item on a request in a host's list of requests that its end cut, or None."""
     for cut in record.get("requests", ()):
@@ -63,6 +72,8 @@
 
 def _format(record: Record, request: str = "") -> str:
     fields = [f"{name}={value}" for name, value in record.items() if name not in HIDDEN]
+    if _takes_up(record, request):
+        fields.append(f"taken up by: {record.get('request')}")
     cut = _find_cut(record, request)
     if cut is not None:
         fields.append(f"cut here: {cut}")
--- a/libs/serving/ruddersaddle_serving/tests/test_explanations.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_explanations.py
@@ -34,6 +34,20 @@
         expected = "5 e host: Host e has stopped. cut=2 cut here: r-1 on b at i-2 for 1.0 s"
         self.assertEqual(explain("r-1", [line]), [expected])
 
+    def test_requests_that_take_up_its_stream_are_shown(self) -> None:
+        """The first request may have no end, if its host was killed."""
+        lines = [
+            '{"time": "1", "text": "host: Host e has started.", "host": "e"}',
+            '{"time": "2", "text": "front: Request ended.", "request": "r-2", "resumes": "r-1", '
+            '"stream_known_from": "holder", "stream_version": "v1", "host": "f"}',
+        ]
+        expected = [
+            "2 f front: Request ended. resumes=r-1 stream_known_from=holder stream_version=v1 "
+            "taken up by: r-2",
+            "perhaps: 1 e was killed or still runs: its log ends here",
+        ]
+        self.assertEqual(explain("r-1", lines), expected)
+
     def test_request_without_an_end_is_followed_by_possible_reasons(self) -> None:
         lines = (
             '{"time": "1", "text": "host: Host e has started.", "host": "e"}',
