Stream records: bounded queues and turns, and a second question after a change

While a version has just appeared, the host that runs a stream may not have listed it yet and has told nobody; holders that know nothing are asked again, four times at most, until the version counts as known to all. The queue for a mute holder is bounded, and looking through many records gives other tasks a turn.

--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -107,6 +107,11 @@
         ("isolations", "times that it lost all paths", host.trackers.paths.isolations),
         ("path_probes", "probes of lost paths", host.path_probes.count),
         ("streams_recorded", "own streams on record", len(host.streams.own)),
+        (
+            "pools_of_versions",
+            "pools in which not one software version alone has served for long",
+            host.pool_versions.count_divided(),
+        ),
         ("streams_held", "streams of other hosts on record", len(host.streams.held)),
         ("crash_suspects", "requests that may have crashed an upstream", suspects),
         ("crash_records_shared", "suspects known to all hosts", len(records.shared())),
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -70,7 +70,6 @@
     LinkReports,
     StreamsTold,
     StreamQuestion,
-    HeldRequest,
 )
 """Messages that are handled without waiting for anything."""
 REGION_READERS_TRIED = 2
--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from ruddersaddle_base import clocks
@@ -100,6 +100,17 @@
         self._observe()
         return any(len(self.seen(pool)) > 1 for pool in list(self._sight_by_version))
 
+    def is_changing(self, pools: Iterable[PoolId]) -> bool:
+        """Return whether a version of some pools has appeared that other hosts may not know yet."""
+        newest_at = clocks.now_s() - SETTLE_S
+        sights = (self._sight_by_version.get(pool, {}).values() for pool in pools)
+        return any(sight.first_at > newest_at for each in sights for sight in each)
+
+    def count_divided(self) -> int:
+        """Return the number of pools in which no version is known to have served alone."""
+        self._observe()
+        return sum(self.alone(pool) is None for pool in list(self._sight_by_version))
+
     def select_settled(
         self, entries: list[UpstreamEntry], excluded: set[UpstreamId]
     ) -> list[UpstreamEntry]:
--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from zlib import crc32
 
 import eventlet
@@ -53,6 +53,10 @@
 """Longest wait for holders when a caller comes back, in seconds."""
 RECORDS_PER_MESSAGE = 500
 """About 50 KB."""
+QUEUED_MAX = 5000
+"""Records that wait for a mute holder; the oldest are dropped."""
+RECORDS_PER_TURN = 200
+"""Records that are looked through before other tasks get a turn, some 0.5 ms."""
 HELD_MAX = 5000
 """Records that a host that has just started gets from one other host."""
 CHECK_INTERVAL_S = 0.1
@@ -122,7 +126,7 @@
             return
         self._told_state = state
         present = set()
-        for record in self.own.all():
+        for record in in_turns(self.own.all()):
             present.add(record.key)
             if record.pool in telling and record.version is not None:
                 self._tell(record)
@@ -140,7 +144,11 @@
 
     def _queue(self, address: str, record: StreamRecord) -> None:
         is_sending = address in self._unsent_by_address
-        self._unsent_by_address.setdefault(address, []).append((record, 1))
+        queued = self._unsent_by_address.setdefault(address, [])
+        queued.append((record, 1))
+        if len(queued) > QUEUED_MAX:
+            del queued[0]
+            self.counts["unacknowledged"] += 1
         if not is_sending:
             eventlet.spawn_after(TELL_INTERVAL_S, self._send_all, address)
 
@@ -264,7 +272,7 @@
 
     def _records_for(self, address: str) -> Iterable[StreamRecord]:
         for records in (self.held, self.own):
-            for record in records.all():
+            for record in in_turns(records.all()):
                 if address in self.holders(record.key):
                     yield record
 
@@ -293,3 +301,11 @@
         self._hold(answer.records)
         self.counts["fetched"] += len(answer.records)
         return len(answer.records)
+
+
+def in_turns(records: Iterable[StreamRecord]) -> Iterator[StreamRecord]:
+    """Yield records, and give other tasks a turn now and then."""
+    for number, record in enumerate(records, 1):
+        yield record
+        if number % RECORDS_PER_TURN == 0:
+            eventlet.sleep(0)
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import Any
 
+import eventlet
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import PoolId, RequestId
@@ -26,6 +27,10 @@
 """Pause of a caller before it takes a stream up again, as far as one version alone is concerned."""
 RECORD_MARGIN_S = 60.0
 """Longest pause of a caller before it takes a stream up again that is on record."""
+ASKED_AGAIN = 4
+"""Times that holders are asked again soon after a version has appeared: until the host that runs
+the stream has listed that version as well, it has told nobody."""
+ASK_AGAIN_PAUSE_S = 0.2
 LOGGED_CHARS_MAX = 40
 """Characters of a caller's value in the log."""
 
@@ -119,8 +124,14 @@
             return TakeUp(Finding.ALONE, VersionPin(drawn, alone_by_pool[drawn]))
         if not key.is_valid:
             return _refuse(Finding.NOT_NAMED)
-        replies = self.exchange.ask(StreamQuestion(key, pools))
-        return self._from_replies(replies, pools, drawn)
+        question = StreamQuestion(key, pools)
+        found = self._from_replies(self.exchange.ask(question), pools, drawn)
+        for _ in range(ASKED_AGAIN):
+            if found.finding is not Finding.UNKNOWN or not self.versions.is_changing(pools):
+                break
+            eventlet.sleep(ASK_AGAIN_PAUSE_S)
+            found = self._from_replies(self.exchange.ask(question), pools, drawn)
+        return found
 
     def _from_replies(
         self, replies: list[StreamReply], pools: tuple[PoolId, ...], drawn: PoolId
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -0,0 +1,130 @@
+"""Tests of where a stream goes on that its caller takes up again."""
+
+from unittest import mock
+
+import msgspec
+from ruddersaddle_base.failures import Code
+from ruddersaddle_base.ids import PoolId, RequestId, SoftwareVersion, WorkspaceId
+
+from ruddersaddle_serving.fronts import LASTING_CODES, NOT_RUN_STATUS, STATUS_BY_CODE
+from ruddersaddle_serving.prompts import CallerHead, CallerRequest, VersionPin
+from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
+from ruddersaddle_serving.stream_origins import ASKED_AGAIN, Finding, StreamOrigins, TakeUp
+from ruddersaddle_serving.stream_records import AloneVersion, StreamKey, StreamRecord, StreamReply
+from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
+
+POOL, OTHER = PoolId("p"), PoolId("other")
+V1, V2 = SoftwareVersion("v1"), SoftwareVersion("v2")
+KEY = StreamKey(None, RequestId("first"))
+RECORD = StreamRecord(KEY, POOL, V1, 2.5)
+
+
+class StreamOriginsTest(FixedClockTest):
+    def setUp(self) -> None:
+        super().setUp()
+        self.alone: dict[PoolId, object] = {}
+        self.seen = {V1, V2}
+        self.known: StreamRecord | None = None
+        self.replies: list[StreamReply] = []
+        self.exchange = mock.Mock(
+            find_known=lambda key: self.known if key == KEY else None,
+            ask=mock.Mock(side_effect=lambda question: self.replies),
+        )
+        self.is_changing = False
+        versions = mock.Mock(
+            alone=self.alone.get,
+            seen=lambda pool: self.seen,
+            is_changing=lambda pools: self.is_changing,
+        )
+        self.origins = StreamOrigins(versions, self.exchange)
+
+    def make_request(
+        self, resumes: str | None = "first", last: str | None = "3", pools: tuple = (POOL,)
+    ) -> CallerRequest:
+        targets = tuple(Target(each) for each in pools)
+        kind = RouteKind.STREAM
+        route = Route(RouteName("r"), "h", "/", kind, 9.0, 1.0, targets, resumable=True)
+        head = CallerHead(RequestId("second"), None, None, None, last, (), resumes)
+        return CallerRequest(head, "POST", "/", b"", route, None, self.now)
+
+    def find(self, **more: object) -> TakeUp:
+        return self.origins.find(self.make_request(**more), POOL)
+
+    def test_own_record_is_used_before_others_are_asked(self) -> None:
+        self.known = RECORD
+        found = self.find()
+        self.assertEqual((found.finding, found.pin), (Finding.HERE, VersionPin(POOL, V1)))
+        self.exchange.ask.assert_not_called()
+
+    def test_holder_that_knows_the_stream_counts_before_those_that_dont(self) -> None:
+        self.replies = [StreamReply(None), StreamReply(RECORD)]
+        found = self.find()
+        self.assertEqual((found.finding, found.pin), (Finding.HOLDER, VersionPin(POOL, V1)))
+
+    def test_nobody_is_asked_while_one_version_is_alone(self) -> None:
+        self.alone[POOL] = V1
+        for resumes in ("first", None):
+            found = self.find(resumes=resumes)
+            self.assertEqual((found.finding, found.pin), (Finding.ALONE, VersionPin(POOL, V1)))
+        self.exchange.ask.assert_not_called()
+
+    def test_entries_without_versions_are_alone_as_well(self) -> None:
+        """Hosts of an earlier program version send them."""
+        self.alone[POOL] = msgspec.UNSET
+        self.assertEqual(self.find().pin, VersionPin(POOL, msgspec.UNSET))
+
+    def test_host_that_has_just_started_believes_a_holder_unless_it_sees_more(self) -> None:
+        self.replies = [StreamReply(None), StreamReply(None, (AloneVersion(POOL, V1),))]
+        self.assertIs(self.find().finding, Finding.UNKNOWN)
+        self.seen = {V1}
+        found = self.find()
+        self.assertEqual(
+            (found.finding, found.pin), (Finding.ALONE_ELSEWHERE, VersionPin(POOL, V1))
+        )
+        self.assertIs(self.find(pools=(POOL, OTHER)).finding, Finding.UNKNOWN)
+
+    def test_what_is_not_known_is_refused_for_good(self) -> None:
+        cases = [
+            (Finding.NOT_NAMED, {"resumes": None}, []),
+            (Finding.UNREACHABLE, {}, []),
+            (Finding.UNKNOWN, {}, [StreamReply(None)]),
+            (Finding.AMBIGUOUS, {}, [StreamReply(msgspec.structs.replace(RECORD, version=None))]),
+            (Finding.UNKNOWN, {"pools": (OTHER,)}, [StreamReply(RECORD)]),
+        ]
+        for finding, more, self.replies in cases:
+            with self.subTest(finding):
+                found = self.find(**more)
+                self.assertEqual((found.finding, found.pin), (finding, None))
+                self.assertIs(found.failure.code, Code.UNKNOWN_STREAM)
+                self.assertIn("anew", found.failure.detail)
+        self.assertNotIn(Code.UNKNOWN_STREAM, STATUS_BY_CODE)
+        self.assertEqual(NOT_RUN_STATUS, 503)
+        self.assertLessEqual({Code.UNKNOWN_STREAM, Code.STREAM_VERSION_GONE}, LASTING_CODES)
+        self.assertEqual(self.origins.counts()["unknown"], 2)
+
+    def test_holders_are_asked_again_soon_after_a_version_has_appeared(self) -> None:
+        """The host that runs the stream tells holders once it lists the second version too."""
+        self.is_changing = True
+        answers = [[StreamReply(None)], [StreamReply(None)], [StreamReply(RECORD)]]
+        self.exchange.ask.side_effect = lambda question: answers.pop(0)
+        with mock.patch("eventlet.sleep") as sleep:
+            self.assertIs(self.find().finding, Finding.HOLDER)
+            self.assertEqual(sleep.call_count, 2)
+            self.exchange.ask.side_effect = lambda question: [StreamReply(None)]
+            self.assertIs(self.find().finding, Finding.UNKNOWN)
+            self.assertEqual(sleep.call_count, 2 + ASKED_AGAIN)
+
+    def test_return_is_recorded_under_the_first_request(self) -> None:
+        """A later return names the same request."""
+        for last, request in (("3", "first"), (None, "second")):
+            sent = self.make_request(last=last)
+            sent.pin = VersionPin(POOL, V1)
+            self.origins.record_first_event(sent)
+            record = self.exchange.record_begun.call_args.args[0]
+            self.assertEqual(record, StreamRecord(StreamKey(None, request), POOL, V1))
+
+    def test_keys_have_the_workspace(self) -> None:
+        request = self.make_request()
+        request.workspace = mock.Mock(id=WorkspaceId("w"))
+        self.known = RECORD
+        self.assertIs(self.origins.find(request, POOL).finding, Finding.UNREACHABLE)
