--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -154,7 +154,7 @@
 
     def test_nothing_is_told_while_one_version_is_alone_and_all_once_it_isnt(self) -> None:
         self.alone = dict.fromkeys(self.exchange_by_address, "v1")
-        key = self.begin("address-0", "r")
+        keys = [self.begin("address-0", f"r-{number}") for number in range(20)]
         exchange = self.exchange_by_address["address-0"]
         exchange.tell_untold()
         self.deliver("address-0")
@@ -162,7 +162,9 @@
         self.alone = {}
         exchange.tell_untold()
         self.deliver("address-0")
-        self.assertEqual(self.find("address-7", key), "v1")
+        self.down = {"address-0"}
+        for key in keys:
+            self.assertEqual(self.find("address-7", key), "v1")
 
     def test_new_holders_are_told(self) -> None:
         """When the list of hosts changed, the hosts that were asked knew nothing."""
--- a/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
@@ -74,7 +74,9 @@
         self.forwarding.attempt.has_same_upstream = False
         self.forwarding._pin_to_attempt()
         self.forwarding.splitter.last_id = "3"
-        with mock.patch.object(self.forwarding, "_attempt_once") as attempt:
+        self.assertIsNone(self.forwarding.request.pin)
+        may_retry = mock.patch.object(self.forwarding, "_may_retry", return_value=True)
+        with may_retry, mock.patch.object(self.forwarding, "_attempt_once") as attempt:
             self.assertIs(self.forwarding._resume(BROKEN), BROKEN)
         attempt.assert_not_called()
 
