Records of streams: versions that come and go, mute holders, allowed regions

A host without traffic looked at the versions of its pools only with the next request, and missed one that had come and gone.

A holder that acknowledges nothing, such as a host of an earlier program version, is told nothing for 10 s: each message without an answer closes a connection that other messages use as well.

The rule of versions comes after that of allowed regions: where streams may begin is decided among the upstreams that the request may go to at all.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -221,7 +221,7 @@
             self.cached_parts,
             self.quotas,
         )
-        placement.rules += [VersionPinRule(self.pool_versions), self.residency]
+        placement.rules += [self.residency, VersionPinRule(self.pool_versions)]
         self.forwarder = Forwarder(
             placement,
             wire,
--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -42,8 +42,11 @@
         self._revision: int | None = None
         self._known_since = math.inf
 
-    def _observe(self) -> None:
-        """Apply the present list, if it has changed."""
+    def observe(self) -> None:
+        """Apply the present list, if it has changed.
+
+        It has to be called often: a version that comes and goes between two calls isn't seen.
+        """
         if not self.upstreams.complete or self.upstreams.revision == self._revision:
             return
         now = clocks.now_s()
@@ -74,7 +77,7 @@
 
     def seen(self, pool: PoolId) -> set[Version]:
         """Return the versions of a pool at which a stream may have begun, as far as known here."""
-        self._observe()
+        self.observe()
         oldest_at = clocks.now_s() - self.memory_s()
         sights = self._sight_by_version.get(pool, {})
         return {version for version, sight in sights.items() if sight.last_at >= oldest_at}
@@ -97,7 +100,7 @@
 
     def has_several(self) -> bool:
         """Return whether several versions of any pool are known here."""
-        self._observe()
+        self.observe()
         return any(len(self.seen(pool)) > 1 for pool in list(self._sight_by_version))
 
     def is_changing(self, pools: Iterable[PoolId]) -> bool:
@@ -108,14 +111,14 @@
 
     def count_divided(self) -> int:
         """Return the number of pools in which no version is known to have served alone."""
-        self._observe()
+        self.observe()
         return sum(self.alone(pool) is None for pool in list(self._sight_by_version))
 
     def select_settled(
         self, entries: list[UpstreamEntry], excluded: set[UpstreamId]
     ) -> list[UpstreamEntry]:
         """Return the upstreams at whose version a stream may begin; all if there are no others."""
-        self._observe()
+        self.observe()
         newest_at = clocks.now_s() - SETTLE_S
         settled = [each for each in entries if self._first_at(each) <= newest_at]
         return settled if any(each.id not in excluded for each in settled) else entries
--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -13,6 +13,7 @@
 import eventlet
 import msgspec
 from eventlet.queue import LightQueue
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, PoolId
 from ruddersaddle_routing.rendezvous import rank_names
@@ -53,6 +54,9 @@
 """Longest wait for holders when a caller comes back, in seconds."""
 RECORDS_PER_MESSAGE = 500
 """About 50 KB."""
+MUTE_S = 10.0
+"""Pause after a record was told in vain: each message that isn't answered closes a connection, also
+those to hosts of a program version that doesn't know it."""
 QUEUED_MAX = 5000
 """Records that wait for a mute holder; the oldest are dropped."""
 RECORDS_PER_TURN = 200
@@ -92,6 +96,8 @@
         """List of hosts and pools with streams to tell of, when holders were last told."""
         self._told_by_key: dict[StreamKey, set[str]] = {}
         """Holders that were told of own streams, acknowledged or not yet."""
+        self._mute_until: dict[str, float] = {}
+        """Until when holders that acknowledge nothing are told nothing, by the boot-time clock."""
         self._unsent_by_address: dict[str, list[tuple[StreamRecord, int]]] = {}
         """Records to tell, with the number of the attempt."""
 
@@ -120,6 +126,7 @@
 
         Another version has appeared in a pool, or other hosts have become holders.
         """
+        self.versions.observe()
         telling = frozenset(each for each in self._pools if self.versions.alone(each) is None)
         state = (self.hosts.digest, telling)
         if state == self._told_state:
@@ -143,6 +150,9 @@
                 self._queue(address, record)
 
     def _queue(self, address: str, record: StreamRecord) -> None:
+        if clocks.now_s() < self._mute_until.get(address, float("-inf")):
+            self.counts["unacknowledged"] += 1
+            return
         is_sending = address in self._unsent_by_address
         queued = self._unsent_by_address.setdefault(address, [])
         queued.append((record, 1))
@@ -178,6 +188,7 @@
         if len(again) < len(part):
             lost = len(part) - len(again)
             logger.warning("Holder %s has not acknowledged %d streams.", address, lost)
+            self._mute_until[address] = clocks.now_s() + MUTE_S
         return False
 
     # Holders
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -1,9 +1,12 @@
 """Tests of when one software version alone counts in a pool."""
 
+from unittest import mock
+
 import msgspec
 from ruddersaddle_base.ids import PoolId
 
 from ruddersaddle_serving.pool_versions import SETTLE_S, PoolVersions
+from ruddersaddle_serving.stream_exchanges import StreamExchange
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.tests.test_version_pins import POOL, make_entry
 from ruddersaddle_serving.upstream_lists import UP_TO_DATE_S, UpstreamList
@@ -45,6 +48,20 @@
         self.pass_time(0.2)
         self.assertEqual(self.versions.alone(POOL), "v1")
 
+    def test_version_that_came_and_went_without_traffic_counts(self) -> None:
+        """Only requests looked at the versions, and a host without any missed one."""
+        self.list_entries(a="v1")
+        self.pass_time(MEMORY_S + 1)
+        for version_by_id in ({"a": "v1", "b": "v2"}, {"a": "v1"}):
+            entries = [make_entry(name, version) for name, version in version_by_id.items()]
+            self.upstreams.replace(entries, self.now)
+            exchange = StreamExchange(
+                mock.Mock(), mock.Mock(), self.versions, mock.MagicMock(), mock.MagicMock()
+            )
+            exchange.tell_untold()
+        self.assertEqual(self.versions.seen(POOL), {"v1", "v2"})
+        self.assertIsNone(self.versions.alone(POOL))
+
     def test_second_version_counts_at_once(self) -> None:
         self.list_entries(a="v1")
         self.pass_time(MEMORY_S + 1)
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -9,7 +9,7 @@
 from ruddersaddle_serving import stream_exchanges
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.neighbour_messages import NeighbourMessage
-from ruddersaddle_serving.stream_exchanges import HOLDERS, TELL_ATTEMPTS, StreamExchange
+from ruddersaddle_serving.stream_exchanges import HOLDERS, MUTE_S, TELL_ATTEMPTS, StreamExchange
 from ruddersaddle_serving.stream_records import (
     StreamKey,
     StreamQuestion,
@@ -144,6 +144,13 @@
         for _ in range(TELL_ATTEMPTS):
             exchange.send_next(holder)
         self.assertEqual(exchange._unsent_by_address[holder], [])
+        for number in range(20):
+            self.begin("address-0", f"r-{number}")
+        self.assertEqual(exchange._unsent_by_address[holder], [])
+        self.now += MUTE_S + 1
+        for number in range(20):
+            self.begin("address-0", f"later-{number}")
+        self.assertNotEqual(exchange._unsent_by_address[holder], [])
 
     def test_queue_for_a_mute_holder_is_bounded(self) -> None:
         with mock.patch.object(stream_exchanges, "QUEUED_MAX", 3):
