--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -8,7 +8,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from ruddersaddle_base.ids import PoolId, UpstreamId
+from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
 from ruddersaddle_routing.retries import RetryBudget
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, ordinary_end
@@ -26,12 +26,13 @@
     Placement,
 )
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
-from ruddersaddle_serving.prompts import CallerRequest, RelayTerms
+from ruddersaddle_serving.prompts import CallerRequest, RelayTerms, VersionPin
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import Relaying, RelayPeers
 from ruddersaddle_serving.request_traces import RequestTrace
 from ruddersaddle_serving.rollouts.attempt_outcomes import AttemptOutcome, AttemptOutcomes
 from ruddersaddle_serving.routes import RouteKind
+from ruddersaddle_serving.stream_origins import StreamOrigins
 from ruddersaddle_serving.trackers import Notice
 from ruddersaddle_serving.upstream_connections import ANSWER_BYTES_MAX
 from ruddersaddle_serving.upstream_paths import ReachedBy
@@ -63,6 +64,8 @@
         Code.FITS_NO_ENGINE,
         Code.EVACUATED,
         Code.NO_ALLOWED_REGION,
+        Code.UNKNOWN_STREAM,
+        Code.STREAM_VERSION_GONE,
     }
 )
 """Failures that are not retried, as another upstream would give the same result."""
@@ -91,6 +94,8 @@
         self.ends = AnswerEnds()
         self.relay_peers: RelayPeers | None = None
         """Hosts that requests may be relayed to; None if there are no relays."""
+        self.origins: StreamOrigins | None = None
+        """Knows at which software versions streams began; None if callers can't take them up."""
         self.outcomes: AttemptOutcomes | None = None
         """Records outcomes by software version; None on deployments without rollouts."""
 
@@ -128,12 +133,17 @@
         self._sent_count = 0
         self._may_have_run = False
         self._first_events = b""
+        self._is_recorded = False
+        """Whether it is recorded at which software version the stream began."""
 
     def begin(self) -> BufferedAnswer | AnswerHead | Failure:
         """Return a complete answer, a stream's head once its first event is read, or a failure."""
         self.pool = self.forwarder.placement.pick_pool(self.request.route)
         if self.pool is None:
             return Failure(Code.NO_UPSTREAM, Step.ADMIT, self.request.route.name, "no target pool")
+        refusal = self._pin_return()
+        if refusal is not None:
+            return refusal
         relayed = self._relay_if_reached_elsewhere()
         if relayed is not None:
             return self._as_unknown(relayed) if _may_have_run(relayed) else relayed
@@ -150,6 +160,18 @@
                     self._as_unknown(result) if self._may_have_run else self._with_backoff(result)
                 )
 
+    def _pin_return(self) -> Failure | None:
+        """Pin a stream that its caller takes up again to the version that began it."""
+        origins, request = self.forwarder.origins, self.request
+        if origins is None or not request.takes_up_stream:
+            return None
+        found = self.trace.take_up = origins.find(request, self.pool)
+        if found.failure is not None:
+            return found.failure
+        request.pin = found.pin
+        self.pool = found.pin.pool
+        return None
+
     def _relay_if_reached_elsewhere(self) -> BufferedAnswer | AnswerHead | Failure | None:
         """Relay the request if other hosts reach more of the pool's upstreams than this one.
 
@@ -370,6 +392,8 @@
     def _await_first(self, head: AnswerHead) -> AnswerHead | Failure:
         """Read up to the first complete event; a stream that breaks before it can be retried."""
         self._first_events = b""
+        if self.request.pin is not None and not self.attempt.has_same_upstream:
+            return self._leave_replaced()
         events = self._read_first_events(head)
         if isinstance(events, Failure):
             self._end_broken(events)
@@ -378,6 +402,7 @@
         self._record_data(events)
         self.attempt.record_first_event()
         self._record_first()
+        self._pin_to_attempt()
         return head
 
     def _read_first_events(self, head: AnswerHead) -> bytes | Failure:
@@ -391,6 +416,27 @@
             self.splitter.begin_answer()
         return self._read_events()
 
+    def _leave_replaced(self) -> Failure:
+        """Leave an upstream that may have another software version than the stream's."""
+        upstream = self.attempt.entry.id
+        detail = "another process has taken its place since it was chosen"
+        self._end_attempt(None, f"{upstream} {detail}")
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, upstream, detail, Ran.UNKNOWN)
+
+    def _pin_to_attempt(self) -> None:
+        """Pin a stream to the software version of the upstream that brought its first event.
+
+        If another process may have sent it, its version is unknown and the stream can't go on.
+        """
+        request = self.request
+        if not request.route.resumable:
+            return
+        if request.pin is None and self.attempt.has_same_upstream:
+            request.pin = VersionPin(self.pool, self.attempt.entry.software_version)
+        if request.pin is not None and not self._is_recorded and self.forwarder.origins is not None:
+            self._is_recorded = True
+            self.forwarder.origins.record_first_event(request)
+
     def _read_events(self) -> bytes | Failure:
         """Return the next complete events of the attempt's stream; empty at its end."""
         exchange = self.attempt.exchange
@@ -476,11 +522,17 @@
         """Resume after the last complete event at another upstream, if the route allows it."""
         if not self.request.route.resumable or self.splitter.last_id is None:
             return failure
+        if self.request.pin is None:
+            logger.info("Stream of %s not resumed: its version is unknown.", self.request.id)
+            return failure
         while self._may_retry(failure):
             result = self._attempt_once(self.splitter.last_id)
             if isinstance(result, AnswerHead):
                 logger.info(
-                    "Stream of %s resumed after event %s.", self.request.id, self.splitter.last_id
+                    "Stream of %s resumed after event %s.",
+                    self.request.id,
+                    self.splitter.last_id,
+                    extra={"software_version": self._pinned_version()},
                 )
                 return None
             if isinstance(result, BufferedAnswer):
@@ -488,6 +540,10 @@
             failure = result
         return failure
 
+    def _pinned_version(self) -> SoftwareVersion | None:
+        pin = self.request.pin
+        return None if pin is None or pin.version is msgspec.UNSET else pin.version
+
     def _may_repeat(self) -> bool:
         return self.request.route.is_repeatable
 
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -54,6 +54,8 @@
 """Status by failure code; all other codes get `NOT_RUN_STATUS`."""
 NOT_RUN_STATUS = 503
 """Promises that the request has not run and never will."""
+LASTING_CODES = frozenset({Code.FITS_NO_ENGINE, Code.UNKNOWN_STREAM, Code.STREAM_VERSION_GONE})
+"""Refusals that a retry would get as well; the detail says what a caller may do instead."""
 NOT_READY_RETRY_S = 0.5
 """Retry delay while a host has no configuration yet; it polls for one every 0.3 to 0.6 s."""
 STARTUP_POLL_S = 0.01
@@ -442,7 +444,11 @@
         trace = self.forwarding.trace
         fields["upstream"] = trace.upstream
         fields["weights"] = trace.version
-        if trace.software_version is not msgspec.UNSET:
+        if trace.take_up is not None:
+            fields.update(trace.take_up.fields(request.head))
+        if trace.software_version is not msgspec.UNSET and (
+            request.route.resumable or self.front.forwarder.outcomes is not None
+        ):
             fields["software_version"] = trace.software_version
         fields["wait_ms"] = round(trace.wait_s * 1000)
         fields["covered_tokens"] = trace.covered_tokens
@@ -521,7 +527,7 @@
     """Return whether a retry would be refused as well, so that no Retry-After is sent."""
     if failure.code is Code.NO_ALLOWED_REGION:
         return failure.retry_after_s <= 0
-    return failure.code is Code.FITS_NO_ENGINE
+    return failure.code in LASTING_CODES
 
 
 def _milliseconds(seconds: float) -> int | None:
