A framed answer that ended inside an event counts as a response

Cause: only an answer that came to its proper end counted. One whose connection ended inside an event still doesn't count. The new test failed before; 3 tests of test_attempts passed.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -217,7 +217,8 @@
             return
         self._finished = True
         self.choice.tracker.in_flight -= 1
-        if self.exchange is not None and self.exchange.has_ended:
+        is_alive = self.is_cut_short and not self.is_broken
+        if self.exchange is not None and (self.exchange.has_ended or is_alive):
             self._reachability = Reachability.RESPONDED
         if self._reachability is not Reachability.RESPONDED and self.lacks_path:
             # Other hosts may reach the upstream.
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -7,12 +7,14 @@
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, PoolId, RequestId, UpstreamId
 
+from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName
 from ruddersaddle_serving.tests.engine_waits import wait_s
 from ruddersaddle_serving.trackers import Assignment, Notice, Tracker
+from ruddersaddle_serving.upstream_connections import Exchange
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 ROUTE = Route(RouteName("r"), "h", "/", RouteKind.STREAM, 9.0, 0.4, ())
@@ -41,6 +43,19 @@
         self.attempt.finish(None)
         self.assertEqual((self.tracker.load.tokens, self.tracker.in_flight), (0, 0))
 
+    def test_only_a_live_connection_shows_that_the_upstream_responds(self) -> None:
+        """A framed answer that ended inside an event did not count as a response."""
+        for framing, responds in ((Framing.DELIMITED, True), (Framing.CONNECTION, False)):
+            with self.subTest(framing=framing):
+                self.setUp()
+                exchange = self.attempt.exchange = Exchange(mock.Mock(), mock.Mock())
+                exchange.head = mock.Mock(framing=framing)
+                exchange.has_ended = True
+                self.attempt.break_off("ended inside an event")
+                self.attempt.finish(True)
+                responded_at = self.tracker.liveness.last_response_at
+                self.assertEqual(responded_at > float("-inf"), responds)
+
 
 if __name__ == "__main__":
     unittest.main()
