--- a/libs/serving/ruddersaddle_serving/upstream_quotas.py
+++ b/libs/serving/ruddersaddle_serving/upstream_quotas.py
@@ -13,16 +13,17 @@
 
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.ids import PoolId
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.brittle_pools import (
     BORROW_MARGIN,
     rejection_pause_s,
-    share_of_slots,
 )
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.routes import Pool
+from ruddersaddle_serving.slot_shares import split_slots
 from ruddersaddle_serving.trackers import Tracker
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -76,6 +77,11 @@
         self._ranked_by_instance: dict[UpstreamInstance, list[str]] = {}
         self._ranked_digest = 0
         """Digest of the host list that the cached ranks were computed from."""
+        self._slots_by_pool: dict[PoolId, dict[UpstreamInstance, int]] = {}
+        """This host's slots at the upstreams of brittle pools."""
+        self._slots_source = (0, 0)
+        """Digest of the host list and revision of the upstream list that these were computed
+        from."""
 
     def cold_until(self, tracker: Tracker) -> float:
         """Return until when an upstream is cold, on the boot-time clock.
@@ -119,7 +125,7 @@
         if clocks.now_s() < paused_until:
             return False
         slots = tracker.entry.slots
-        if tracker.in_flight - is_counted < self._share_of_slots(tracker, slots):
+        if tracker.in_flight - is_counted < self._own_slots(tracker):
             return True
         if not self._knows_requests(tracker):
             return False
@@ -140,11 +146,24 @@
         taken = tracker.load.tokens
         return not taken or taken + tokens <= capacity
 
-    def _share_of_slots(self, tracker: Tracker, slots: int) -> int:
+    def _own_slots(self, tracker: Tracker) -> int:
+        """Return how many slots of an upstream this host may use at any time."""
         if clocks.now_s() < self.hosts.known_at + JOIN_GRACE_S:
             return 0
-        ranked = self._rank(tracker.entry.instance)
-        return share_of_slots(slots, ranked.index(self.hosts.own_id), len(ranked))
+        source = (self.hosts.digest, self.upstreams.revision)
+        if self._slots_source != source:
+            self._slots_source = source
+            self._slots_by_pool.clear()
+        pool = tracker.entry.pool
+        if pool not in self._slots_by_pool:
+            self._slots_by_pool[pool] = self._split_slots(pool)
+        return self._slots_by_pool[pool].get(tracker.entry.instance, 0)
+
+    def _split_slots(self, pool: PoolId) -> dict[UpstreamInstance, int]:
+        # Upstreams that leave are counted, as hosts hear of it at different times.
+        entries = [each for each in self.upstreams.by_id.values() if each.pool == pool]
+        upstreams = [(each.instance, each.slots, self._rank(each.instance)) for each in entries]
+        return split_slots(upstreams, self.hosts.own_id)
 
     def bound_per_s(self, tracker: Tracker) -> float | None:
         """Return the rate that all hosts together may send now; None if there is no bound."""
