Let hosts take turns at slots of brittle upstreams that others leave free

Cause: a host may use a slot that the others leave free, but it knows of their requests only 20 ms later. Several hosts used the same slot at the same moment, and requests were rejected. After a rejection a host sends nothing to the upstream for 1.75 s with seven hosts, so its own slots there were idle as well.

Hosts now take turns, in the upstream's rendezvous order: each must have seen the slot free for 30 ms for each host up to itself (0.25 s where only sums are known), and again after each request of its own. If no other host has a request there, no turn is needed beside requests of its own.

--- a/libs/serving/ruddersaddle_serving/brittle_pools.py
+++ b/libs/serving/ruddersaddle_serving/brittle_pools.py
@@ -22,6 +22,12 @@
 one another."""
 BORROW_MARGIN = 1
 """Slots that are left free by hosts that take more than their share."""
+BORROW_STEP_S = 0.03
+"""Time until hosts that notify one another directly know of a request, with a margin."""
+BORROW_STEP_OF_SUMS_S = 0.25
+"""The same for hosts that know of requests by sums."""
+LOOKS_S = 0.1
+"""Slots that a host hasn't looked at for longer than this may have been in use meanwhile."""
 REJECTION_PAUSE_S = 1.0
 REJECTION_PAUSE_MAX_S = 8.0
 
@@ -35,6 +41,31 @@
     reported_at: float
 
 
+class FreeSlots:
+    """For how long other hosts have left slots of an upstream free, as this host has seen."""
+
+    def __init__(self) -> None:
+        self._since: float | None = None
+        self._seen_at = float("-inf")
+        self._in_flight = 0
+        """Requests of this host, when it looked last."""
+
+    def record_look(self, are_free: bool, in_flight: int) -> float:
+        """Record whether slots are free; return for how long they have been, in seconds.
+
+        The time begins anew with each further request of this host, which may take such a slot.
+        """
+        now = clocks.now_s()
+        is_new = in_flight > self._in_flight or now - self._seen_at > LOOKS_S
+        if not are_free:
+            self._since = None
+        elif self._since is None or is_new:
+            self._since = now
+        self._seen_at = now
+        self._in_flight = in_flight
+        return 0.0 if self._since is None else now - self._since
+
+
 class BrittlePools:
     """The pools that are brittle, as their upstreams' answers to this host say."""
 
--- a/libs/serving/ruddersaddle_serving/tests/test_brittle_pools.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_brittle_pools.py
@@ -7,6 +7,7 @@
 from ruddersaddle_base.ids import HallId, HostId, PoolId, UpstreamId
 
 from ruddersaddle_serving.brittle_pools import (
+    BORROW_STEP_S,
     OVERTAKEN_S,
     TRUST_S,
     BrittlePool,
@@ -16,7 +17,7 @@
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.self_reports import EMPTY_REPORT, SelfReport
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
-from ruddersaddle_serving.trackers import Trackers
+from ruddersaddle_serving.trackers import Tracker, Trackers
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.upstream_quotas import JOIN_GRACE_S, UpstreamQuotas
@@ -37,7 +38,7 @@
         )
         self.tracker = self.trackers.get_or_create(entry)
         self.quotas_by_host: dict[HostId, UpstreamQuotas] = {}
-        upstreams = UpstreamList()
+        upstreams = self.upstreams = UpstreamList()
         upstreams.put(entry)
         for name in names:
             hosts = Hosts(name, records[name], [])
@@ -76,6 +77,43 @@
         self.tracker.remote_requests = mock.Mock(count=lambda: 1)
         self.assertFalse(quotas.may_send(self.tracker))
 
+    def test_hosts_take_slots_that_others_leave_free_in_turn(self) -> None:
+        """Guards against hosts that all use the same free slot, which causes rejections."""
+        entry = UpstreamEntry(UpstreamId("t"), POOL, "10.0.0.2:80", HallId("h"), 12, False, {}, 1)
+        self.upstreams.put(entry)
+        self.answer(4.0)
+        # More than a host's own slots, and less than all.
+        views = {name: self.view_of_host(entry, in_flight=6) for name in self.quotas_by_host}
+        allowed_at_step = []
+        for _ in range(len(views) + 1):
+            allowed_at_step.append(
+                sum(self.quotas_by_host[name].may_send(view) for name, view in views.items())
+            )
+            self.now += BORROW_STEP_S * 1.01
+        self.assertEqual(allowed_at_step, [0, 1, 2, 3])
+
+    def test_host_waits_its_turn_again_after_it_took_a_free_slot(self) -> None:
+        """Guards against a host that takes all free slots before others hear of the first."""
+        entry = UpstreamEntry(UpstreamId("t"), POOL, "10.0.0.2:80", HallId("h"), 12, False, {}, 1)
+        self.upstreams.put(entry)
+        self.answer(4.0)
+        view = self.view_of_host(entry, in_flight=6)
+        quotas = self.quotas_by_host[HostId("host-0")]
+        for _ in range(4):
+            quotas.may_send(view)
+            self.now += BORROW_STEP_S * 1.01
+        self.assertTrue(quotas.may_send(view))
+        view.in_flight += 1
+        self.assertTrue(quotas.may_send(view, is_counted=True))
+        self.assertFalse(quotas.may_send(view))
+
+    def view_of_host(self, entry: UpstreamEntry, in_flight: int) -> Tracker:
+        """Return a host's own view of an upstream that another host uses as well."""
+        tracker = Tracker(entry, brittle_pools=self.trackers.brittle_pools)
+        tracker.in_flight = in_flight
+        tracker.remote_requests.record_sent(("another", 1))
+        return tracker
+
     def test_upstream_that_rejected_a_request_gets_none_for_a_while(self) -> None:
         self.answer(1.0)
         quotas = self.quotas_by_host[HostId("host-0")]
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -10,7 +10,7 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import PoolId, RequestId, UpstreamId
 
-from ruddersaddle_serving.brittle_pools import BrittlePools
+from ruddersaddle_serving.brittle_pools import BrittlePools, FreeSlots
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
 from ruddersaddle_serving.liveness import REPORT_TTL_S, Liveness
 from ruddersaddle_serving.prompts import Part
@@ -131,6 +131,7 @@
         self.sends = RecentSends()
         self.reported = reported or ReportedState()
         self.brittle_pools = brittle_pools or BrittlePools()
+        self.free_slots = FreeSlots()
         self.rejected_at = float("-inf")
         """When it last rejected a request of this host for want of room."""
         self.remote_requests = RemoteRequests()
--- a/libs/serving/ruddersaddle_serving/upstream_quotas.py
+++ b/libs/serving/ruddersaddle_serving/upstream_quotas.py
@@ -18,6 +18,8 @@
 
 from ruddersaddle_serving.brittle_pools import (
     BORROW_MARGIN,
+    BORROW_STEP_OF_SUMS_S,
+    BORROW_STEP_S,
     rejection_pause_s,
 )
 from ruddersaddle_serving.hosts import Hosts
@@ -124,12 +126,29 @@
         paused_until = tracker.rejected_at + rejection_pause_s(pool, self.hosts.count)
         if clocks.now_s() < paused_until:
             return False
-        slots = tracker.entry.slots
         if tracker.in_flight - is_counted < self._own_slots(tracker):
             return True
-        if not self._knows_requests(tracker):
-            return False
-        return tracker.known_in_flight - is_counted < slots - BORROW_MARGIN
+        return self._knows_requests(tracker) and self._may_borrow(tracker, is_counted)
+
+    def _may_borrow(self, tracker: Tracker, is_counted: bool) -> bool:
+        """Return whether this host may use a slot that other hosts leave free.
+
+        Hosts take turns, in the upstream's rendezvous order: each waits until the hosts before it
+        would have used the slot, and until it would know of that. Hosts that used it at the same
+        moment would have requests rejected, and a rejection keeps a host's own slots idle as well.
+        """
+        known = tracker.known_in_flight
+        are_free = known - is_counted < tracker.entry.slots - BORROW_MARGIN
+        if is_counted:
+            return are_free
+        free_s = tracker.free_slots.record_look(are_free, tracker.in_flight)
+        is_direct = self.hosts.region_count <= DIRECT_HOSTS_MAX
+        is_only_user = is_direct and 0 < known == tracker.in_flight
+        if not are_free or is_only_user:
+            return are_free
+        step_s = BORROW_STEP_S if is_direct else BORROW_STEP_OF_SUMS_S
+        turn = 1 + self._rank(tracker.entry.instance).index(self.hosts.own_id)
+        return free_s >= turn * step_s
 
     def _knows_requests(self, tracker: Tracker) -> bool:
         """Return whether this host knows the requests of others at an upstream.
