An idle engine predicts no wait, whatever it served before

Seen by callers: seven hosts, four engines, 1.6 times their load: from four seconds after a brittle time on, every request was refused (510 in three seconds, 0 answers) by engines with nothing to do: 'first event predicted in 0.49 s, target 0.4 s'. It ends only by chance.

Cause: the prefill that is queued at an engine is a sum of floats, to which requests are added and from which they are subtracted; a rounding error (4.5e-19 s after 200 requests) stayed when the last one had ended. A request that has to wait and comes too late is refused, and one that needn't wait is always admitted; the error counted as a wait. Where the learned overhead of first events is above the target, nothing was admitted, so that nothing lower was learned either.

The sum is now zero when no request is queued. The test failed before (3.6e-17 s).

--- a/libs/serving/ruddersaddle_serving/engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/engine_loads.py
@@ -98,6 +98,8 @@
         self._mean_tokens = 0.0
         self.service_time = ServiceTime()
         self._prefill_by_priority = [0.0] * PRIORITY_LEVELS
+        self._queued_by_priority = [0] * PRIORITY_LEVELS
+        """Number of requests in each sum of `_prefill_by_priority`."""
         self._tokens_by_priority = [0] * PRIORITY_LEVELS
         self._requests_by_priority = [0] * PRIORITY_LEVELS
         self._use_by_part: dict[tuple[str, PartId], PartUse] = {}
@@ -210,6 +212,7 @@
             priority, prefill_s, own, salt, parts, now, observation
         )
         self._prefill_by_priority[priority] += prefill_s
+        self._queued_by_priority[priority] += 1
         self._tokens_by_priority[priority] += own
         self._requests_by_priority[priority] += 1
         for part in parts:
@@ -245,8 +248,12 @@
 
     def _drop_prefill(self, sent: SentRequest) -> None:
         self._own_sum = None
+        self._queued_by_priority[sent.priority] -= 1
         left_s = self._prefill_by_priority[sent.priority] - sent.prefill_s
-        self._prefill_by_priority[sent.priority] = max(0.0, left_s)
+        # A rounding error that is left over would count as a wait for good, and a request that has
+        # to wait may be refused.
+        is_last = not self._queued_by_priority[sent.priority]
+        self._prefill_by_priority[sent.priority] = 0.0 if is_last else max(0.0, left_s)
 
     def _record_run(self, run_s: float, tokens: int) -> None:
         self.run_s += RUN_WEIGHT * (run_s - self.run_s)
--- a/libs/serving/ruddersaddle_serving/tests/test_engine_loads.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_engine_loads.py
@@ -26,6 +26,15 @@
         self.load.end(("a", 1))
         self.assertEqual(self.load.tokens, 500)
 
+    def test_idle_engine_predicts_no_wait_whatever_it_served_before(self) -> None:
+        """Guards against a rounding error for which an idle engine is refused requests for good."""
+        for number, prefill_s in enumerate((0.1, 0.2, 0.0004)):
+            self.load.add(("a", number), 1, prefill_s, 10)
+        for number in range(3):
+            self.load.record_first_event(("a", number))
+            self.load.end(("a", number))
+        self.assertEqual(wait_s(self.load, 1, 10, 9000), 0.0)
+
     def test_requests_of_a_host_that_is_gone_expire(self) -> None:
         self.load.add(("gone", 1), 0, 0.1, 1000)
         self.now += 9.0
