Requests wait for room at brittle upstreams rather than go to one that fails

Seen by callers: while brittle upstreams were down, 118 to 170 answers 502 a second, of 171 requests; in three seconds 318 with three hosts (plain services) and 330 with seven. With seven hosts and engines 150 and 222.

Cause: an upstream that has fallen over looks idle, the others are full. Upstreams that fail were only left out if another one that has room doesn't fail, so every request that the others had no room for went to the fallen one, was reset, and might have run.

While an upstream of a brittle pool that doesn't fail only lacks room, those that fail now get a single request at a time, half a second after the last failure, to find out when they are back. Other requests wait for room or are refused as not run. If all fail, nothing changes. Refusals count upstreams as 'brittle and failing', not as cold.

The test failed without the change.

--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -199,6 +199,7 @@
         prompt = request.head.prompt
         if prompt is None:
             available = [tracker for tracker in untried if self.is_available(tracker)]
+            available = self._without_failing(pool, available, untried)
             if not available:
                 return self._refuse_unavailable(pool, trackers, untried)
             return self.choose_plain(request, available)
@@ -233,6 +234,21 @@
         """Return whether this host may send a request to an upstream at the moment."""
         return tracker.reported.backoff_s <= 0 and self.quotas.may_send(tracker)
 
+    def _without_failing(
+        self, pool: PoolId, available: list[Tracker], untried: list[Tracker]
+    ) -> list[Tracker]:
+        """Leave out upstreams of a brittle pool that fail while others only lack room.
+
+        One that has fallen over looks idle, and would get every request that the others have no
+        room for. Such a request may have run; one that waits, or is refused, has not. Single ones
+        are sent to find out when it is back.
+        """
+        if self.trackers.brittle_pools.find(pool) is None:
+            return available
+        if not any(each.is_healthy and each.reported.backoff_s <= 0 for each in untried):
+            return available
+        return [each for each in available if each.is_healthy or each.may_be_tried]
+
     def _has_room_for(self, prompt: Prompt, tracker: Tracker) -> bool:
         """Return whether this host may send a prompt to an engine at the moment."""
         return self.is_available(tracker) and self.quotas.has_memory_room(tracker, prompt.tokens)
@@ -242,7 +258,10 @@
     ) -> Failure:
         """Refuse, because none of the `untried` upstreams is available."""
         ready = [tracker for tracker in untried if tracker.reported.backoff_s <= 0]
-        full = sum(not self.quotas.has_room(tracker) for tracker in ready)
+        roomy = [tracker for tracker in ready if self.quotas.has_room(tracker)]
+        full = len(ready) - len(roomy)
+        is_brittle = self.trackers.brittle_pools.find(pool) is not None
+        failing = sum(is_brittle and not tracker.is_healthy for tracker in roomy)
         limited = sum(tracker.reported.rate_limit.bound_per_s() is not None for tracker in ready)
         counts = {
             "upstreams": len(trackers),
@@ -250,7 +269,8 @@
             "backing off": len(untried) - len(ready),
             "at their limit": limited,
             "brittle and full": full,
-            "cold": max(0, len(ready) - limited - full),
+            "brittle and failing": failing,
+            "cold": max(0, len(ready) - limited - full - failing),
         }
         detail = ", ".join(f"{count} {word}" for word, count in counts.items() if count)
         return Failure(
@@ -333,6 +353,7 @@
     ) -> Candidates | Failure:
         """Return the engines that may get a prompt if too few are likely to serve it."""
         available = [tracker for tracker in ranked if self._has_room_for(prompt, tracker)]
+        available = self._without_failing(pool, available, ranked)
         if not available:
             return self._refuse_unavailable(pool, trackers, ranked)
         allowed = [each for each in available if self._has_allowed_weights(prompt.model, each)]
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -30,7 +30,7 @@
 )
 from ruddersaddle_serving.self_reports import LimitUpdate
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
-from ruddersaddle_serving.trackers import Tracker, Trackers
+from ruddersaddle_serving.trackers import TRIAL_PAUSE_S, Tracker, Trackers
 from ruddersaddle_serving.upstream_entries import Heartbeat, UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.upstream_quotas import JOIN_GRACE_S, UpstreamQuotas
@@ -88,6 +88,61 @@
         return self.placement.choose(make_request(tokens), POOL, set(), may_refuse)
 
 
+class FailingBrittleUpstreamTest(PlacementFixture):
+    """Guards against requests that are lost at upstreams that fail while others are only full."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.hosts.replace({HostId("host"): HostRecord("10.0.0.9:1", HallId("h"))})
+        self.now += JOIN_GRACE_S + 0.1
+        for _ in range(9):
+            self.first.record_outcome(failed=True)
+        self.second.in_flight = 8
+        self.plain = msgspec.structs.replace(self.request.head, prompt=None)
+
+    def choose_by_kind(self) -> list[Choice | Failure]:
+        plain = CallerRequest(self.plain, "GET", "/", b"", ROUTE, None, clocks.now_s())
+        return [
+            self.placement.choose(plain, POOL, set()),
+            self.placement.choose(make_request(10), POOL, set()),
+        ]
+
+    def test_request_waits_for_room_at_another(self) -> None:
+        self.trackers.brittle_pools.record_brittle(POOL, 4.0)
+        for result in self.choose_by_kind():
+            self.assertEqual(result.code, Code.NO_UPSTREAM)
+            self.assertIs(result.ran, Ran.NOT_RUN)
+            self.assertEqual(
+                result.detail, "2 upstreams, 1 brittle and full, 1 brittle and failing"
+            )
+
+    def test_single_requests_find_out_when_it_is_back(self) -> None:
+        self.trackers.brittle_pools.record_brittle(POOL, 4.0)
+        self.now += TRIAL_PAUSE_S + 0.01
+        for result in self.choose_by_kind():
+            self.assertIs(result.tracker, self.first)
+        self.first.in_flight = 1
+        for result in self.choose_by_kind():
+            self.assertEqual(result.code, Code.NO_UPSTREAM)
+
+    def test_it_is_tried_if_all_fail(self) -> None:
+        self.trackers.brittle_pools.record_brittle(POOL, 4.0)
+        for _ in range(9):
+            self.second.record_outcome(failed=True)
+        for result in self.choose_by_kind():
+            self.assertIs(result.tracker, self.first)
+
+    def test_it_gets_requests_again_once_its_failures_are_past(self) -> None:
+        self.now += 30.0
+        self.trackers.brittle_pools.record_brittle(POOL, 4.0)
+        for result in self.choose_by_kind():
+            self.assertIs(result.tracker, self.first)
+
+    def test_upstreams_that_are_not_brittle_are_never_full(self) -> None:
+        for result in self.choose_by_kind():
+            self.assertIs(result.tracker, self.second)
+
+
 class PlacementTest(PlacementFixture):
     def test_the_emptier_engine_is_chosen(self) -> None:
         self.fill(self.first, CAPACITY)
--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -41,6 +41,8 @@
 CONNECT_BACKOFF_S = 0.5
 """An upstream that refused a connection gets no requests for this long, doubled each time."""
 CONNECT_BACKOFF_MAX_S = 4.0
+TRIAL_PAUSE_S = 0.5
+"""An upstream whose requests fail is tried with a single one this long after the last failure."""
 REPORTED_MAX = 1000
 """Instances without an entry for which self-reported state is retained."""
 SAME_LISTING_S = 0.5
@@ -137,6 +139,7 @@
         self.remote_requests = RemoteRequests()
         self._failure_rate = 0.0
         self._outcome_at = clocks.now_s()
+        self._failed_at = float("-inf")
         self._reported_failure_rate = 0.0
         self._reported_at = float("-inf")
         self._region_failure_rate = 0.0
@@ -182,6 +185,12 @@
             return False
         return not self.is_unresponsive and self.failure_rate < FAILURE_RATE_MAX
 
+    @property
+    def may_be_tried(self) -> bool:
+        """Whether a single request may find out if its requests still fail."""
+        is_paused = clocks.now_s() - self._failed_at < TRIAL_PAUSE_S
+        return not is_paused and not self.known_in_flight and not self.is_replaced
+
     @property
     def path_belief(self) -> PathBelief:
         """Which hosts reach it, as far as this host knows."""
@@ -209,7 +218,9 @@
         rate = self.observed_failure_rate
         self._failure_rate = rate + OUTCOME_WEIGHT * (float(failed) - rate)
         self._outcome_at = clocks.now_s()
-        if not failed:
+        if failed:
+            self._failed_at = clocks.now_s()
+        else:
             self._connect_failures = 0
 
     def apply_failure_rate(self, rate: float) -> None:
