Requests that wait for room at brittle upstreams do so in order

Seen by callers: a request that has just come may take room for which others have waited; those are refused. Each of them chose anew every 10 ms, so that the cost of looking grew with all that wait.

A request now looks the less often the more have waited for longer: after 10 ms for each of them and itself. One that comes while others wait begins to wait as well. None is kept from room that others can't use, as with a strict queue: prompts differ in size, and retries leave out what was tried. A wait also ends with the deadline of its request.

--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -25,6 +25,7 @@
 from ruddersaddle_serving.relays import Relaying, RelayPeers
 from ruddersaddle_serving.request_traces import RequestTrace
 from ruddersaddle_serving.rollouts.attempt_outcomes import AttemptOutcome, AttemptOutcomes
+from ruddersaddle_serving.room_waits import RoomWaits
 from ruddersaddle_serving.routes import RouteKind
 from ruddersaddle_serving.trackers import Notice
 from ruddersaddle_serving.upstream_connections import ANSWER_BYTES_MAX
@@ -83,6 +84,7 @@
         self.budget = budget
         self.key_age_max_s = key_age_max_s
         self.ends = AnswerEnds()
+        self.room_waits = RoomWaits()
         self.relay_peers: RelayPeers | None = None
         """Hosts that requests may be relayed to; None if there are no relays."""
         self.outcomes: AttemptOutcomes | None = None
@@ -276,14 +278,35 @@
         refusal = self._check_crashes()
         if refusal is not None:
             return refusal
+        choice: Choice | Failure | None = None
+        if not self.forwarder.room_waits.has_any(self.pool):
+            choice = self._choose_now()
+            if not self._may_get_room(choice):
+                return choice
+        return self._wait_for_room(choice)
+
+    def _choose_now(self) -> Choice | Failure:
         may_refuse = self._sent_count == 0
-        placement = self.forwarder.placement
-        choice = placement.choose(self.request, self.pool, self._excluded, may_refuse)
-        until = clocks.now_s() + ROOM_WAIT_SHARE * self.request.route.target_latency_s
-        while self._may_get_room(choice) and clocks.now_s() < until:
-            eventlet.sleep(ROOM_POLL_S)
-            choice = placement.choose(self.request, self.pool, self._excluded, may_refuse)
-        return choice
+        return self.forwarder.placement.choose(self.request, self.pool, self._excluded, may_refuse)
+
+    def _wait_for_room(self, choice: Choice | Failure | None) -> Choice | Failure:
+        """Choose again until there is room, after requests that have waited for longer.
+
+        A request looks the less often the more have waited for longer: looking costs CPU time, and
+        later ones might take what frees up. None is kept from room that others can't use.
+        """
+        waits = self.forwarder.room_waits
+        wait_s = ROOM_WAIT_SHARE * self.request.route.target_latency_s
+        until = clocks.now_s() + min(wait_s, self.request.remaining_s - REMAINING_MIN_S)
+        waits.enter(self.pool, self)
+        try:
+            while choice is None or (self._may_get_room(choice) and clocks.now_s() < until):
+                pause_s = ROOM_POLL_S * (1 + waits.count_before(self.pool, self))
+                eventlet.sleep(max(0.0, min(pause_s, until - clocks.now_s())))
+                choice = self._choose_now()
+            return choice
+        finally:
+            waits.leave(self.pool, self)
 
     def _may_get_room(self, choice: Choice | Failure) -> bool:
         """Return whether brittle upstreams had no room, which may change with any answer."""
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -12,7 +12,12 @@
 from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
-from ruddersaddle_serving.forwarders import Forwarder, Forwarding
+from ruddersaddle_serving.forwarders import (
+    ROOM_POLL_S,
+    ROOM_WAIT_SHARE,
+    Forwarder,
+    Forwarding,
+)
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import BufferedAnswer
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
@@ -66,6 +71,56 @@
             self.assertIsInstance(self.make_forwarding()._choose(), Choice)
         sleep.assert_not_called()
 
+    def wait_for_room(self, forwarding: Forwarding, waiting: int) -> tuple[int, float]:
+        """Return how often a request looks for room, and how long it waits, behind others."""
+        full = Failure(Code.NO_UPSTREAM, Step.ADMIT, "p", "full")
+        looks = self.placement.choose = mock.Mock(return_value=full)
+        for number in range(waiting):
+            forwarding.forwarder.room_waits.enter(POOL, number)
+        began = self.now
+
+        def sleep(seconds: float) -> None:
+            self.now += seconds
+
+        with mock.patch("eventlet.sleep", sleep):
+            self.assertIs(forwarding._choose(), full)
+        return looks.call_count, self.now - began
+
+    def test_request_that_waits_behind_others_looks_less_often(self) -> None:
+        """Guards against requests that take all CPU time looking for room, and out of order."""
+        wait_s = ROOM_WAIT_SHARE * TARGET_S
+        counts = []
+        for waiting in (0, 1, 9, 99):
+            forwarding = self.make_forwarding()
+            forwarding.pool = POOL
+            count, waited_s = self.wait_for_room(forwarding, waiting)
+            self.assertAlmostEqual(waited_s, wait_s)
+            self.assertLessEqual(count, 2 + wait_s / ROOM_POLL_S / (waiting + 1))
+            self.assertGreaterEqual(count, 1)
+            counts.append(count)
+        self.assertEqual(counts, sorted(counts, reverse=True))
+
+    def test_request_doesnt_wait_for_room_past_its_deadline(self) -> None:
+        forwarding = self.make_forwarding()
+        forwarding.pool = POOL
+        self.now += forwarding.request.remaining_s - 0.05
+        _, waited_s = self.wait_for_room(forwarding, 0)
+        self.assertLess(waited_s, 0.05)
+
+    def test_request_that_stops_waiting_leaves_the_others_in_order(self) -> None:
+        """Guards against a caller that leaves while its request still holds a place."""
+        forwarding = self.make_forwarding()
+        forwarding.pool = POOL
+        waits = forwarding.forwarder.room_waits
+        waits.enter(POOL, "first")
+        with (
+            mock.patch("eventlet.sleep", side_effect=TimeoutError),
+            self.assertRaises(TimeoutError),
+        ):
+            forwarding._choose()
+        waits.enter(POOL, "next")
+        self.assertEqual(waits.count_before(POOL, "next"), 1)
+
     def is_unresponsive_after(self, seconds: float, predicted_s: float) -> bool:
         """Return whether an upstream that sent nothing for this long counts as unresponsive."""
         forwarding = self.make_forwarding()
