Requests wait a quarter of their target for room at brittle upstreams

Seen by callers: near what brittle upstreams bear, requests were refused after 40 ms, and slots became free a little later. A refused request comes back only after 0.25 s.

--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -39,9 +39,11 @@
 """A request that ends without a first byte after this multiple of its latency target, or of the
 predicted time if that is longer, counts as a failure of its upstream. A caller that disconnects
 earlier says nothing about the upstream."""
-ROOM_WAIT_SHARE = 0.1
+ROOM_WAIT_SHARE = 0.25
 """Share of the target latency for which a request waits until brittle upstreams have room: without
-a wait, each slot is idle from its last answer until the next request arrives."""
+a wait, each slot is idle from its last answer until the next request arrives. A request that is
+refused instead comes back after `RETRY_SOON_S`; three quarters of the target are left for the
+answer."""
 ROOM_POLL_S = 0.01
 REMAINING_MIN_S = 0.02
 """Nothing is sent with less time than this left before the deadline."""
