--- a/libs/serving/ruddersaddle_serving/trackers.py
+++ b/libs/serving/ruddersaddle_serving/trackers.py
@@ -10,7 +10,7 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import PoolId, RequestId, UpstreamId
 
-from ruddersaddle_serving.brittle_pools import BrittlePools
+from ruddersaddle_serving.brittle_pools import BrittlePools, FreeSlots
 from ruddersaddle_serving.engine_loads import EngineLoad, EngineMemory
 from ruddersaddle_serving.liveness import REPORT_TTL_S, Liveness
 from ruddersaddle_serving.prompts import Part
@@ -41,6 +41,8 @@
 CONNECT_BACKOFF_S = 0.5
 """An upstream that refused a connection gets no requests for this long, doubled each time."""
 CONNECT_BACKOFF_MAX_S = 4.0
+TRIAL_PAUSE_S = 0.5
+"""An upstream whose requests fail is tried with a single one this long after the last failure."""
 REPORTED_MAX = 1000
 """Instances without an entry for which self-reported state is retained."""
 SAME_LISTING_S = 0.5
@@ -131,11 +133,13 @@
         self.sends = RecentSends()
         self.reported = reported or ReportedState()
         self.brittle_pools = brittle_pools or BrittlePools()
+        self.free_slots = FreeSlots()
         self.rejected_at = float("-inf")
         """When it last rejected a request of this host for want of room."""
         self.remote_requests = RemoteRequests()
         self._failure_rate = 0.0
         self._outcome_at = clocks.now_s()
+        self._failed_at = float("-inf")
         self._reported_failure_rate = 0.0
         self._reported_at = float("-inf")
         self._region_failure_rate = 0.0
@@ -181,6 +185,12 @@
             return False
         return not self.is_unresponsive and self.failure_rate < FAILURE_RATE_MAX
 
+    @property
+    def may_be_tried(self) -> bool:
+        """Whether a single request may find out if its requests still fail."""
+        is_paused = clocks.now_s() - self._failed_at < TRIAL_PAUSE_S
+        return not is_paused and not self.known_in_flight and not self.is_replaced
+
     @property
     def path_belief(self) -> PathBelief:
         """Which hosts reach it, as far as this host knows."""
@@ -208,7 +218,9 @@
         rate = self.observed_failure_rate
         self._failure_rate = rate + OUTCOME_WEIGHT * (float(failed) - rate)
         self._outcome_at = clocks.now_s()
-        if not failed:
+        if failed:
+            self._failed_at = clocks.now_s()
+        else:
             self._connect_failures = 0
 
     def apply_failure_rate(self, rate: float) -> None:
