A step of new weights is one message to a hall, not one for each engine and host

Change: `Loading` and `Loaded` carry all engines of a step (`others`). The holder sends one message to each host of its hall and to the reader of each other hall, which sends it on (`hall_relays`). Loads that have ended are told with the next step. Calls to engines are limited to 8 at a time, reads of reports to 100 a second. The wait before orders grows from 0.05 to 0.1 s for the second hop. Mixed versions: new fields have defaults, so messages of the former version are understood. `Ack` tells how many engines were applied; a host of the former version tells none, and gets one message for each further engine, and its hall is served by the sender.

--- a/libs/base/ruddersaddle_base/loggers.py
+++ b/libs/base/ruddersaddle_base/loggers.py
@@ -27,6 +27,7 @@
     "upstream_lists": "upstreams",
     "store_followers": "store",
     "fence_leases": "lease",
+    "weight_notices": "weights",
     "weight_rollouts": "weights",
     "cached_parts": "kept",
     "neighbours": "peer",
--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -93,22 +93,57 @@
 
 
 class Loading(msgspec.Struct, frozen=True, tag="loading"):
-    """Notifies that an engine gets no new work for some seconds, as it is about to load weights."""
+    """Notifies that engines get no new work for some seconds, as they are about to load weights."""
 
     upstream: UpstreamId
     seconds: float
     relays: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether the receiver is to send it to the hosts of its region."""
+    others: tuple[UpstreamId, ...] = ()
+    """Further engines; hosts of the former version know only `upstream`."""
+    hall_relays: bool = False
+    """Whether the receiver is to send it to the hosts of its hall."""
+
+    @property
+    def engines(self) -> tuple[UpstreamId, ...]:
+        """All engines that it concerns."""
+        return (self.upstream, *self.others)
+
+    def singles(self) -> list["Loading"]:
+        """Return one message for each engine."""
+        return [Loading(each, self.seconds, self.relays) for each in self.engines]
+
+
+class LoadedEngine(msgspec.Struct, frozen=True, array_like=True):
+    """An engine that accepts work again, with the version of its weights."""
+
+    upstream: UpstreamId
+    version: int
 
 
 class Loaded(msgspec.Struct, frozen=True, tag="loaded"):
-    """Notifies that an engine has new weights and accepts work again."""
+    """Notifies that engines have new weights, or the former ones, and accept work again."""
 
     upstream: UpstreamId
     model: ModelId
     version: int
     relays: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether the receiver is to send it to the hosts of its region."""
+    others: tuple[LoadedEngine, ...] = ()
+    """Further engines; hosts of the former version know only `upstream`."""
+    hall_relays: bool = False
+    """Whether the receiver is to send it to the hosts of its hall."""
+
+    @property
+    def engines(self) -> tuple[LoadedEngine, ...]:
+        """All engines that it concerns."""
+        return (LoadedEngine(self.upstream, self.version), *self.others)
+
+    def singles(self) -> list["Loaded"]:
+        """Return one message for each engine."""
+        return [
+            Loaded(each.upstream, self.model, each.version, self.relays) for each in self.engines
+        ]
 
 
 class Ping(msgspec.Struct, frozen=True, tag="hello"):
@@ -118,6 +153,10 @@
 class Ack(msgspec.Struct, frozen=True, tag="noted"):
     """Acknowledges a message that requests nothing."""
 
+    engines: int = 0
+    """Number of engines of a `Loading` or `Loaded` that were applied; 0 from hosts of the former
+    version, which apply one and relay nothing to their hall."""
+
 
 NeighbourMessage = (
     StateRequest
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -8,7 +8,7 @@
 from eventlet.queue import LightQueue
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
-from ruddersaddle_base.ids import HallId, RegionId, StoreId
+from ruddersaddle_base.ids import HallId, StoreId
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.cached_parts import CachedParts
@@ -45,6 +45,7 @@
 from ruddersaddle_serving.tasks import TICK_S, pause, spawn_forever
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.weight_notices import WeightNotices
 
 logger = logging.getLogger(__name__)
 
@@ -68,8 +69,6 @@
     LinkReports,
 )
 """Messages that are handled without waiting for anything."""
-REGION_READERS_TRIED = 2
-"""Hosts of another region that a message for all hosts there is sent to until one answers."""
 
 
 class Neighbours:
@@ -101,6 +100,7 @@
         self.rollouts: RolloutParticipant | None = None
         """This host's part in rollouts; None on deployments without them."""
         self.sources = StateSources(hosts)
+        self.weight_notices = WeightNotices(hosts, self._ask_load_message)
         self.traffic = RegionTraffic(hosts, self.peers)
         self.host_list.listeners.append(self.traffic.update)
         self.links = RegionLinks(hosts.regions)
@@ -310,10 +310,12 @@
                 return self._handle_request(message)
             case Loading():
                 self.handle_loading(message)
-                self._relay(message)
+                self.weight_notices.relay(message)
+                return Ack(len(message.engines))
             case Loaded():
                 self.handle_loaded(message)
-                self._relay(message)
+                self.weight_notices.relay(message)
+                return Ack(len(message.engines))
             case Changed():
                 self._handle_changed(message)
             case Notices() | LoadSums() | LoadSumsRequest() | RegionLoads():
@@ -407,53 +409,33 @@
     # Engines that load weights
 
     def handle_loading(self, message: Loading) -> None:
-        """Send no new work to an engine for a while."""
+        """Send no new work to some engines for a while."""
         self.load_message_at = clocks.now_s()
-        tracker = self.trackers.by_id.get(message.upstream)
-        if tracker is not None:
-            tracker.avoided_until = clocks.now_s() + message.seconds
+        for upstream in message.engines:
+            tracker = self.trackers.by_id.get(upstream)
+            if tracker is not None:
+                tracker.avoided_until = clocks.now_s() + message.seconds
 
     def handle_loaded(self, message: Loaded) -> None:
-        """Apply that an engine has new weights and accepts work again."""
+        """Apply that engines have loaded weights and accept work again."""
         self.load_message_at = clocks.now_s()
-        tracker = self.trackers.by_id.get(message.upstream)
-        if tracker is not None:
-            tracker.record_version(message.model, message.version)
-            tracker.avoided_until = 0.0
+        for engine in message.engines:
+            tracker = self.trackers.by_id.get(engine.upstream)
+            if tracker is not None:
+                tracker.record_version(message.model, engine.version)
+                tracker.avoided_until = 0.0
 
     def broadcast(self, message: Loading | Loaded) -> None:
-        """Send a message to all hosts; one that misses it learns the same from the engine's entry.
-
-        Hosts of other regions get it from the first readers there.
-        """
+        """Send a message to all hosts; one that misses it learns the same from engines' entries."""
         self._handle(message)
-        self._send_in_region(message)
-        for region in self.hosts.other_region_readers():
-            eventlet.spawn(self._send_to_region, region, message)
-
-    def _relay(self, message: Loading | Loaded) -> None:
-        if message.relays is True:
-            self._send_in_region(msgspec.structs.replace(message, relays=msgspec.UNSET))
-
-    def _send_in_region(self, message: Loading | Loaded) -> None:
-        for address in self.hosts.region_addresses():
-            eventlet.spawn(self._send_load_message, address, message)
-
-    def _send_to_region(self, region: RegionId | None, message: Loading | Loaded) -> None:
-        """Send a message to the first reader of another region, or to the next one."""
-        relaying = msgspec.structs.replace(message, relays=True)
-        for _ in range(REGION_READERS_TRIED):
-            address = self.hosts.other_region_readers().get(region)
-            if address is None or self._send_load_message(address, relaying):
-                return
+        self.weight_notices.send_to_all(message)
 
-    def _send_load_message(self, address: str, message: Loading | Loaded) -> bool:
-        """Send a message; return whether the host answered."""
-        timeout_s = self.sources.timeout_s(address)
-        answered = not isinstance(self.peers.ask(address, message, timeout_s), Failure)
-        if not answered:
+    def _ask_load_message(self, address: str, message: Loading | Loaded) -> Ack | Failure:
+        """Send a message; return the answer, and record a host that gave none."""
+        answer = self.peers.ask(address, message, self.sources.timeout_s(address))
+        if isinstance(answer, Failure):
             self.hosts.record_unresponsive(address)
-        return answered
+        return answer
 
 
 def rank_for_duty(duty: str, neighbours: Neighbours) -> int:
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -9,14 +9,15 @@
 import math
 
 import eventlet
+from eventlet.semaphore import Semaphore
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import ModelId, UpstreamId
 
 from ruddersaddle_serving.fence_leases import MARGIN_S, FenceLease
-from ruddersaddle_serving.neighbour_messages import Loaded, Loading
+from ruddersaddle_serving.neighbour_messages import Loaded, LoadedEngine, Loading
 from ruddersaddle_serving.neighbours import Neighbours, rank_for_duty
-from ruddersaddle_serving.ports import Engines, Order, OrderOutcome
+from ruddersaddle_serving.ports import EngineReport, Engines, Order, OrderOutcome
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.tasks import pause, spawn_forever
 from ruddersaddle_serving.trackers import Tracker, Trackers
@@ -39,10 +40,15 @@
 BOUND_SHARE = 0.75
 """Share of the bound on old weights within which all engines should be updated; the rest is a
 reserve for lost orders and engines that join late."""
-PROPAGATION_S = 0.05
-"""Time until all hosts have received the message that an engine gets no new work."""
+PROPAGATION_S = 0.1
+"""Time until all hosts have received the message that engines get no new work, by way of the
+readers of halls."""
 REPORT_POLL_S = 0.25
 """Interval between reads of an engine's report, which itself lags by some hundred milliseconds."""
+REPORTS_PER_S = 100
+"""Limit on reads of engines' reports while many engines load: each costs a millisecond."""
+CALLS_MAX = 8
+"""Limit on concurrent calls to engines, so that connections are opened a few at a time."""
 LOAD_MAX_S = 6.0
 """Time-out of a load, after which the engine is tried again. A load takes 1.3 s, longer when many
 engines load, and waits for runs that must end first."""
@@ -87,6 +93,10 @@
         self.counts = {"orders": 0, "orders_fenced": 0, "loads": 0}
         self.stopping = False
         self._in_progress: set[UpstreamId] = set()
+        """Engines from before their order until all hosts are told that their load has ended."""
+        self._ended_by_model: dict[ModelId, list[LoadedEngine]] = {}
+        """Engines whose load has ended, to be told to all hosts with the next step."""
+        self._calls = Semaphore(CALLS_MAX)
         self._failed_at: dict[UpstreamId, float] = {}
         """When the last load of an engine failed."""
         self._outdated_count_by_model: dict[ModelId, int] = {}
@@ -105,9 +115,11 @@
         while True:
             for model, version in list(self.publications.version_by_model.items()):
                 self._advance(model, version)
-            pause(POLL_S if any(self._outdated_count_by_model.values()) else IDLE_POLL_S)
+            is_active = any(self._outdated_count_by_model.values()) or self._in_progress
+            pause(POLL_S if is_active else IDLE_POLL_S)
 
     def _advance(self, model: ModelId, version: int) -> None:
+        self._broadcast_ended(model)
         engines = self._engines_of(model)
         outdated = [each for each in engines if each.version_by_model.get(model, 0) < version]
         self._record_progress(model, len(outdated))
@@ -121,9 +133,9 @@
         if not self.lease.acquire():
             return
         waiting.sort(key=lambda each: self._priority(each, model))
-        for tracker in waiting[:slots]:
-            self._in_progress.add(tracker.id)
-            eventlet.spawn(self._update_engine, tracker, model, version)
+        chosen = waiting[:slots]
+        self._in_progress.update(each.id for each in chosen)
+        eventlet.spawn(self._update_engines, chosen, model, version)
 
     def _watch_lease(self, model: ModelId) -> None:
         """Follow the lease if this host is among the next to take over."""
@@ -188,28 +200,55 @@
             return True
         return now - self._progressed_at > STALLED_S + RANK_DELAY_S * rank
 
+    # The engines of a step
+
+    def _update_engines(self, trackers: list[Tracker], model: ModelId, version: int) -> None:
+        first, *others = (each.id for each in trackers)
+        try:
+            self.neighbours.broadcast(Loading(first, LOAD_MAX_S, others=tuple(others)))
+            eventlet.sleep(PROPAGATION_S + self.neighbours.loads.lag_s)
+        except Exception:
+            self._in_progress.difference_update(each.id for each in trackers)
+            raise
+        for tracker in trackers:
+            eventlet.spawn(self._update_engine, tracker, model, version)
+
+    def _broadcast_ended(self, model: ModelId) -> None:
+        """Tell all hosts which loads have ended since the last step."""
+        ended = self._ended_by_model.pop(model, [])
+        if not ended:
+            return
+        first, *others = ended
+        self.neighbours.broadcast(
+            Loaded(first.upstream, model, first.version, others=tuple(others))
+        )
+        self._in_progress.difference_update(each.upstream for each in ended)
+
     # One engine
 
     def _update_engine(self, tracker: Tracker, model: ModelId, version: int) -> None:
+        # An engine whose load failed takes work again with the weights that it has.
+        reached = tracker.version_by_model.get(model, 0)
         try:
-            self.neighbours.broadcast(Loading(tracker.id, LOAD_MAX_S))
-            eventlet.sleep(PROPAGATION_S + self.neighbours.loads.lag_s)
             if self._send_order(tracker, model, version) and self._await_version(
                 tracker, model, version
             ):
                 self.counts["loads"] += 1
-                self.neighbours.broadcast(Loaded(tracker.id, model, version))
-                return
-            self._failed_at[tracker.id] = clocks.now_s()
-            # The engine takes work again with the weights that it has, until the next attempt.
-            held = tracker.version_by_model.get(model, 0)
-            self.neighbours.broadcast(Loaded(tracker.id, model, held))
+                reached = version
+            else:
+                self._failed_at[tracker.id] = clocks.now_s()
+                reached = tracker.version_by_model.get(model, 0)
         finally:
-            self._in_progress.discard(tracker.id)
+            ended = self._ended_by_model.setdefault(model, [])
+            ended.append(LoadedEngine(tracker.id, reached))
+
+    def _read_report(self, tracker: Tracker) -> EngineReport | Failure:
+        with self._calls:
+            return self.engines.report(tracker.entry.address)
 
     def _send_order(self, tracker: Tracker, model: ModelId, version: int) -> bool:
         """Send the order; return whether the engine has accepted it or may have."""
-        report = self.engines.report(tracker.entry.address)
+        report = self._read_report(tracker)
         if isinstance(report, Failure):
             logger.info("Report of engine %s could not be read. %s", tracker.id, report.detail)
             self._record_unreached(tracker)
@@ -230,7 +269,8 @@
             fence=self.lease.fence,
             sequence=report.sequence,
         )
-        outcome = self.engines.order(tracker.entry.address, order)
+        with self._calls:
+            outcome = self.engines.order(tracker.entry.address, order)
         detail = outcome.detail if isinstance(outcome, Failure) else outcome.value
         logger.info(
             "Order to %s: weights %d of %s, fence %d, sequence %d: %s.",
@@ -273,8 +313,8 @@
         """Wait until the engine reports the new weights; return whether it did."""
         began = clocks.now_s()
         while clocks.now_s() - began < LOAD_MAX_S:
-            eventlet.sleep(REPORT_POLL_S)
-            report = self.engines.report(tracker.entry.address)
+            eventlet.sleep(max(REPORT_POLL_S, len(self._in_progress) / REPORTS_PER_S))
+            report = self._read_report(tracker)
             if tracker.id not in self.upstreams.by_id:
                 return False
             if isinstance(report, Failure):
