Answers of peers that have arrived count, though the event loop was late

Cause: the time-out of a question to a peer fires before messages that have arrived are received, if the event loop was in a long turn. A busy host thus records others as unresponsive, ranks itself first for duties, and becomes the reader of their halls. Change: at the time-out, messages that have arrived are received first, for at most the time-out again. Evidence: the new test fails without the change (the answer of a peer that came during a turn of 0.3 s counted as none).

--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -22,6 +22,7 @@
 from eventlet import patcher
 from eventlet.event import Event as Signal
 from eventlet.hubs import get_hub
+from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_msgpack, encode_msgpack
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
@@ -38,6 +39,8 @@
 CONNECT_POLL_S = 0.01
 QUEUE_MESSAGES = 256
 """Capacity of the queue to a slow peer; further messages are dropped."""
+BACKLOG_POLL_S = 0.01
+"""Interval of checks, after a time-out, whether all messages that have arrived are received."""
 MESSAGE_MAX_BYTES = 16 * 1024 * 1024
 NO_ANSWER = 0
 """Exchange number of messages that expect no answer; others count from 1."""
@@ -204,15 +207,30 @@
             envelope = self._wrap_request(address, exchange, message)
             if not self._send_envelope(address, envelope, type(message)):
                 return self._unreachable(address, "not connected")
-            with eventlet.Timeout(timeout_s, False):
-                answer = signal.wait()
+            if self._await_answer(signal, timeout_s):
                 self._unanswered.discard(address)
-                return answer
+                return signal.wait()
             self._record_unanswered(address)
             return self._unreachable(address, f"no answer within {timeout_s:.1f} s")
         finally:
             del self._signal_by_exchange[exchange]
 
+    def _await_answer(self, signal: Signal, timeout_s: float) -> bool:
+        """Wait for an answer; return whether it came.
+
+        At the time-out, messages that have arrived may not have been received, if the event loop
+        was late. They are received first, for at most the time-out again.
+        """
+        with eventlet.Timeout(timeout_s, False):
+            signal.wait()
+            return True
+        until = clocks.now_s() + timeout_s
+        # The event loop polls its sockets before this task goes on.
+        eventlet.sleep(0)
+        while not signal.ready() and not self._is_waiting and clocks.now_s() < until:
+            eventlet.sleep(BACKLOG_POLL_S)
+        return signal.ready()
+
     def _record_unanswered(self, address: str) -> None:
         """Close the connection: the next messages use new ones, as this one may be dead."""
         self._unanswered.add(address)
--- a/libs/serving/ruddersaddle_serving/tests/test_peers.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_peers.py
@@ -1,8 +1,10 @@
 """Tests of messages between hosts, over real sockets."""
 
 import unittest
+from unittest import mock
 
 import eventlet
+from ruddersaddle_base.failures import Failure
 from ruddersaddle_standins.port_blocks import free_ports
 
 from ruddersaddle_serving.peers import RECEIVES_PER_TURN, Peers
@@ -35,6 +37,26 @@
         for message in ("immediate", 1):
             self.assertEqual(self.ask(message), message)
 
+    def test_answer_that_came_while_the_loop_was_blocked_counts(self) -> None:
+        """A busy host took all others for unresponsive, and itself for the reader of each hall."""
+        self.ask("first")
+        send = self.answering._send_data
+
+        def send_and_block(*arguments: object) -> bool:
+            is_sent = send(*arguments)
+            eventlet.patcher.original("time").sleep(0.3)
+            return is_sent
+
+        with mock.patch.object(self.answering, "_send_data", send_and_block):
+            answer = self.asking.ask(self.answering.address, "next", 0.1)
+        self.assertEqual(answer, "next")
+
+    def test_question_without_an_answer_fails(self) -> None:
+        self.ask("first")
+        with mock.patch.object(self.answering, "_send_data", return_value=False):
+            answer = self.asking.ask(self.answering.address, "next", 0.1)
+        self.assertIsInstance(answer, Failure)
+
     def test_message_that_can_not_be_handled_ends_no_receiving(self) -> None:
         self.ask("first")
         with self.assertLogs("ruddersaddle_serving.peers", "ERROR"):
