--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -10,6 +10,7 @@
     format_histograms,
     format_labelled,
 )
+from ruddersaddle_serving.polled_sockets import EXPIRIES
 from ruddersaddle_serving.regions.metrics import region_lines
 from ruddersaddle_serving.rollouts.metric_lines import format_rollouts
 
@@ -38,6 +39,9 @@
     lines += format_counters("store_calls", "calls to the store", host.store.calls_by_kind)
     lines += format_counters("contexts", "cached context by action", host.cached_parts.counts)
     lines += format_counters("orders", "orders to engines", host.rollouts.counts)
+    lines += format_counters(
+        "socket_timeouts", "expired time-outs by what the socket showed", EXPIRIES.by_kind
+    )
     lines += format_rollouts(host.service_rollouts)
     if host.residency.is_in_use:
         lines += format_counters("residency", "effects of allowed regions", host.residency.counts)
