Holders of the lease no longer leave it in turn for a cause that they share

What was seen (issue): at 86 hosts each holder that failed to read three reports in a row left the lease for 8.4 s, and the next one did the same, so no order was given. Change: a record of the lease tells how many holders in a row have left it without an order since; after two, a further holder keeps it until it has reached no engine for 8 s. A holder that leaves says so in a last record. Failures of calls while this process was later than 0.1 s are counted apart and don't count as evidence (`unreached_late`). Records of the former version count as none before. Who holds the lease, since when and why it is left stand in lines and metrics (`lease_held_seconds`, `lease_yields`, orders by kind `yields`, `unreached`, `unreached_late`); a line tells the first and last order of a naming at the host that gave them. Kept: a holder that alone can't reach engines leaves the lease as before (its test is unchanged; its mock of the lease got two more attributes). Tests: the third holder keeps it, and leaves it if it stays cut off; lateness; the count passes on; only a holder can leave.

--- a/libs/serving/ruddersaddle_serving/fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/fence_leases.py
@@ -50,6 +50,8 @@
 
     holder: Incarnation
     nonce: str
+    yields: int = 0
+    """Number of holders in a row that left the lease to others without any order given since."""
 
 
 class FenceLease:
@@ -72,6 +74,10 @@
         """Age from which on `acquire` renews the lease."""
         self.watch_pause_s = watch_pause_s
         self.fence = -1
+        self.yields = 0
+        """Holders in a row that left the lease to others; written into the next record."""
+        self.held_since: float | None = None
+        """When this host's current run of terms began; None if another host holds the lease."""
         self._orders_until = float("-inf")
         self._watched_at = float("-inf")
         self._end = TOPIC_START
@@ -115,6 +121,26 @@
             self._watched_at = now
             self._read()
 
+    @property
+    def holder_name(self) -> str:
+        """The holder by the last known record; empty if there is none."""
+        return "" if self._last is None else self._last.holder
+
+    def record_order(self) -> None:
+        """Record that this holder has given an order, so the lease need not go to another."""
+        self.yields = 0
+
+    def leave(self) -> bool:
+        """Write that this holder leaves the lease to others; return whether the store knows it.
+
+        The caller then neither gives orders nor renews the lease until another could acquire it.
+        """
+        self._enter_era()
+        if not self.is_holder or self._is_recent_era():
+            return False
+        self.yields += 1
+        return self._append()
+
     def _enter_era(self) -> None:
         """Reset the view of the lease if the store was restored from an earlier copy."""
         era = self.store.eras.newest
@@ -123,6 +149,7 @@
         logger.info("Lease: era of the store is %d, was %d.", era, self._end.era)
         self._end = StorePosition(era, 0)
         self._last = None
+        self.held_since = None
         self._sent_nonces.clear()
         self._orders_until = float("-inf")
 
@@ -157,12 +184,15 @@
     def _record(self, record: LeaseRecord, end: StorePosition) -> None:
         if self._last is None or record.holder != self._last.holder:
             logger.info("Lease: %s holds it at offset %d.", record.holder, end.offset - 1)
+        if record.nonce not in self._sent_nonces:
+            self.yields = record.yields
+            self.held_since = None
         self._last = record
         self._last_seen_at = clocks.now_s()
         self._end = end
 
     def _append(self) -> bool:
-        own = LeaseRecord(self.holder, secrets.token_hex(8))
+        own = LeaseRecord(self.holder, secrets.token_hex(8), self.yields)
         self._sent_nonces.add(own.nonce)
         sent_at = clocks.now_s()
         result = self.store.append(self.topic, msgspec.json.encode(own), self._end)
@@ -189,5 +219,12 @@
         self._record(own, end)
         self._sent_nonces = {own.nonce}
         self.fence = end.era * FENCES_PER_ERA + end.offset - 1
+        if self.held_since is None:
+            self.held_since = sent_at
+            logger.info(
+                "Lease: this host holds it with fence %d; %d holders before left it.",
+                self.fence,
+                self.yields,
+            )
         self._orders_until = sent_at + ORDER_WINDOW_S
         return self.may_order
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.loggers import count_dropped
 
 from ruddersaddle_serving.metric_pages import (
@@ -107,6 +108,12 @@
         ("isolated", "1 if this host has no path to any upstream", host.trackers.paths.is_isolated),
         ("isolations", "times that it lost all paths", host.trackers.paths.isolations),
         ("path_probes", "probes of lost paths", host.path_probes.count),
+        ("lease_held_seconds", "seconds since this host took the lease", _lease_held_s(host)),
+        (
+            "lease_yields",
+            "holders in a row that left the lease without an order",
+            host.rollouts.lease.yields,
+        ),
         ("crash_suspects", "requests that may have crashed an upstream", suspects),
         ("crash_records_shared", "suspects known to all hosts", len(records.shared())),
         ("crash_suspects_cleared", "suspects that completed", records.cleared),
@@ -114,6 +121,13 @@
     )
 
 
+def _lease_held_s(host: "EntryHost") -> float:
+    """Return for how long this host has held the lease; 0 if it can give no orders."""
+    lease = host.rollouts.lease
+    is_held = lease.held_since is not None and lease.may_order
+    return clocks.now_s() - lease.held_since if is_held else 0.0
+
+
 def _count_evacuated(host: "EntryHost") -> int:
     return len(host.publications.evacuations.in_force())
 
--- a/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_fence_leases.py
@@ -107,6 +107,42 @@
         self.assertGreater(self.now - last_order, LEASE_S)
         self.assertGreater(self.second.fence, self.first.fence)
 
+    def test_number_of_holders_that_left_the_lease_passes_to_the_next(self) -> None:
+        """Without it each host left the lease in turn for a cause that they share."""
+        third = FenceLease(StoreView(self.store), Incarnation("third"), LEASE_S)
+        third.store.eras.learn(0)
+        for count, lease in enumerate((self.first, self.second)):
+            self.wait_for(lease)
+            self.assertEqual(lease.yields, count)
+            lease.leave()
+        self.wait_for(third)
+        self.assertEqual(third.yields, 2)
+        third.record_order()
+        self.now += 1.0
+        third.acquire()
+        self.wait_for(self.first)
+        self.assertEqual(self.first.yields, 0)
+
+    def test_host_that_does_not_hold_the_lease_can_not_leave_it(self) -> None:
+        """Its record would end the holder's term without the wait of a successor."""
+        self.first.acquire()
+        self.second.acquire()
+        self.assertFalse(self.second.leave())
+        self.assertEqual(len(self.store.values), 1)
+
+    def test_record_of_the_former_version_is_understood(self) -> None:
+        self.store.values.append(b'{"holder":"former","nonce":"1"}')
+        self.wait_for(self.first)
+        self.assertEqual((self.first.yields, self.first.fence), (0, 1))
+
+    def test_orders_are_apart_also_after_a_holder_left_the_lease(self) -> None:
+        self.first.acquire()
+        self.first.leave()
+        last_order = self.now
+        self.wait_for(self.second)
+        self.assertGreater(self.now - last_order, LEASE_S)
+        self.assertGreater(self.second.fence, self.first.fence)
+
     def test_holder_that_was_paused_gives_no_order(self) -> None:
         self.first.acquire()
         self.now += 5.0
--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -54,7 +54,15 @@
         self.publications = Publications()
         self.upstreams = UpstreamList()
         self.trackers = Trackers()
-        self.lease = mock.Mock(is_holder=True, may_order=True, fence=7, holder="host", lease_s=3.0)
+        self.lease = mock.Mock(
+            is_holder=True,
+            may_order=True,
+            fence=7,
+            holder="host",
+            lease_s=3.0,
+            yields=0,
+            held_since=None,
+        )
         self.lease.acquire.return_value = True
         self.neighbours = mock.Mock(load_message_at=0.0, live_hosts=["a"], address="a")
         self.neighbours.loads.lag_s = 0.0
@@ -142,6 +150,36 @@
         self.run_for(rollouts, 20)
         self.assertEqual(len(self.engines.orders), 10)
 
+    def test_third_holder_in_a_row_keeps_the_lease_for_a_while(self) -> None:
+        """At 86 hosts each holder left the lease in turn, and no order was given."""
+        self.lease.yields = weight_rollouts.YIELDS_MAX
+        rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(10)})
+        self.respond_to_others(rollouts, 0.0)
+        self.run_for(rollouts, 6)
+        self.lease.leave.assert_not_called()
+        self.engines.unresponsive.clear()
+        self.run_for(rollouts, 20)
+        self.assertEqual(len(self.engines.orders), 10)
+
+    def test_third_holder_that_stays_cut_off_leaves_the_lease(self) -> None:
+        self.lease.yields = weight_rollouts.YIELDS_MAX
+        rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(10)})
+        self.respond_to_others(rollouts, 0.0)
+        with mock.patch.object(weight_rollouts, "KEPT_S", 0.05):
+            self.run_for(rollouts, 8)
+        self.lease.leave.assert_called_once_with()
+
+    def test_failures_while_the_process_was_late_say_nothing_about_engines(self) -> None:
+        rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(10)})
+        self.respond_to_others(rollouts, 0.0)
+        rollouts._late_s = weight_rollouts.LATE_MAX_S + 0.1
+        self.run_for(rollouts, 6)
+        self.lease.leave.assert_not_called()
+        self.assertGreater(rollouts.counts["unreached_late"], 0)
+        rollouts._late_s = 0.0
+        self.run_for(rollouts, 6)
+        self.lease.leave.assert_called_once_with()
+
     def test_holder_keeps_the_lease_if_engines_respond_to_nobody(self) -> None:
         rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(9)})
         self.respond_to_others(rollouts, weight_rollouts.RESPONSIVE_S + 1.0)
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -7,6 +7,7 @@
 
 import logging
 import math
+from dataclasses import dataclass
 
 import eventlet
 from eventlet.semaphore import Semaphore
@@ -62,6 +63,14 @@
 UNREACHED_MAX = 3
 """A holder that can't reach this many engines in a row, though other hosts get responses of them,
 leaves the lease to others: it is cut off from engines, but not from the store."""
+YIELDS_MAX = 2
+"""Holders in a row that may leave the lease at once. If two could not reach engines that respond to
+others, the cause is hardly one host's connections."""
+KEPT_S = 8.0
+"""A further holder leaves it once it has reached no engine for this long: it may be cut off too."""
+LATE_MAX_S = 0.1
+"""If this process was later than this, a call that failed says nothing about the engine: the
+time-out of connecting is 0.3 s."""
 RESPONSIVE_S = 2.0
 """An engine responds to other hosts if one of them received something of it within this time: a
 call that is not answered fails after half a second, and responses become known in 0.1 to 0.5 s."""
@@ -70,6 +79,23 @@
 store."""
 
 
+@dataclass
+class GivenOrders:
+    """Orders that this host has given for the newest weights of a model."""
+
+    known_at: float
+    """When this host learnt that engines have older weights."""
+    first_at: float = 0.0
+    last_at: float = 0.0
+    count: int = 0
+
+    def record(self, now: float) -> None:
+        """Record an order."""
+        self.first_at = self.first_at or now
+        self.last_at = now
+        self.count += 1
+
+
 class WeightRollouts:
     """The task that gives load orders to engines while this host holds the lease."""
 
@@ -90,7 +116,14 @@
         self.trackers = trackers
         self.neighbours = neighbours
         self.engines = engines
-        self.counts = {"orders": 0, "orders_fenced": 0, "loads": 0}
+        self.counts = {
+            "orders": 0,
+            "orders_fenced": 0,
+            "loads": 0,
+            "yields": 0,
+            "unreached": 0,
+            "unreached_late": 0,
+        }
         self.stopping = False
         self._in_progress: set[UpstreamId] = set()
         """Engines from before their order until all hosts are told that their load has ended."""
@@ -100,8 +133,13 @@
         self._failed_at: dict[UpstreamId, float] = {}
         """When the last load of an engine failed."""
         self._outdated_count_by_model: dict[ModelId, int] = {}
+        self._given_by_model: dict[ModelId, GivenOrders] = {}
         self._progressed_at = clocks.now_s()
         self._fenced_until = float("-inf")
+        self._late_s = 0.0
+        self._wake_due_at = float("inf")
+        self._unreached_since = float("inf")
+        """When the first of the engines in `_unreached` could not be reached."""
         self._unreached = 0
         """Number of engines in a row that this host can't reach, though other hosts can."""
         self._yielded_until = float("-inf")
@@ -116,7 +154,15 @@
             for model, version in list(self.publications.version_by_model.items()):
                 self._advance(model, version)
             is_active = any(self._outdated_count_by_model.values()) or self._in_progress
-            pause(POLL_S if is_active else IDLE_POLL_S)
+            self._pause(POLL_S if is_active else IDLE_POLL_S)
+
+    def _pause(self, seconds: float) -> None:
+        """Pause, and record how late this task woke."""
+        slept_at = clocks.now_s()
+        self._wake_due_at = slept_at + seconds
+        pause_s = pause(seconds)
+        self._late_s = max(0.0, clocks.now_s() - slept_at - pause_s)
+        self._wake_due_at = float("inf")
 
     def _advance(self, model: ModelId, version: int) -> None:
         self._broadcast_ended(model)
@@ -124,7 +170,9 @@
         outdated = [each for each in engines if each.version_by_model.get(model, 0) < version]
         self._record_progress(model, len(outdated))
         if not outdated:
+            self._log_given(model, version)
             return
+        self._given_by_model.setdefault(model, GivenOrders(clocks.now_s()))
         slots = self._free_slots(model, engines, outdated)
         waiting = [each for each in outdated if each.id not in self._in_progress]
         if slots <= 0 or not waiting or not self._may_act(model):
@@ -137,6 +185,21 @@
         self._in_progress.update(each.id for each in chosen)
         eventlet.spawn(self._update_engines, chosen, model, version)
 
+    def _log_given(self, model: ModelId, version: int) -> None:
+        """Log the orders of this host once all engines have the newest weights."""
+        given = self._given_by_model.pop(model, None)
+        if given is None or not given.count:
+            return
+        logger.info(
+            "All engines of %s have weights %d: this host gave %d orders, %.1f to %.1f s after it "
+            "knew of them.",
+            model,
+            version,
+            given.count,
+            given.first_at - given.known_at,
+            given.last_at - given.known_at,
+        )
+
     def _watch_lease(self, model: ModelId) -> None:
         """Follow the lease if this host is among the next to take over."""
         if rank_for_duty(model, self.neighbours) < WATCHERS and not self.stopping:
@@ -250,10 +313,15 @@
         """Send the order; return whether the engine has accepted it or may have."""
         report = self._read_report(tracker)
         if isinstance(report, Failure):
-            logger.info("Report of engine %s could not be read. %s", tracker.id, report.detail)
+            logger.info(
+                "Report of engine %s could not be read. %s",
+                tracker.id,
+                report.detail,
+                extra={"late_ms": round(self.late_s * 1000)},
+            )
             self._record_unreached(tracker)
             return False
-        self._unreached = 0
+        self._reset_unreached()
         if clocks.now_s() < self._yielded_until:
             return False
         if report.version_by_model.get(model, 0) >= version or report.loading:
@@ -261,6 +329,7 @@
         if not self.lease.acquire() or not self.lease.may_order:
             return False
         self.counts["orders"] += 1
+        self._given_by_model.setdefault(model, GivenOrders(clocks.now_s())).record(clocks.now_s())
         order = Order(
             upstream=tracker.id,
             model=model,
@@ -271,6 +340,8 @@
         )
         with self._calls:
             outcome = self.engines.order(tracker.entry.address, order)
+        if not isinstance(outcome, Failure) and outcome is not OrderOutcome.FENCED:
+            self.lease.record_order()
         detail = outcome.detail if isinstance(outcome, Failure) else outcome.value
         logger.info(
             "Order to %s: weights %d of %s, fence %d, sequence %d: %s.",
@@ -293,21 +364,50 @@
     def _record_unreached(self, tracker: Tracker) -> None:
         """Leave the lease to others if this host alone can't reach engines.
 
-        The next holder has to wait for the lease to expire, so this host must stop renewing it.
+        The next holder has to wait for the lease to expire, so this host must stop renewing it. If
+        holders before it have left it as well, the lease stays here for a while: else each host
+        would leave it in turn for a cause that they share, and no order would be given.
         """
         now = clocks.now_s()
         if now - tracker.liveness.last_response_at > RESPONSIVE_S or now < self._yielded_until:
             return
+        if self.late_s > LATE_MAX_S:
+            self.counts["unreached_late"] += 1
+            return
+        self.counts["unreached"] += 1
         self._unreached += 1
-        if self._unreached < UNREACHED_MAX:
+        self._unreached_since = min(self._unreached_since, now)
+        unreached_s = now - self._unreached_since
+        keeps = self.lease.yields >= YIELDS_MAX and unreached_s < KEPT_S
+        if self._unreached < UNREACHED_MAX or keeps:
             return
-        self._unreached = 0
+        self._leave_lease(now, unreached_s)
+
+    def _leave_lease(self, now: float, unreached_s: float) -> None:
+        unreached, since = self._unreached, self.lease.held_since
+        self._reset_unreached()
+        self.counts["yields"] += 1
         self._yielded_until = now + 2 * (self.lease.lease_s + MARGIN_S)
         logger.warning(
-            "Lease is left to other hosts for %.1f s: %d engines in a row respond to others only.",
+            "Lease is left to other hosts for %.1f s: %d engines in a row respond to others only, "
+            "for %.1f s; held for %.1f s, %d holders before left it.",
             self._yielded_until - now,
-            UNREACHED_MAX,
+            unreached,
+            unreached_s,
+            0.0 if since is None else now - since,
+            self.lease.yields,
+            extra={"late_ms": round(self.late_s * 1000)},
         )
+        self.lease.leave()
+
+    def _reset_unreached(self) -> None:
+        self._unreached = 0
+        self._unreached_since = float("inf")
+
+    @property
+    def late_s(self) -> float:
+        """How late this task woke last, or has not woken yet, in seconds."""
+        return max(self._late_s, clocks.now_s() - self._wake_due_at)
 
     def _await_version(self, tracker: Tracker, model: ModelId, version: int) -> bool:
         """Wait until the engine reports the new weights; return whether it did."""
