Metric of the lease's holder; tests of the lines on lateness and on the end of a naming

`ruddersaddle_lease_holder` names the holder as each host last read it. Tests: the line of a failed read carries how late this process was, and the end of a naming is told once with its orders.

--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -10,6 +10,7 @@
     format_gauges,
     format_histograms,
     format_labelled,
+    format_labelled_gauges,
 )
 from ruddersaddle_serving.polled_sockets import EXPIRIES
 from ruddersaddle_serving.regions.metrics import region_lines
@@ -40,6 +41,11 @@
     lines += format_counters("store_calls", "calls to the store", host.store.calls_by_kind)
     lines += format_counters("contexts", "cached context by action", host.cached_parts.counts)
     lines += format_counters("orders", "orders to engines", host.rollouts.counts)
+    lines += format_labelled_gauges(
+        "lease_holder",
+        "1 for the holder of the lease as this host last read it",
+        [({"holder": host.rollouts.lease.holder_name or "none"}, 1)],
+    )
     lines += format_counters(
         "socket_timeouts", "expired time-outs by what the socket showed", EXPIRIES.by_kind
     )
--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -180,6 +180,25 @@
         self.run_for(rollouts, 6)
         self.lease.leave.assert_called_once_with()
 
+    def test_lateness_of_this_process_belongs_to_the_line_of_a_failed_read(self) -> None:
+        """Without it a time-out of a busy host looks like one of the engine."""
+        rollouts = self.make(1, {"10.0.0.0:1"})
+        blocked_s = weight_rollouts.LATE_MAX_S + 0.1
+        eventlet.spawn_after(0.02, eventlet.patcher.original("time").sleep, blocked_s)
+        rollouts._pause(0.05)
+        self.assertGreater(rollouts.late_s, weight_rollouts.LATE_MAX_S)
+        with self.assertLogs(weight_rollouts.logger, "INFO") as logs:
+            self.run_for(rollouts, 2)
+        self.assertEqual(logs.records[0].late_ms, round(rollouts.late_s * 1000))
+
+    def test_end_of_a_naming_is_told_with_its_orders(self) -> None:
+        rollouts = self.make(3, set())
+        with self.assertLogs(weight_rollouts.logger, "INFO") as logs:
+            self.run_for(rollouts, 10)
+        told = [each for each in logs.output if "All engines of m have weights 2" in each]
+        self.assertEqual(len(told), 1)
+        self.assertIn("gave 3 orders", told[0])
+
     def test_holder_keeps_the_lease_if_engines_respond_to_nobody(self) -> None:
         rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(9)})
         self.respond_to_others(rollouts, weight_rollouts.RESPONSIVE_S + 1.0)
