Streams taken up at hosts that just started, or while others came back, go on

A version that is missing in a list that may not be whole, in the first second or while it is not recent, is refused with Retry-After instead of for good. Holders of which none answers are asked once more, as a pause of the asking process looks the same. A holder that left the list of hosts and came back is told again. A process that was listed anew under the upstream's id counts as another one, also if the attempt holds the record of the former.

--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -384,7 +384,7 @@
     def _await_first(self, head: AnswerHead) -> AnswerHead | Failure:
         """Read up to the first complete event; a stream that breaks before it can be retried."""
         self._first_events = b""
-        if self.request.pin is not None and not self.attempt.has_same_upstream:
+        if self.request.pin is not None and not self._has_same_upstream():
             return self._leave_replaced()
         self.splitter.begin_answer()
         events = self._read_events()
@@ -400,6 +400,15 @@
         self._pin_to_attempt()
         return head
 
+    def _has_same_upstream(self) -> bool:
+        """Return whether the chosen process is still the newest that is known under its id."""
+        entry = self.attempt.entry
+        listed = self.forwarder.placement.upstreams.by_id.get(entry.id, entry)
+        is_listed = (
+            listed.instance == entry.instance and listed.software_version == entry.software_version
+        )
+        return is_listed and self.attempt.has_same_upstream
+
     def _leave_replaced(self) -> Failure:
         """Leave an upstream that may have another software version than the stream's."""
         upstream = self.attempt.entry.id
@@ -415,7 +424,7 @@
         request = self.request
         if not request.route.resumable:
             return
-        if request.pin is None and self.attempt.has_same_upstream:
+        if request.pin is None and self._has_same_upstream():
             request.pin = VersionPin(self.pool, self.attempt.entry.software_version)
         if request.pin is not None and not self._is_recorded and self.forwarder.origins is not None:
             self._is_recorded = True
--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -22,6 +22,10 @@
 began at the other."""
 
 
+FIRST_LIST_S = 1.0
+"""Time after the first list during which others may bring what it lacks."""
+
+
 class Sight(msgspec.Struct):
     """When a version of a pool was listed, by the boot-time clock in seconds."""
 
@@ -103,6 +107,12 @@
         self.observe()
         return any(len(self.seen(pool)) > 1 for pool in list(self._sight_by_version))
 
+    @property
+    def is_list_whole(self) -> bool:
+        """Whether all upstreams that are alive are listed: it is recent, and not the first one."""
+        self.observe()
+        return self.upstreams.is_up_to_date and (clocks.now_s() - self._known_since > FIRST_LIST_S)
+
     def is_changing(self, pools: Iterable[PoolId]) -> bool:
         """Return whether a version of some pools has appeared that other hosts may not know yet."""
         newest_at = clocks.now_s() - SETTLE_S
--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -146,7 +146,10 @@
         if len(self._told_by_key) > RECORDS_MAX:
             del self._told_by_key[next(iter(self._told_by_key))]
         told = self._told_by_key.setdefault(record.key, set())
-        for address in self.holders(record.key):
+        holders = self.holders(record.key)
+        # A host that leaves the list and comes back has lost what it was told.
+        told.intersection_update(holders)
+        for address in holders:
             if address != self.hosts.own.address and address not in told:
                 told.add(address)
                 self._queue(address, record)
@@ -206,6 +209,10 @@
             found = self._holders_by_bucket[bucket] = self._choose_holders(bucket)
         return found
 
+    def other_holders(self, key: StreamKey) -> list[str]:
+        """Return the addresses of the other hosts that hold a record."""
+        return [each for each in self.holders(key) if each != self.hosts.own.address]
+
     def _choose_holders(self, bucket: int) -> list[str]:
         by_address: dict[str, HostRecord] = {
             each.address: each for each in (self.hosts.own, *self.hosts.region_others())
@@ -231,7 +238,7 @@
 
     def ask(self, question: StreamQuestion) -> list[StreamReply]:
         """Ask the holders; return their replies up to the first that knows the stream."""
-        addresses = [each for each in self.holders(question.key) if each != self.hosts.own.address]
+        addresses = self.other_holders(question.key)
         answers: LightQueue[object] = LightQueue()
         for address in addresses:
             eventlet.spawn(self._ask_into, address, question, answers)
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -126,6 +126,9 @@
             return _refuse(Finding.NOT_NAMED)
         question = StreamQuestion(key, pools)
         found = self._from_replies(self.exchange.ask(question), pools, drawn)
+        if found.finding is Finding.UNREACHABLE and self.exchange.other_holders(key):
+            # A pause of this process, or a connection that was dead, looks the same.
+            found = self._from_replies(self.exchange.ask(question), pools, drawn)
         for _ in range(ASKED_AGAIN):
             if found.finding is not Finding.UNKNOWN or not self.versions.is_changing(pools):
                 break
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -5,7 +5,7 @@
 import msgspec
 from ruddersaddle_base.ids import PoolId
 
-from ruddersaddle_serving.pool_versions import SETTLE_S, PoolVersions
+from ruddersaddle_serving.pool_versions import FIRST_LIST_S, SETTLE_S, PoolVersions
 from ruddersaddle_serving.stream_exchanges import StreamExchange
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.tests.test_version_pins import POOL, make_entry
@@ -78,6 +78,15 @@
         self.upstreams.confirm(self.now)
         self.assertEqual(self.versions.alone(POOL), "v1")
 
+    def test_list_is_whole_a_while_after_the_first_one(self) -> None:
+        self.assertFalse(self.versions.is_list_whole)
+        self.list_entries(a="v1")
+        self.assertFalse(self.versions.is_list_whole)
+        self.pass_time(FIRST_LIST_S + 0.1)
+        self.assertTrue(self.versions.is_list_whole)
+        self.now += UP_TO_DATE_S + 0.1
+        self.assertFalse(self.versions.is_list_whole)
+
     def test_versions_that_no_host_reads_are_one(self) -> None:
         self.list_entries(a=msgspec.UNSET, b=msgspec.UNSET)
         self.assertIs(self.versions.alone(POOL), msgspec.UNSET)
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -191,6 +191,22 @@
         for key in keys:
             self.assertEqual(self.find("address-9", key), "v1")
 
+    def test_holder_that_left_and_came_back_is_told_again(self) -> None:
+        """A planned stop takes a host off the list; what it held is gone when it is back."""
+        keys = [self.begin("address-0", f"r-{number}") for number in range(20)]
+        self.deliver("address-0")
+        exchange = self.exchange_by_address["address-0"]
+        host = HostId("host-1")
+        without = {each: record for each, record in self.records.items() if each != host}
+        for records in (without, self.records):
+            exchange.hosts.replace(dict(records))
+            exchange.tell_untold()
+        self.start(host)
+        self.deliver("address-0")
+        held = self.exchange_by_address["address-1"].held
+        for key in keys:
+            self.assertEqual(held.find(key) is not None, "address-1" in exchange.holders(key))
+
     def test_id_of_two_streams_is_ambiguous_for_all_hosts(self) -> None:
         key = self.begin("address-0", "r", "v1")
         self.begin("address-1", "r", "v2")
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -26,8 +26,10 @@
         self.seen = {V1, V2}
         self.known: StreamRecord | None = None
         self.replies: list[StreamReply] = []
+        self.holders: list[str] = []
         self.exchange = mock.Mock(
             find_known=lambda key: self.known if key == KEY else None,
+            other_holders=lambda key: self.holders,
             ask=mock.Mock(side_effect=lambda question: self.replies),
         )
         self.is_changing = False
@@ -114,6 +116,17 @@
             self.assertIs(self.find().finding, Finding.UNKNOWN)
             self.assertEqual(sleep.call_count, 2 + ASKED_AGAIN)
 
+    def test_holders_that_do_not_answer_are_asked_once_more(self) -> None:
+        """A pause of the asking process was taken for holders that are cut off."""
+        answers = [[], [StreamReply(RECORD)]]
+        self.exchange.ask.side_effect = lambda question: answers.pop(0)
+        self.holders = ["address-1"]
+        self.assertIs(self.find().finding, Finding.HOLDER)
+        self.exchange.ask.reset_mock(side_effect=True)
+        self.exchange.ask.return_value = []
+        self.assertIs(self.find().finding, Finding.UNREACHABLE)
+        self.assertEqual(self.exchange.ask.call_count, 2)
+
     def test_return_is_recorded_under_the_first_request(self) -> None:
         """A later return names the same request."""
         for last, request in (("3", "first"), (None, "second")):
--- a/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
@@ -40,6 +40,16 @@
         self.assertIs(self.select(pin, self.entries), Code.STREAM_VERSION_GONE)
         self.assertIs(self.select(pin, []), Code.STREAM_VERSION_GONE)
 
+    def test_version_that_may_be_missing_in_the_list_is_refused_for_a_while(self) -> None:
+        """A host that had just started told callers to begin their streams anew."""
+        self.rule.versions = mock.Mock(is_list_whole=False)
+        pin = VersionPin(POOL, SoftwareVersion("v0"))
+        failure = self.rule.select(mock.Mock(pin=pin), self.entries, set())
+        self.assertIs(failure.code, Code.NO_UPSTREAM)
+        self.assertGreater(failure.retry_after_s, 0)
+        self.rule.versions.is_list_whole = True
+        self.assertIs(self.select(pin, self.entries), Code.STREAM_VERSION_GONE)
+
     def test_unknown_version_goes_on_only_among_unknown_ones(self) -> None:
         """Hosts of an earlier program version send entries without it."""
         pin = VersionPin(POOL, msgspec.UNSET)
@@ -61,6 +71,7 @@
         route = mock.Mock(resumable=True)
         self.forwarding = Forwarding(mock.Mock(), mock.Mock(pin=None, route=route))
         self.forwarding.pool = POOL
+        self.forwarding.forwarder.placement.upstreams.by_id = {}
         self.forwarding.attempt = mock.Mock(entry=make_entry("a", "v1"), has_same_upstream=True)
 
     def test_first_event_pins_the_stream(self) -> None:
@@ -80,6 +91,16 @@
             self.assertIs(self.forwarding._resume(BROKEN), BROKEN)
         attempt.assert_not_called()
 
+    def test_entry_that_was_dropped_and_listed_anew_is_another_process(self) -> None:
+        """The attempt keeps the record of the former one."""
+        listed = self.forwarding.forwarder.placement.upstreams.by_id
+        listed[UpstreamId("a")] = make_entry("a", "v1", born_ms=2)
+        self.forwarding._pin_to_attempt()
+        self.assertIsNone(self.forwarding.request.pin)
+        listed[UpstreamId("a")] = make_entry("a", "v1")
+        self.forwarding._pin_to_attempt()
+        self.assertEqual(self.forwarding.request.pin, VersionPin(POOL, V1))
+
     def test_pinned_stream_leaves_an_upstream_that_was_replaced_before_its_answer(self) -> None:
         self.forwarding.request.pin = VersionPin(POOL, V1)
         self.forwarding.attempt.has_same_upstream = False
--- a/libs/serving/ruddersaddle_serving/version_pins.py
+++ b/libs/serving/ruddersaddle_serving/version_pins.py
@@ -8,6 +8,9 @@
 from ruddersaddle_serving.prompts import CallerRequest, VersionPin
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
+LIST_RETRY_S = 0.5
+"""Retry-after while the list of upstreams may lack some that are alive."""
+
 
 class VersionPinRule:
     """Restricts a request that is pinned to a software version to the upstreams of it.
@@ -31,6 +34,11 @@
             detail = "its version was not known when it began; begin it anew"
             return Failure(Code.UNKNOWN_STREAM, Step.ADMIT, pin.pool, detail)
         found = [each for each in entries if _is_of(pin, each)]
+        if not found and self.versions is not None and not self.versions.is_list_whole:
+            detail = f"no upstream of version {pin.version} is listed yet or any more"
+            return Failure(
+                Code.NO_UPSTREAM, Step.ADMIT, pin.pool, detail, retry_after_s=LIST_RETRY_S
+            )
         if not found:
             detail = f"no upstream of version {pin.version} is left; begin the stream anew"
             return Failure(Code.STREAM_VERSION_GONE, Step.ADMIT, pin.pool, detail)
