A holder that has started again is told of streams at once

After a record had been told in vain, a holder was told nothing for 10 s, also once it had started again and fetched what it should hold. Its question for these records now ends the pause.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -272,6 +272,8 @@
             case StreamQuestion():
                 return self._reply(message)
             case HeldRequest(address):
+                # What it is told from now on isn't among the records that it gets.
+                self._mute_until.pop(address, None)
                 return StreamsTold(tuple(self._records_for(address))[-HELD_MAX:])
 
     def _hold(self, records: Iterable[StreamRecord]) -> StreamsNoted:
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -159,6 +159,15 @@
         exchange = self.exchange_by_address["address-0"]
         self.assertLessEqual(max(map(len, exchange._unsent_by_address.values())), 3)
 
+    def test_mute_holder_that_has_started_again_is_told_at_once(self) -> None:
+        """It was told nothing for up to 10 s after its start."""
+        exchange = self.exchange_by_address["address-0"]
+        exchange._mute_until["address-1"] = self.now + MUTE_S
+        self.start(HostId("host-1"))._fetch_at_start()
+        for number in range(20):
+            self.begin("address-0", f"r-{number}")
+        self.assertTrue(exchange._unsent_by_address["address-1"])
+
     def test_nothing_is_told_while_one_version_is_alone_and_all_once_it_isnt(self) -> None:
         self.alone = dict.fromkeys(self.exchange_by_address, "v1")
         keys = [self.begin("address-0", f"r-{number}") for number in range(20)]
