The version of a process stays known if another host's list lacks it

While hosts of an earlier program version serve beside, their lists have no software versions: entries changed back and forth, and streams that began in between could not go on. The version of the same process, by id and time of start, is kept; where upstreams don't publish their start it is unknown.

--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_lists.py
@@ -124,6 +124,23 @@
         started.replace([ENTRY], self.now)
         self.assertEqual(started.of_pool(ENTRY.pool), [])
 
+    def test_version_of_a_process_stays_known_if_a_list_lacks_it(self) -> None:
+        """Hosts of an earlier program version don't send it; streams could not go on."""
+        known = msgspec.structs.replace(ENTRY, born_ms=5, software_version="v1")
+        self.upstreams.put(known)
+        revision = self.upstreams.revision
+        unknown = msgspec.structs.replace(known, software_version=msgspec.UNSET)
+        self.upstreams.replace_reported([unknown], (), self.now)
+        self.assertEqual(self.upstreams.by_id[ENTRY.id], known)
+        self.assertEqual(self.upstreams.revision, revision)
+        for later in (
+            msgspec.structs.replace(unknown, born_ms=6),
+            msgspec.structs.replace(unknown, id=UpstreamId("x"), born_ms=None),
+        ):
+            self.upstreams.put(msgspec.structs.replace(later, software_version="v1", born_ms=None))
+            self.upstreams.put(later)
+            self.assertIs(self.upstreams.by_id[later.id].software_version, msgspec.UNSET)
+
     def test_next_instance_of_the_same_id_is_not_leaving(self) -> None:
         leaving = msgspec.structs.replace(ENTRY, leaving=True, born_ms=1000)
         self.upstreams.put(leaving)
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -173,6 +173,7 @@
             # Each change of an entry is sent to all hosts; a heartbeat must not count as one.
             self.cold.apply(entry.instance, entry.heartbeat)
             entry = msgspec.structs.replace(entry, heartbeat=None)
+        entry = _with_known_version(entry, known)
         self._lapse_at_by_id.pop(entry.id, None)
         self._gone.pop(entry.instance, None)
         is_same = known is not None and not entry.is_later_than(known)
@@ -287,6 +288,19 @@
         return [each for each in self.by_id.values() if each.pool == pool and not each.leaving]
 
 
+def _with_known_version(entry: UpstreamEntry, known: UpstreamEntry | None) -> UpstreamEntry:
+    """Return an entry with the software version that is known of the same process.
+
+    Hosts of an earlier program version send entries without it. Where upstreams don't publish their
+    start, the process may be another one, so that its version is unknown.
+    """
+    if known is None or entry.software_version is not msgspec.UNSET or entry.born_ms is None:
+        return entry
+    if known.instance != entry.instance:
+        return entry
+    return msgspec.structs.replace(entry, software_version=known.software_version)
+
+
 def _remember(instances: dict[UpstreamInstance, None], instance: UpstreamInstance) -> None:
     """Move an instance to the end, and forget the first one if there are too many."""
     instances.pop(instance, None)
