One version counts as alone only in all pools of a route

Callers saw streams that held events of two versions: on a route with two pools, each of one version, a caller that came back to a host without a record of its stream could be sent on at the other pool's version.

Cause: whether one version had served alone was decided by pool. Both pools qualified, so that nobody was told of their streams, and a return went on at the version of the pool that was drawn for it.

A version now counts as alone in a pool only if it is the only one in all pools that share a resumable route with it. Otherwise hosts tell and ask, and the stream goes on at the pool and version of its record. A holder's word counts only if it names one version for all pools of the route.

--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -139,6 +139,7 @@
         self.pool_versions = PoolVersions(self.upstreams, self.stream_times.version_memory_s)
         self.publications.listeners += [
             self.stream_times.apply_table,
+            self.pool_versions.route_pools.apply_table,
             self.residency.apply_table,
             self.trackers.apply_table,
             self.cached_parts.apply_table,
--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -1,7 +1,8 @@
 """Which software versions have served in each pool, and for how long one alone has.
 
-While one version alone has served for longer than any stream lasts, a stream can only have begun at
-that version. Otherwise hosts must know which version began it.
+While one version alone has served in all pools of a route for longer than any stream lasts, a
+stream of the route can only have begun at that version. Otherwise hosts must know which version
+began it.
 """
 
 import math
@@ -11,6 +12,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
 
+from ruddersaddle_serving.route_pools import RoutePools
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UP_TO_DATE_S, UpstreamList
 
@@ -42,6 +44,7 @@
         self.upstreams = upstreams
         self.memory_s = memory_s
         """Time for which a version counts after its last upstream has gone."""
+        self.route_pools = RoutePools()
         self._sight_by_version: dict[PoolId, dict[Version, Sight]] = {}
         self._revision: int | None = None
         self._known_since = math.inf
@@ -86,13 +89,17 @@
         sights = self._sight_by_version.get(pool, {})
         return {version for version, sight in sights.items() if sight.last_at >= oldest_at}
 
+    def seen_beside(self, pool: PoolId) -> set[Version]:
+        """Return the versions at which a stream of any of a pool's routes may have begun."""
+        return set().union(*map(self.seen, self.route_pools.beside(pool)))
+
     def alone(self, pool: PoolId) -> Version | None:
         """Return the version that has served alone for longer than streams last; None if unknown.
 
-        It is unknown on a host that has not been up for as long, and while its list may lack
-        upstreams that others know.
+        It has served alone in all pools that share a route with this one. It is unknown on a host
+        that has not been up for as long, and while its list may lack upstreams that others know.
         """
-        seen = self.seen(pool)
+        seen = self.seen_beside(pool) if self.seen(pool) else set()
         if seen == {msgspec.UNSET}:
             # Hosts of an earlier program version, which don't read it, send the list.
             return msgspec.UNSET
@@ -103,9 +110,9 @@
         return next(iter(seen))
 
     def has_several(self) -> bool:
-        """Return whether several versions of any pool are known here."""
+        """Return whether several versions of the pools of any route are known here."""
         self.observe()
-        return any(len(self.seen(pool)) > 1 for pool in list(self._sight_by_version))
+        return any(len(self.seen_beside(pool)) > 1 for pool in list(self._sight_by_version))
 
     @property
     def is_list_whole(self) -> bool:
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -119,9 +119,9 @@
         record = self.exchange.find_known(key) if key.is_valid else None
         if record is not None:
             return _from_record(record, pools, Finding.HERE)
-        alone_by_pool = {pool: self.versions.alone(pool) for pool in pools}
-        if all(version is not None for version in alone_by_pool.values()):
-            return TakeUp(Finding.ALONE, VersionPin(drawn, alone_by_pool[drawn]))
+        versions = {self.versions.alone(pool) for pool in pools}
+        if len(versions) == 1 and None not in versions:
+            return TakeUp(Finding.ALONE, VersionPin(drawn, *versions))
         if not key.is_valid:
             return _refuse(Finding.NOT_NAMED)
         question = StreamQuestion(key, pools)
@@ -144,14 +144,14 @@
                 return _from_record(reply.record, pools, Finding.HOLDER)
         for reply in replies:
             version_by_pool = {each.pool: each.version for each in reply.alone}
-            if all(self._agrees(pool, version_by_pool.get(pool)) for pool in pools):
-                pin = VersionPin(drawn, version_by_pool[drawn])
-                return TakeUp(Finding.ALONE_ELSEWHERE, pin)
+            versions = {version_by_pool.get(pool) for pool in pools}
+            if len(versions) == 1 and all(self._agrees(pool, *versions) for pool in pools):
+                return TakeUp(Finding.ALONE_ELSEWHERE, VersionPin(drawn, *versions))
         return _refuse(Finding.UNKNOWN if replies else Finding.UNREACHABLE)
 
     def _agrees(self, pool: PoolId, version: Version | None) -> bool:
-        """Return whether this host has seen no other version of a pool than a holder knows."""
-        return version is not None and self.versions.seen(pool) <= {version}
+        """Return whether this host has seen no other version on a pool's routes than a holder."""
+        return version is not None and self.versions.seen_beside(pool) <= {version}
 
 
 class StreamTimes:
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -6,14 +6,45 @@
 from ruddersaddle_base.ids import PoolId
 
 from ruddersaddle_serving.pool_versions import FIRST_LIST_S, SETTLE_S, PoolVersions
+from ruddersaddle_serving.routes import (
+    PublishedConfiguration,
+    Route,
+    RouteKind,
+    RouteName,
+    RouteTable,
+    Target,
+)
 from ruddersaddle_serving.stream_exchanges import StreamExchange
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.tests.test_version_pins import POOL, make_entry
+from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UP_TO_DATE_S, UpstreamList
 
 MEMORY_S = 40.0
 
 
+def make_table(*pools_of_routes: list[PoolId]) -> RouteTable:
+    """Return the table of resumable routes with the paths /0/, /1/ and so on."""
+    routes = [
+        Route(
+            RouteName(f"r{number}"),
+            "h",
+            f"/{number}/",
+            RouteKind.STREAM,
+            9.0,
+            1.0,
+            tuple(map(Target, pools)),
+            resumable=True,
+        )
+        for number, pools in enumerate(pools_of_routes)
+    ]
+    return RouteTable(PublishedConfiguration(1, tuple(routes)))
+
+
+def in_pool(entry: UpstreamEntry, pool: PoolId) -> UpstreamEntry:
+    return msgspec.structs.replace(entry, pool=pool)
+
+
 class PoolVersionsTest(FixedClockTest):
     def setUp(self) -> None:
         super().setUp()
@@ -69,6 +100,26 @@
         self.list_entries(a="v1", b="v2")
         self.assertIsNone(self.versions.alone(POOL))
 
+    def test_nothing_is_alone_on_a_route_whose_pools_have_several(self) -> None:
+        """Each of two pools had one version, so that nobody was told which one began a stream."""
+        other = PoolId("other")
+        self.versions.route_pools.apply_table(make_table([POOL, other]))
+        entries = [make_entry("a", "v1"), in_pool(make_entry("b", "v2"), other)]
+        self.upstreams.replace(entries, self.now)
+        self.versions.seen(POOL)
+        self.pass_time(MEMORY_S + 1)
+        self.assertEqual([self.versions.alone(each) for each in (POOL, other)], [None, None])
+        self.assertTrue(self.versions.has_several())
+        self.versions.route_pools.apply_table(make_table([POOL], [other]))
+        self.assertEqual([self.versions.alone(each) for each in (POOL, other)], ["v1", "v2"])
+
+    def test_pool_without_upstreams_has_no_version_alone(self) -> None:
+        other = PoolId("other")
+        self.versions.route_pools.apply_table(make_table([POOL, other]))
+        self.list_entries(a="v1")
+        self.pass_time(MEMORY_S + 1)
+        self.assertEqual([self.versions.alone(each) for each in (POOL, other)], ["v1", None])
+
     def test_nothing_is_alone_in_an_old_list(self) -> None:
         """Others may have listed another version meanwhile, and begun streams there."""
         self.list_entries(a="v1")
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -35,7 +35,7 @@
         self.is_changing = False
         versions = mock.Mock(
             alone=self.alone.get,
-            seen=lambda pool: self.seen,
+            seen_beside=lambda pool: self.seen,
             is_changing=lambda pools: self.is_changing,
         )
         self.origins = StreamOrigins(versions, self.exchange)
@@ -70,6 +70,19 @@
             self.assertEqual((found.finding, found.pin), (Finding.ALONE, VersionPin(POOL, V1)))
         self.exchange.ask.assert_not_called()
 
+    def test_pools_of_two_versions_make_none_alone(self) -> None:
+        """A stream that began at one pool of a route went on at the other pool's version."""
+        self.alone = {POOL: V1, OTHER: V2}
+        self.origins.versions.alone = self.alone.get
+        self.replies = [StreamReply(RECORD)]
+        pools = (POOL, OTHER)
+        found = self.origins.find(self.make_request(pools=pools), OTHER)
+        self.assertEqual((found.finding, found.pin), (Finding.HOLDER, VersionPin(POOL, V1)))
+        self.alone.clear()
+        self.seen = set()
+        self.replies = [StreamReply(None, (AloneVersion(POOL, V1), AloneVersion(OTHER, V2)))]
+        self.assertIs(self.find(pools=pools).finding, Finding.UNKNOWN)
+
     def test_entries_without_versions_are_alone_as_well(self) -> None:
         """Hosts of an earlier program version send them."""
         self.alone[POOL] = msgspec.UNSET
