Pools that a route has left count for as long as streams last

Callers saw streams of two versions after a change of the configuration: a route moved from a pool of one version to a pool of another, and a stream that had begun at the former pool went on at the present one.

Cause: only the present pools of a route were looked at. The version of the new pool had served alone there for long, so that it counted as alone.

The pools of each route are now remembered for as long as a version whose last upstream has gone. A host takes no version for alone before it has known routes for that long.

Tested with units only, not with real hosts.

The first half of the test for two pools of one route lets the memory pass now, before it expects that routes that have parted count apart.

--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -44,7 +44,7 @@
         self.upstreams = upstreams
         self.memory_s = memory_s
         """Time for which a version counts after its last upstream has gone."""
-        self.route_pools = RoutePools()
+        self.route_pools = RoutePools(memory_s)
         self._sight_by_version: dict[PoolId, dict[Version, Sight]] = {}
         self._revision: int | None = None
         self._known_since = math.inf
@@ -105,7 +105,8 @@
             return msgspec.UNSET
         if len(seen) != 1 or not self.upstreams.is_up_to_date:
             return None
-        if clocks.now_s() - self._known_since < self.memory_s():
+        since = max(self._known_since, self.route_pools.known_since)
+        if clocks.now_s() - since < self.memory_s():
             return None
         return next(iter(seen))
 
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -111,6 +111,22 @@
         self.assertEqual([self.versions.alone(each) for each in (POOL, other)], [None, None])
         self.assertTrue(self.versions.has_several())
         self.versions.route_pools.apply_table(make_table([POOL], [other]))
+        self.pass_time(MEMORY_S + 1)
+        self.assertEqual([self.versions.alone(each) for each in (POOL, other)], ["v1", "v2"])
+
+    def test_nothing_is_alone_after_a_route_has_moved_to_a_pool_of_another_version(self) -> None:
+        """Streams that began at the former pool went on at the present one."""
+        other = PoolId("other")
+        entries = [make_entry("a", "v1"), in_pool(make_entry("b", "v2"), other)]
+        self.upstreams.replace(entries, self.now)
+        self.versions.route_pools.apply_table(make_table([POOL], []))
+        self.versions.seen(POOL)
+        self.pass_time(MEMORY_S + 1)
+        self.assertEqual([self.versions.alone(each) for each in (POOL, other)], ["v1", "v2"])
+        self.versions.route_pools.apply_table(make_table([other], []))
+        for _ in range(2):
+            self.assertEqual([self.versions.alone(each) for each in (POOL, other)], [None, None])
+            self.pass_time(MEMORY_S - 0.1)
         self.assertEqual([self.versions.alone(each) for each in (POOL, other)], ["v1", "v2"])
 
     def test_pool_without_upstreams_has_no_version_alone(self) -> None:
