A version is alone only since the last gap in the list of upstreams

Callers could see streams of two versions after their host had been cut off or paused for some seconds. A version that came, began streams and left meanwhile was never seen, and the other counted as alone as soon as the list was recent again. As a holder, such a host told others so.

Cause: the time since which a host knows its versions was set once, at the first list, and only the present age of the list was checked.

That time now starts anew when two successive confirmations of the list are further apart than a list counts as recent. It is checked at each look, also if no entry has changed, so that a paused process notices it too. Whether the list is whole still counts from the first list. Holders that name different versions as alone are not believed; the first one counted.

Units only; no real host was paused.

Not done: a holder that has been up for long and knows several versions does not contradict one that names a version as alone. Its answer would need a further field.

Changes of tests: the last line of test_nothing_is_alone_in_an_old_list asserted the fault. It now expects that nothing is alone until the list has been recent for as long as streams last.

--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -47,19 +47,27 @@
         self.route_pools = RoutePools(memory_s)
         self._sight_by_version: dict[PoolId, dict[Version, Sight]] = {}
         self._revision: int | None = None
+        self._listed_since = math.inf
+        """When the first list was seen."""
         self._known_since = math.inf
+        """Since when the list was up to date all the time."""
+        self._confirmed_at = -math.inf
+        """When the list had been confirmed, at the last look."""
 
     def observe(self) -> None:
         """Apply the present list, if it has changed.
 
         It has to be called often: a version that comes and goes between two calls isn't seen.
         """
-        if not self.upstreams.complete or self.upstreams.revision == self._revision:
+        if not self.upstreams.complete:
+            return
+        self._notice_gap()
+        if self.upstreams.revision == self._revision:
             return
         now = clocks.now_s()
         is_first = self._revision is None
         self._revision = self.upstreams.revision
-        self._known_since = min(self._known_since, now)
+        self._listed_since = min(self._listed_since, now)
         listed = {(each.pool, each.software_version) for each in self.upstreams.by_id.values()}
         for pool, sights in self._sight_by_version.items():
             for version, sight in sights.items():
@@ -74,6 +82,17 @@
                 sight.last_at = math.inf
         self._forget()
 
+    def _notice_gap(self) -> None:
+        """Start anew if versions may have come and gone since the list was last confirmed.
+
+        The times of two confirmations show it also after a pause of the process, when the list is
+        recent again at the first look.
+        """
+        confirmed_at = self.upstreams.confirmed_at
+        if confirmed_at - self._confirmed_at > UP_TO_DATE_S:
+            self._known_since = clocks.now_s()
+        self._confirmed_at = confirmed_at
+
     def _forget(self) -> None:
         oldest_at = clocks.now_s() - self.memory_s()
         for pool, sights in list(self._sight_by_version.items()):
@@ -97,7 +116,8 @@
         """Return the version that has served alone for longer than streams last; None if unknown.
 
         It has served alone in all pools that share a route with this one. It is unknown on a host
-        that has not been up for as long, and while its list may lack upstreams that others know.
+        that has not been up for as long, and while its list may lack upstreams that others know,
+        or may have lacked some in that time.
         """
         seen = self.seen_beside(pool) if self.seen(pool) else set()
         if seen == {msgspec.UNSET}:
@@ -119,7 +139,7 @@
     def is_list_whole(self) -> bool:
         """Whether all upstreams that are alive are listed: it is recent, and not the first one."""
         self.observe()
-        return self.upstreams.is_up_to_date and (clocks.now_s() - self._known_since > FIRST_LIST_S)
+        return self.upstreams.is_up_to_date and (clocks.now_s() - self._listed_since > FIRST_LIST_S)
 
     def is_changing(self, pools: Iterable[PoolId]) -> bool:
         """Return whether a version of some pools has appeared that other hosts may not know yet."""
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -7,9 +7,9 @@
 import eventlet
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Step
-from ruddersaddle_base.ids import PoolId, RequestId
+from ruddersaddle_base.ids import PoolId, RequestId, SoftwareVersion
 
-from ruddersaddle_serving.pool_versions import PoolVersions, Version
+from ruddersaddle_serving.pool_versions import PoolVersions
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, VersionPin
 from ruddersaddle_serving.routes import RouteTable
 from ruddersaddle_serving.stream_exchanges import StreamExchange
@@ -142,16 +142,14 @@
         for reply in replies:
             if reply.record is not None:
                 return _from_record(reply.record, pools, Finding.HOLDER)
-        for reply in replies:
-            version_by_pool = {each.pool: each.version for each in reply.alone}
-            versions = {version_by_pool.get(pool) for pool in pools}
-            if len(versions) == 1 and all(self._agrees(pool, *versions) for pool in pools):
-                return TakeUp(Finding.ALONE_ELSEWHERE, VersionPin(drawn, *versions))
+        versions = {each for reply in replies if (each := _alone_in(reply, pools)) is not None}
+        if len(versions) == 1 and all(self._agrees(pool, *versions) for pool in pools):
+            return TakeUp(Finding.ALONE_ELSEWHERE, VersionPin(drawn, *versions))
         return _refuse(Finding.UNKNOWN if replies else Finding.UNREACHABLE)
 
-    def _agrees(self, pool: PoolId, version: Version | None) -> bool:
+    def _agrees(self, pool: PoolId, version: SoftwareVersion) -> bool:
         """Return whether this host has seen no other version on a pool's routes than a holder."""
-        return version is not None and self.versions.seen_beside(pool) <= {version}
+        return self.versions.seen_beside(pool) <= {version}
 
 
 class StreamTimes:
@@ -179,6 +177,13 @@
     return StreamKey(None if workspace is None else workspace.id, first)
 
 
+def _alone_in(reply: StreamReply, pools: tuple[PoolId, ...]) -> SoftwareVersion | None:
+    """Return the version that has served alone in all of some pools, as a holder knows."""
+    version_by_pool = {each.pool: each.version for each in reply.alone}
+    versions = {version_by_pool.get(pool) for pool in pools}
+    return versions.pop() if len(versions) == 1 else None
+
+
 def _from_record(record: StreamRecord, pools: tuple[PoolId, ...], finding: Finding) -> TakeUp:
     if record.version is None:
         return _refuse(Finding.AMBIGUOUS)
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -58,8 +58,11 @@
 
     def pass_time(self, seconds: float) -> None:
         """Let time pass, with a list that is confirmed all the time."""
-        self.now += seconds
-        self.upstreams.confirm(self.now)
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(self.now + 1, end)
+            self.upstreams.confirm(self.now)
+            self.versions.observe()
 
     def test_version_is_alone_only_after_the_longest_stream(self) -> None:
         """A host that has just started knows no versions of before."""
@@ -140,11 +143,33 @@
         """Others may have listed another version meanwhile, and begun streams there."""
         self.list_entries(a="v1")
         self.pass_time(MEMORY_S + 1)
+        self.assertEqual(self.versions.alone(POOL), "v1")
         self.now += UP_TO_DATE_S + 0.1
         self.assertIsNone(self.versions.alone(POOL))
         self.upstreams.confirm(self.now)
+        self.assertIsNone(self.versions.alone(POOL))
+        self.pass_time(MEMORY_S - 0.1)
+        self.assertIsNone(self.versions.alone(POOL))
+        self.pass_time(0.2)
         self.assertEqual(self.versions.alone(POOL), "v1")
 
+    def test_version_that_came_and_went_while_the_process_was_paused_counts(self) -> None:
+        """The list was confirmed again before anything looked at its age."""
+        self.list_entries(a="v1")
+        self.pass_time(MEMORY_S + 1)
+        self.now += UP_TO_DATE_S + 0.1
+        self.upstreams.confirm(self.now)
+        self.assertIsNone(self.versions.alone(POOL))
+        self.assertTrue(self.versions.is_list_whole)
+
+    def test_list_that_is_confirmed_in_time_has_no_gap(self) -> None:
+        self.list_entries(a="v1")
+        self.pass_time(MEMORY_S + 1)
+        for _ in range(3):
+            self.now += UP_TO_DATE_S - 0.1
+            self.upstreams.confirm(self.now)
+            self.assertEqual(self.versions.alone(POOL), "v1")
+
     def test_list_is_whole_a_while_after_the_first_one(self) -> None:
         self.assertFalse(self.versions.is_list_whole)
         self.list_entries(a="v1")
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -98,6 +98,14 @@
         )
         self.assertIs(self.find(pools=(POOL, OTHER)).finding, Finding.UNKNOWN)
 
+    def test_holders_that_name_different_versions_as_alone_are_not_believed(self) -> None:
+        """One of them missed a version, and the first answer counted."""
+        self.seen = set()
+        self.replies = [StreamReply(None, (AloneVersion(POOL, each),)) for each in (V1, V2)]
+        self.assertIs(self.find().finding, Finding.UNKNOWN)
+        self.replies[1] = self.replies[0]
+        self.assertIs(self.find().finding, Finding.ALONE_ELSEWHERE)
+
     def test_what_is_not_known_is_refused_for_good(self) -> None:
         cases = [
             (Finding.NOT_NAMED, {"resumes": None}, []),
