Only the list of upstreams tells whether a process was replaced

Attempt.has_same_upstream compared the entry of the choice with that of the attempt's tracker. Where upstreams publish their start, a later process gets a new tracker and the attempt keeps the former one, so that the property never saw a replacement. A stream whose first event came from the later process would have been pinned to the version of the former one.

The list covers all that the property did, also processes whose start is not published, so that the property is removed.

Changes of tests: those in FirstEventTest replaced the property by a mock, and so could not show the fault. They use a real list, real trackers and a real attempt now, and list a later process instead of setting the property; one is added for processes whose start is not published.

--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -194,15 +194,6 @@
         self.is_invalid = self.is_invalid or not self.exchange.is_broken
         return failure
 
-    @property
-    def has_same_upstream(self) -> bool:
-        """Whether the upstream's entry is still that of the process that was chosen."""
-        now = self.choice.tracker.entry
-        return (
-            now.instance == self.entry.instance
-            and now.software_version == self.entry.software_version
-        )
-
     @property
     def is_broken(self) -> bool:
         """Whether the connection ended before the answer was complete."""
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -420,10 +420,9 @@
         """Return whether the chosen process is still the newest that is known under its id."""
         entry = self.attempt.entry
         listed = self.forwarder.placement.upstreams.by_id.get(entry.id, entry)
-        is_listed = (
+        return (
             listed.instance == entry.instance and listed.software_version == entry.software_version
         )
-        return is_listed and self.attempt.has_same_upstream
 
     def _leave_replaced(self) -> Failure:
         """Leave an upstream that may have another software version than the stream's."""
--- a/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
@@ -7,9 +7,13 @@
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, PoolId, SoftwareVersion, UpstreamId
 
+from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.forwarders import Forwarding
+from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.prompts import VersionPin
+from ruddersaddle_serving.trackers import Tracker, Trackers
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
+from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.version_pins import VersionPinRule
 
 POOL = PoolId("p")
@@ -71,18 +75,35 @@
         route = mock.Mock(resumable=True)
         self.forwarding = Forwarding(mock.Mock(), mock.Mock(pin=None, route=route))
         self.forwarding.pool = POOL
-        self.forwarding.forwarder.placement.upstreams.by_id = {}
-        self.forwarding.attempt = mock.Mock(entry=make_entry("a", "v1"), has_same_upstream=True)
+        self.upstreams = self.forwarding.forwarder.placement.upstreams = UpstreamList()
+        self.trackers = Trackers()
+        tracker = self.list_entry(make_entry("a", "v1"))
+        request = mock.Mock(route=route)
+        choice = Choice(tracker, None, None, 1)
+        self.forwarding.attempt = Attempt(request, choice, mock.Mock(), None, mock.Mock())
+
+    def list_entry(self, entry: UpstreamEntry) -> Tracker:
+        """Apply an entry as a host does that reads it."""
+        self.upstreams.put(entry)
+        return self.trackers.get_or_create(self.upstreams.by_id[entry.id])
+
+    def replace_upstream(self) -> None:
+        """List a later process under the id of the chosen one, with another version."""
+        self.list_entry(make_entry("a", "v2", born_ms=2))
 
     def test_first_event_pins_the_stream(self) -> None:
         self.forwarding._pin_to_attempt()
-        self.forwarding.attempt.entry = make_entry("a", "v2")
+        self.replace_upstream()
         self.forwarding._pin_to_attempt()
         self.assertEqual(self.forwarding.request.pin, VersionPin(POOL, V1))
 
     def test_stream_of_a_replaced_process_is_not_resumed(self) -> None:
-        """Its first event may come from the process of another version."""
-        self.forwarding.attempt.has_same_upstream = False
+        """Its first event may come from the process of another version.
+
+        The attempt keeps the tracker of the former one, so that only the list shows it.
+        """
+        self.replace_upstream()
+        self.assertEqual(self.forwarding.attempt.choice.tracker.entry.software_version, V1)
         self.forwarding._pin_to_attempt()
         self.forwarding.splitter.last_id = "3"
         self.assertIsNone(self.forwarding.request.pin)
@@ -91,22 +112,35 @@
             self.assertIs(self.forwarding._resume(BROKEN), BROKEN)
         attempt.assert_not_called()
 
+    def test_process_whose_start_is_not_published_is_replaced_as_well(self) -> None:
+        """Its tracker is kept, with the entry of the later process."""
+        first = msgspec.structs.replace(make_entry("b", "v1"), born_ms=None)
+        tracker = self.list_entry(first)
+        choice = Choice(tracker, None, None, 1)
+        self.forwarding.attempt = Attempt(mock.Mock(), choice, mock.Mock(), None, mock.Mock())
+        self.list_entry(msgspec.structs.replace(first, software_version=SoftwareVersion("v2")))
+        self.assertIs(self.trackers.by_id[first.id], tracker)
+        self.forwarding._pin_to_attempt()
+        self.assertIsNone(self.forwarding.request.pin)
+
     def test_entry_that_was_dropped_and_listed_anew_is_another_process(self) -> None:
         """The attempt keeps the record of the former one."""
-        listed = self.forwarding.forwarder.placement.upstreams.by_id
-        listed[UpstreamId("a")] = make_entry("a", "v1", born_ms=2)
+        self.upstreams.drop(UpstreamId("a"))
+        self.list_entry(make_entry("a", "v1", born_ms=2))
         self.forwarding._pin_to_attempt()
         self.assertIsNone(self.forwarding.request.pin)
-        listed[UpstreamId("a")] = make_entry("a", "v1")
+        self.upstreams.drop(UpstreamId("a"))
+        self.list_entry(make_entry("a", "v1"))
         self.forwarding._pin_to_attempt()
         self.assertEqual(self.forwarding.request.pin, VersionPin(POOL, V1))
 
     def test_pinned_stream_leaves_an_upstream_that_was_replaced_before_its_answer(self) -> None:
         self.forwarding.request.pin = VersionPin(POOL, V1)
-        self.forwarding.attempt.has_same_upstream = False
+        self.replace_upstream()
+        exchange = self.forwarding.attempt.exchange = mock.Mock()
         failure = self.forwarding._await_first(mock.Mock())
         self.assertIs(failure.ran, Ran.UNKNOWN)
-        self.forwarding.attempt.exchange.read_some.assert_not_called()
+        exchange.read_some.assert_not_called()
 
 
 if __name__ == "__main__":
