A version that comes again is settled anew

Callers could see streams of two versions when a version left and came again within the time for which it counts. Streams began at it at once, while a host with an older list, or one that had forgotten it, took the other version for alone and sent them on there.

Cause: a version that was listed again kept the time of its first appearance, so that it counted as known to all hosts.

Its time now starts anew if no upstream of it was listed in between. Streams begin at it 3.5 s later while there are others, as at a new version.

The new test failed before (the version was chosen at once) and passes now; so does one that a further upstream leaves its version settled, which passed before.

--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -32,7 +32,7 @@
     """When a version of a pool was listed, by the boot-time clock in seconds."""
 
     first_at: float
-    """Negative infinity if it was in the first list that this host knew."""
+    """When it came last; negative infinity if it was in the first list that this host knew."""
     last_at: float = math.inf
     """Infinity while it is listed."""
 
@@ -76,10 +76,8 @@
         for pool, version in listed:
             sights = self._sight_by_version.setdefault(pool, {})
             sight = sights.get(version)
-            if sight is None:
+            if sight is None or sight.last_at < math.inf:
                 sights[version] = Sight(-math.inf if is_first else now)
-            else:
-                sight.last_at = math.inf
         self._forget()
 
     def _notice_gap(self) -> None:
