Retries begin no stream at a version that other hosts may not know

Callers could see streams of two versions when a new stream had tried the upstreams of the known version in vain, within 3.5 s after another version had appeared. It began at the new one, and a host whose list was a bit older could send it on at the known one, the only one that it listed.

Cause: upstreams of settled versions counted only while the request had not tried them, so that the settle time was skipped as soon as all had been tried.

They count as long as they are listed now. The request is refused as if the new upstreams were not there. That costs callers new streams for 3.5 s where all upstreams of known versions fail; a stream of two versions is worse, as callers can't detect it.

What remains: a version that is alone among the upstreams that the request may be sent to is used at once (other versions gone, in evacuated halls or other regions, or in other pools of the route).

The new test in test_version_pins failed before (both were selected) and passes now; units only.

Change of a test: a line of test_streams_begin_at_a_new_version_when_all_hosts_know_it asserted the fault for an excluded upstream. The new test asserts the opposite through the rule, and select_settled doesn't take excluded upstreams any more.

--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -10,7 +10,7 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
+from ruddersaddle_base.ids import PoolId, SoftwareVersion
 
 from ruddersaddle_serving.route_pools import RoutePools
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
@@ -150,14 +150,15 @@
         self.observe()
         return sum(self.alone(pool) is None for pool in list(self._sight_by_version))
 
-    def select_settled(
-        self, entries: list[UpstreamEntry], excluded: set[UpstreamId]
-    ) -> list[UpstreamEntry]:
-        """Return the upstreams at whose version a stream may begin; all if there are no others."""
+    def select_settled(self, entries: list[UpstreamEntry]) -> list[UpstreamEntry]:
+        """Return the upstreams at whose version a stream may begin; all if there are no others.
+
+        Upstreams that a request has tried in vain count: it is refused rather than begun at a
+        version that other hosts may not know.
+        """
         self.observe()
         newest_at = clocks.now_s() - SETTLE_S
-        settled = [each for each in entries if self._first_at(each) <= newest_at]
-        return settled if any(each.id not in excluded for each in settled) else entries
+        return [each for each in entries if self._first_at(each) <= newest_at] or entries
 
     def _first_at(self, entry: UpstreamEntry) -> float:
         sight = self._sight_by_version.get(entry.pool, {}).get(entry.software_version)
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -192,11 +192,10 @@
         self.pass_time(MEMORY_S)
         self.list_entries(a="v1", b="v2")
         entries = self.upstreams.of_pool(POOL)
-        self.assertEqual(self.ids(entries, set()), {"a"})
-        self.assertEqual(self.ids(entries, {"a"}), {"a", "b"})
-        self.assertEqual(self.ids([entries[1]], set()), {"b"})
+        self.assertEqual(self.ids(entries), {"a"})
+        self.assertEqual(self.ids([entries[1]]), {"b"})
         self.pass_time(SETTLE_S + 0.1)
-        self.assertEqual(self.ids(entries, set()), {"a", "b"})
+        self.assertEqual(self.ids(entries), {"a", "b"})
 
     def test_streams_begin_late_also_at_a_version_that_comes_again(self) -> None:
         """Other hosts may have forgotten it, and take the version beside it for alone."""
@@ -206,18 +205,18 @@
         self.pass_time(1)
         self.list_entries(a="v1", b="v2")
         entries = self.upstreams.of_pool(POOL)
-        self.assertEqual(self.ids(entries, set()), {"a"})
+        self.assertEqual(self.ids(entries), {"a"})
         self.assertTrue(self.versions.is_changing([POOL]))
         self.pass_time(SETTLE_S - 0.1)
-        self.assertEqual(self.ids(entries, set()), {"a"})
+        self.assertEqual(self.ids(entries), {"a"})
         self.pass_time(0.2)
-        self.assertEqual(self.ids(entries, set()), {"a", "b"})
+        self.assertEqual(self.ids(entries), {"a", "b"})
 
     def test_change_at_other_upstreams_leaves_a_version_settled(self) -> None:
         self.list_entries(a="v1", b="v2")
         self.pass_time(SETTLE_S + 0.1)
         self.list_entries(a="v1", b="v2", c="v2")
-        self.assertEqual(self.ids(self.upstreams.of_pool(POOL), set()), {"a", "b", "c"})
+        self.assertEqual(self.ids(self.upstreams.of_pool(POOL)), {"a", "b", "c"})
 
-    def ids(self, entries: list, excluded: set[str]) -> set[str]:
-        return {each.id for each in self.versions.select_settled(entries, excluded)}
+    def ids(self, entries: list[UpstreamEntry]) -> set[str]:
+        return {each.id for each in self.versions.select_settled(entries)}
--- a/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_version_pins.py
@@ -10,7 +10,9 @@
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.forwarders import Forwarding
 from ruddersaddle_serving.placements import Choice
+from ruddersaddle_serving.pool_versions import SETTLE_S, PoolVersions
 from ruddersaddle_serving.prompts import VersionPin
+from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Tracker, Trackers
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -68,6 +70,27 @@
         self.assertIn("v1.1", self.rule.check(request, self.entries[1]))
 
 
+class SettlingVersionTest(FixedClockTest):
+    """Where streams begin while a version is so new that other hosts may not know it."""
+
+    def test_retry_does_not_begin_a_stream_at_a_version_that_others_may_not_know(self) -> None:
+        """After the upstreams of the known version had failed, the new one was chosen."""
+        upstreams = UpstreamList()
+        rule = VersionPinRule(PoolVersions(upstreams, lambda: 40.0))
+        upstreams.replace([make_entry("a", "v1")], self.now)
+        rule.versions.observe()
+        upstreams.replace([make_entry("a", "v1"), make_entry("b", "v2")], self.now)
+        request = mock.Mock(pin=None, route=mock.Mock(resumable=True))
+
+        def chosen() -> list[str]:
+            selected = rule.select(request, upstreams.of_pool(POOL), {UpstreamId("a")})
+            return [each.id for each in selected]
+
+        self.assertEqual(chosen(), ["a"])
+        self.now += SETTLE_S + 0.1
+        self.assertEqual(chosen(), ["a", "b"])
+
+
 class FirstEventTest(unittest.TestCase):
     """Pins of streams to the process that brought their first event."""
 
--- a/libs/serving/ruddersaddle_serving/version_pins.py
+++ b/libs/serving/ruddersaddle_serving/version_pins.py
@@ -29,7 +29,7 @@
         if pin is None:
             if self.versions is None or not request.route.resumable:
                 return entries
-            return self.versions.select_settled(entries, excluded)
+            return self.versions.select_settled(entries)
         if _is_unknown_among_known(pin, entries):
             detail = "its version was not known when it began; begin it anew"
             return Failure(Code.UNKNOWN_STREAM, Step.ADMIT, pin.pool, detail)
