--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -1,7 +1,8 @@
 """Which software versions have served in each pool, and for how long one alone has.
 
-While one version alone has served for longer than any stream lasts, a stream can only have begun at
-that version. Otherwise hosts must know which version began it.
+While one version alone has served in all pools of a route for longer than any stream lasts, a
+stream of the route can only have begun at that version. Otherwise hosts must know which version
+began it.
 """
 
 import math
@@ -9,8 +10,9 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
+from ruddersaddle_base.ids import PoolId, SoftwareVersion
 
+from ruddersaddle_serving.route_pools import RoutePools
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UP_TO_DATE_S, UpstreamList
 
@@ -22,11 +24,15 @@
 began at the other."""
 
 
+FIRST_LIST_S = 1.0
+"""Time after the first list during which others may bring what it lacks."""
+
+
 class Sight(msgspec.Struct):
     """When a version of a pool was listed, by the boot-time clock in seconds."""
 
     first_at: float
-    """Negative infinity if it was in the first list that this host knew."""
+    """When it came last; negative infinity if it was in the first list that this host knew."""
     last_at: float = math.inf
     """Infinity while it is listed."""
 
@@ -38,21 +44,30 @@
         self.upstreams = upstreams
         self.memory_s = memory_s
         """Time for which a version counts after its last upstream has gone."""
+        self.route_pools = RoutePools(memory_s)
         self._sight_by_version: dict[PoolId, dict[Version, Sight]] = {}
         self._revision: int | None = None
+        self._listed_since = math.inf
+        """When the first list was seen."""
         self._known_since = math.inf
+        """Since when the list was up to date all the time."""
+        self._confirmed_at = -math.inf
+        """When the list had been confirmed, at the last look."""
 
     def observe(self) -> None:
         """Apply the present list, if it has changed.
 
         It has to be called often: a version that comes and goes between two calls isn't seen.
         """
-        if not self.upstreams.complete or self.upstreams.revision == self._revision:
+        if not self.upstreams.complete:
+            return
+        self._notice_gap()
+        if self.upstreams.revision == self._revision:
             return
         now = clocks.now_s()
         is_first = self._revision is None
         self._revision = self.upstreams.revision
-        self._known_since = min(self._known_since, now)
+        self._listed_since = min(self._listed_since, now)
         listed = {(each.pool, each.software_version) for each in self.upstreams.by_id.values()}
         for pool, sights in self._sight_by_version.items():
             for version, sight in sights.items():
@@ -61,12 +76,21 @@
         for pool, version in listed:
             sights = self._sight_by_version.setdefault(pool, {})
             sight = sights.get(version)
-            if sight is None:
+            if sight is None or sight.last_at < math.inf:
                 sights[version] = Sight(-math.inf if is_first else now)
-            else:
-                sight.last_at = math.inf
         self._forget()
 
+    def _notice_gap(self) -> None:
+        """Start anew if versions may have come and gone since the list was last confirmed.
+
+        The times of two confirmations show it also after a pause of the process, when the list is
+        recent again at the first look.
+        """
+        confirmed_at = self.upstreams.confirmed_at
+        if confirmed_at - self._confirmed_at > UP_TO_DATE_S:
+            self._known_since = clocks.now_s()
+        self._confirmed_at = confirmed_at
+
     def _forget(self) -> None:
         oldest_at = clocks.now_s() - self.memory_s()
         for pool, sights in list(self._sight_by_version.items()):
@@ -82,26 +106,38 @@
         sights = self._sight_by_version.get(pool, {})
         return {version for version, sight in sights.items() if sight.last_at >= oldest_at}
 
+    def seen_beside(self, pool: PoolId) -> set[Version]:
+        """Return the versions at which a stream of any of a pool's routes may have begun."""
+        return set().union(*map(self.seen, self.route_pools.beside(pool)))
+
     def alone(self, pool: PoolId) -> Version | None:
         """Return the version that has served alone for longer than streams last; None if unknown.
 
-        It is unknown on a host that has not been up for as long, and while its list may lack
-        upstreams that others know.
+        It has served alone in all pools that share a route with this one. It is unknown on a host
+        that has not been up for as long, and while its list may lack upstreams that others know,
+        or may have lacked some in that time.
         """
-        seen = self.seen(pool)
+        seen = self.seen_beside(pool) if self.seen(pool) else set()
         if seen == {msgspec.UNSET}:
             # Hosts of an earlier program version, which don't read it, send the list.
             return msgspec.UNSET
         if len(seen) != 1 or not self.upstreams.is_up_to_date:
             return None
-        if clocks.now_s() - self._known_since < self.memory_s():
+        since = max(self._known_since, self.route_pools.known_since)
+        if clocks.now_s() - since < self.memory_s():
             return None
         return next(iter(seen))
 
     def has_several(self) -> bool:
-        """Return whether several versions of any pool are known here."""
+        """Return whether several versions of the pools of any route are known here."""
+        self.observe()
+        return any(len(self.seen_beside(pool)) > 1 for pool in list(self._sight_by_version))
+
+    @property
+    def is_list_whole(self) -> bool:
+        """Whether all upstreams that are alive are listed: it is recent, and not the first one."""
         self.observe()
-        return any(len(self.seen(pool)) > 1 for pool in list(self._sight_by_version))
+        return self.upstreams.is_up_to_date and (clocks.now_s() - self._listed_since > FIRST_LIST_S)
 
     def is_changing(self, pools: Iterable[PoolId]) -> bool:
         """Return whether a version of some pools has appeared that other hosts may not know yet."""
@@ -114,14 +150,15 @@
         self.observe()
         return sum(self.alone(pool) is None for pool in list(self._sight_by_version))
 
-    def select_settled(
-        self, entries: list[UpstreamEntry], excluded: set[UpstreamId]
-    ) -> list[UpstreamEntry]:
-        """Return the upstreams at whose version a stream may begin; all if there are no others."""
+    def select_settled(self, entries: list[UpstreamEntry]) -> list[UpstreamEntry]:
+        """Return the upstreams at whose version a stream may begin; all if there are no others.
+
+        Upstreams that a request has tried in vain count: it is refused rather than begun at a
+        version that other hosts may not know.
+        """
         self.observe()
         newest_at = clocks.now_s() - SETTLE_S
-        settled = [each for each in entries if self._first_at(each) <= newest_at]
-        return settled if any(each.id not in excluded for each in settled) else entries
+        return [each for each in entries if self._first_at(each) <= newest_at] or entries
 
     def _first_at(self, entry: UpstreamEntry) -> float:
         sight = self._sight_by_version.get(entry.pool, {}).get(entry.software_version)
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -7,9 +7,9 @@
 import eventlet
 import msgspec
 from ruddersaddle_base.failures import Code, Failure, Step
-from ruddersaddle_base.ids import PoolId, RequestId
+from ruddersaddle_base.ids import PoolId, RequestId, SoftwareVersion
 
-from ruddersaddle_serving.pool_versions import PoolVersions, Version
+from ruddersaddle_serving.pool_versions import PoolVersions
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, VersionPin
 from ruddersaddle_serving.routes import RouteTable
 from ruddersaddle_serving.stream_exchanges import StreamExchange
@@ -119,13 +119,16 @@
         record = self.exchange.find_known(key) if key.is_valid else None
         if record is not None:
             return _from_record(record, pools, Finding.HERE)
-        alone_by_pool = {pool: self.versions.alone(pool) for pool in pools}
-        if all(version is not None for version in alone_by_pool.values()):
-            return TakeUp(Finding.ALONE, VersionPin(drawn, alone_by_pool[drawn]))
+        versions = {self.versions.alone(pool) for pool in pools}
+        if len(versions) == 1 and None not in versions:
+            return TakeUp(Finding.ALONE, VersionPin(drawn, *versions))
         if not key.is_valid:
             return _refuse(Finding.NOT_NAMED)
         question = StreamQuestion(key, pools)
         found = self._from_replies(self.exchange.ask(question), pools, drawn)
+        if found.finding is Finding.UNREACHABLE and self.exchange.other_holders(key):
+            # A pause of this process, or a connection that was dead, looks the same.
+            found = self._from_replies(self.exchange.ask(question), pools, drawn)
         for _ in range(ASKED_AGAIN):
             if found.finding is not Finding.UNKNOWN or not self.versions.is_changing(pools):
                 break
@@ -139,16 +142,14 @@
         for reply in replies:
             if reply.record is not None:
                 return _from_record(reply.record, pools, Finding.HOLDER)
-        for reply in replies:
-            version_by_pool = {each.pool: each.version for each in reply.alone}
-            if all(self._agrees(pool, version_by_pool.get(pool)) for pool in pools):
-                pin = VersionPin(drawn, version_by_pool[drawn])
-                return TakeUp(Finding.ALONE_ELSEWHERE, pin)
+        versions = {each for reply in replies if (each := _alone_in(reply, pools)) is not None}
+        if len(versions) == 1 and all(self._agrees(pool, *versions) for pool in pools):
+            return TakeUp(Finding.ALONE_ELSEWHERE, VersionPin(drawn, *versions))
         return _refuse(Finding.UNKNOWN if replies else Finding.UNREACHABLE)
 
-    def _agrees(self, pool: PoolId, version: Version | None) -> bool:
-        """Return whether this host has seen no other version of a pool than a holder knows."""
-        return version is not None and self.versions.seen(pool) <= {version}
+    def _agrees(self, pool: PoolId, version: SoftwareVersion) -> bool:
+        """Return whether this host has seen no other version on a pool's routes than a holder."""
+        return self.versions.seen_beside(pool) <= {version}
 
 
 class StreamTimes:
@@ -176,6 +177,13 @@
     return StreamKey(None if workspace is None else workspace.id, first)
 
 
+def _alone_in(reply: StreamReply, pools: tuple[PoolId, ...]) -> SoftwareVersion | None:
+    """Return the version that has served alone in all of some pools, as a holder knows."""
+    version_by_pool = {each.pool: each.version for each in reply.alone}
+    versions = {version_by_pool.get(pool) for pool in pools}
+    return versions.pop() if len(versions) == 1 else None
+
+
 def _from_record(record: StreamRecord, pools: tuple[PoolId, ...], finding: Finding) -> TakeUp:
     if record.version is None:
         return _refuse(Finding.AMBIGUOUS)
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -26,14 +26,16 @@
         self.seen = {V1, V2}
         self.known: StreamRecord | None = None
         self.replies: list[StreamReply] = []
+        self.holders: list[str] = []
         self.exchange = mock.Mock(
             find_known=lambda key: self.known if key == KEY else None,
+            other_holders=lambda key: self.holders,
             ask=mock.Mock(side_effect=lambda question: self.replies),
         )
         self.is_changing = False
         versions = mock.Mock(
             alone=self.alone.get,
-            seen=lambda pool: self.seen,
+            seen_beside=lambda pool: self.seen,
             is_changing=lambda pools: self.is_changing,
         )
         self.origins = StreamOrigins(versions, self.exchange)
@@ -68,6 +70,19 @@
             self.assertEqual((found.finding, found.pin), (Finding.ALONE, VersionPin(POOL, V1)))
         self.exchange.ask.assert_not_called()
 
+    def test_pools_of_two_versions_make_none_alone(self) -> None:
+        """A stream that began at one pool of a route went on at the other pool's version."""
+        self.alone = {POOL: V1, OTHER: V2}
+        self.origins.versions.alone = self.alone.get
+        self.replies = [StreamReply(RECORD)]
+        pools = (POOL, OTHER)
+        found = self.origins.find(self.make_request(pools=pools), OTHER)
+        self.assertEqual((found.finding, found.pin), (Finding.HOLDER, VersionPin(POOL, V1)))
+        self.alone.clear()
+        self.seen = set()
+        self.replies = [StreamReply(None, (AloneVersion(POOL, V1), AloneVersion(OTHER, V2)))]
+        self.assertIs(self.find(pools=pools).finding, Finding.UNKNOWN)
+
     def test_entries_without_versions_are_alone_as_well(self) -> None:
         """Hosts of an earlier program version send them."""
         self.alone[POOL] = msgspec.UNSET
@@ -83,6 +98,14 @@
         )
         self.assertIs(self.find(pools=(POOL, OTHER)).finding, Finding.UNKNOWN)
 
+    def test_holders_that_name_different_versions_as_alone_are_not_believed(self) -> None:
+        """One of them missed a version, and the first answer counted."""
+        self.seen = set()
+        self.replies = [StreamReply(None, (AloneVersion(POOL, each),)) for each in (V1, V2)]
+        self.assertIs(self.find().finding, Finding.UNKNOWN)
+        self.replies[1] = self.replies[0]
+        self.assertIs(self.find().finding, Finding.ALONE_ELSEWHERE)
+
     def test_what_is_not_known_is_refused_for_good(self) -> None:
         cases = [
             (Finding.NOT_NAMED, {"resumes": None}, []),
@@ -114,6 +137,17 @@
             self.assertIs(self.find().finding, Finding.UNKNOWN)
             self.assertEqual(sleep.call_count, 2 + ASKED_AGAIN)
 
+    def test_holders_that_do_not_answer_are_asked_once_more(self) -> None:
+        """A pause of the asking process was taken for holders that are cut off."""
+        answers = [[], [StreamReply(RECORD)]]
+        self.exchange.ask.side_effect = lambda question: answers.pop(0)
+        self.holders = ["address-1"]
+        self.assertIs(self.find().finding, Finding.HOLDER)
+        self.exchange.ask.reset_mock(side_effect=True)
+        self.exchange.ask.return_value = []
+        self.assertIs(self.find().finding, Finding.UNREACHABLE)
+        self.assertEqual(self.exchange.ask.call_count, 2)
+
     def test_return_is_recorded_under_the_first_request(self) -> None:
         """A later return names the same request."""
         for last, request in (("3", "first"), (None, "second")):
