An id used twice is ambiguous also for the host that began its first stream

What callers saw: a caller that used one id for two streams got events of two versions. Host A began it at v1 and told its holders; host B began it at v2, and only B learnt from the holders that the id is ambiguous. A went on at v1, and a third host believed the first holder that had a record.

Cause: a host with its own record asked nobody, `ask` stopped at the first record, and differing replies weren't compared. Besides, a host that itself began both streams told holders the second version only if the first was alone before, and ambiguous records weren't told to new holders.

What is told is what is on record, also if that is ambiguous. Holders are known to all hosts, so that the second beginner's record is found by whoever asks; without an answer the own record counts, as before. Notifying the first teller instead was ruled out: one lost message would leave it certain.

In `test_id_of_two_streams_is_ambiguous_for_all_hosts` the second `record_begun` at the first host is gone, as it told that host what it should find out; it covers twenty ids now, as with one id the first host may be a holder. `Fleet.find` asks `StreamOrigins`, which decides in service, instead of repeating a part of it. `test_own_record_is_used_before_others_are_asked` asserted that nobody is asked while several versions serve, which is the fault; two tests replace it: nobody is asked while one version is alone, and else the own record counts unless a holder differs.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -117,7 +117,8 @@
 
     def record_begun(self, record: StreamRecord) -> None:
         """Record that a stream began or went on here, and tell its holders if they must know."""
-        self.own.put(record)
+        if not self.own.put(record):
+            record = msgspec.structs.replace(record, version=None)
         self._pools.add(record.pool)
         if self.versions.alone(record.pool) is None:
             self._told_by_key.pop(record.key, None)
@@ -137,7 +138,7 @@
         present = set()
         for record in in_turns(self.own.all()):
             present.add(record.key)
-            if record.pool in telling and record.version is not None:
+            if record.pool in telling:
                 self._tell(record)
         for key in set(self._told_by_key) - present:
             del self._told_by_key[key]
@@ -237,7 +238,10 @@
         return own
 
     def ask(self, question: StreamQuestion) -> list[StreamReply]:
-        """Ask the holders; return their replies up to the first that knows the stream."""
+        """Ask the holders; return the replies that come in time.
+
+        All are waited for, as one of them may know of a second stream with the same key.
+        """
         addresses = self.other_holders(question.key)
         answers: LightQueue[object] = LightQueue()
         for address in addresses:
@@ -248,8 +252,6 @@
                 answer = answers.get()
                 if isinstance(answer, StreamReply):
                     replies.append(answer)
-                    if answer.record is not None:
-                        break
         self.counts["asked"] += 1
         return replies
 
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -117,14 +117,20 @@
         key = _key_of(request, request.head.resumes or RequestId(""))
         pools = tuple(each.pool for each in request.route.targets)
         record = self.exchange.find_known(key) if key.is_valid else None
-        if record is not None:
-            return _from_record(record, pools, Finding.HERE)
         alone_by_pool = {pool: self.versions.alone(pool) for pool in pools}
-        if all(version is not None for version in alone_by_pool.values()):
+        is_alone = all(version is not None for version in alone_by_pool.values())
+        if record is not None and (is_alone or record.version is None):
+            return _from_record(record, pools, Finding.HERE)
+        if is_alone:
             return TakeUp(Finding.ALONE, VersionPin(drawn, alone_by_pool[drawn]))
         if not key.is_valid:
             return _refuse(Finding.NOT_NAMED)
         question = StreamQuestion(key, pools)
+        if record is not None:
+            # Another host may have begun a stream under the same id at another version.
+            replies = [StreamReply(record), *self.exchange.ask(question)]
+            found = self._from_replies(replies, pools, drawn)
+            return msgspec.structs.replace(found, finding=Finding.HERE) if found.pin else found
         found = self._from_replies(self.exchange.ask(question), pools, drawn)
         if found.finding is Finding.UNREACHABLE and self.exchange.other_holders(key):
             # A pause of this process, or a connection that was dead, looks the same.
@@ -139,9 +145,11 @@
     def _from_replies(
         self, replies: list[StreamReply], pools: tuple[PoolId, ...], drawn: PoolId
     ) -> TakeUp:
-        for reply in replies:
-            if reply.record is not None:
-                return _from_record(reply.record, pools, Finding.HOLDER)
+        records = [each.record for each in replies if each.record is not None]
+        if len({(each.pool, each.version) for each in records}) > 1:
+            return _refuse(Finding.AMBIGUOUS)
+        if records:
+            return _from_record(records[0], pools, Finding.HOLDER)
         for reply in replies:
             version_by_pool = {each.pool: each.version for each in reply.alone}
             if all(self._agrees(pool, version_by_pool.get(pool)) for pool in pools):
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -9,7 +9,9 @@
 from ruddersaddle_serving import stream_exchanges
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.neighbour_messages import NeighbourMessage
+from ruddersaddle_serving.routes import Target
 from ruddersaddle_serving.stream_exchanges import HOLDERS, MUTE_S, TELL_ATTEMPTS, StreamExchange
+from ruddersaddle_serving.stream_origins import StreamOrigins
 from ruddersaddle_serving.stream_records import (
     StreamKey,
     StreamQuestion,
@@ -57,6 +59,8 @@
         peers = mock.Mock(ask=lambda address, message, _: self.ask(address, message))
         versions = mock.Mock(
             alone=lambda pool: self.alone.get(record.address),
+            seen=lambda pool: {"v1", "v2"},
+            is_changing=lambda pools: False,
             has_several=lambda: True,
             upstreams=mock.Mock(complete=True),
         )
@@ -87,12 +91,13 @@
                     exchange.send_next(holder)
 
     def find(self, address: str, key: StreamKey) -> str | None:
-        """Return the version that a host learns of a stream, from its records or from holders."""
+        """Return the version at which a host lets a stream go on; None if it refuses."""
         exchange = self.exchange_by_address[address]
-        known = exchange.find_known(key)
-        replies = [] if known else exchange.ask(StreamQuestion(key, (POOL,)))
-        found = [known] if known else [each.record for each in replies if each.record]
-        return found[0].version if found else None
+        route = mock.Mock(targets=(Target(POOL),))
+        request = mock.Mock(route=route, workspace=mock.Mock(id=key.workspace))
+        request.head.resumes = key.request
+        found = StreamOrigins(exchange.versions, exchange).find(request, POOL)
+        return found.pin.version if found.pin else None
 
     def holders_of(self, key: StreamKey) -> list[str]:
         return self.exchange_by_address["address-0"].holders(key)
@@ -217,17 +222,51 @@
             self.assertEqual(held.find(key) is not None, "address-1" in exchange.holders(key))
 
     def test_id_of_two_streams_is_ambiguous_for_all_hosts(self) -> None:
+        """The host that began the first stream went on with it if it isn't a holder of the id."""
+        for number in range(20):
+            key = self.begin("address-0", f"r-{number}", "v1")
+            self.deliver("address-0")
+            self.begin("address-1", f"r-{number}", "v2")
+            self.deliver("address-1")
+            for address in self.exchange_by_address:
+                self.assertIsNone(self.find(address, key))
+
+    def test_id_of_two_streams_is_ambiguous_though_one_holder_missed_the_second(self) -> None:
+        """The first reply that had a record decided, also if another reply differed."""
         key = self.begin("address-0", "r", "v1")
-        self.begin("address-1", "r", "v2")
-        for address in ("address-0", "address-1", "address-0"):
-            self.deliver(address)
-        self.exchange_by_address["address-0"].record_begun(
-            StreamRecord(key, POOL, SoftwareVersion("v1"))
-        )
         self.deliver("address-0")
+        missing = [each for each in self.holders_of(key) if each not in ("address-0", "address-1")]
+        self.down = set(missing[:1])
+        self.begin("address-1", "r", "v2")
+        self.deliver("address-1")
+        self.down.clear()
         for address in self.exchange_by_address:
             self.assertIsNone(self.find(address, key))
 
+    def test_id_used_twice_at_one_host_is_ambiguous_for_all_hosts(self) -> None:
+        """Holders learnt only the second version if the first was alone when its stream began."""
+        for alone_before in (True, False):
+            self.alone = dict.fromkeys(self.exchange_by_address, "v1") if alone_before else {}
+            key = self.begin("address-0", f"r-{alone_before}", "v1")
+            self.alone = {}
+            self.begin("address-0", f"r-{alone_before}", "v2")
+            self.deliver("address-0")
+            for address in self.exchange_by_address:
+                self.assertIsNone(self.find(address, key))
+
+    def test_new_holders_are_told_that_an_id_is_ambiguous(self) -> None:
+        """They were told nothing of it, or of the stream at the other host only."""
+        key = self.begin("address-0", "r", "v1")
+        self.begin("address-0", "r", "v2")
+        exchange = self.exchange_by_address["address-0"]
+        exchange._unsent_by_address.clear()
+        exchange._told_by_key.clear()
+        exchange.tell_untold()
+        self.deliver("address-0")
+        for address in self.holders_of(key):
+            known = self.exchange_by_address[address].find_known(key)
+            self.assertEqual((known is not None, known and known.version), (True, None))
+
 
 class FailingHostsTest(Fleet):
     def test_two_of_four_holders_and_the_beginner_may_be_gone(self) -> None:
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -52,12 +52,34 @@
     def find(self, **more: object) -> TakeUp:
         return self.origins.find(self.make_request(**more), POOL)
 
-    def test_own_record_is_used_before_others_are_asked(self) -> None:
+    def test_own_record_is_used_at_once_while_one_version_is_alone(self) -> None:
         self.known = RECORD
+        self.alone[POOL] = V1
         found = self.find()
         self.assertEqual((found.finding, found.pin), (Finding.HERE, VersionPin(POOL, V1)))
+        self.assertEqual(found.age_s, RECORD.age_s)
         self.exchange.ask.assert_not_called()
 
+    def test_own_record_is_used_unless_a_holder_knows_another_stream_of_the_id(self) -> None:
+        """Only the host that began the second stream learnt that the id is ambiguous."""
+        self.known = RECORD
+        for self.replies in ([], [StreamReply(None)], [StreamReply(RECORD)]):
+            found = self.find()
+            self.assertEqual((found.finding, found.pin), (Finding.HERE, VersionPin(POOL, V1)))
+            self.assertEqual(found.age_s, RECORD.age_s)
+        self.assertEqual(self.exchange.ask.call_count, 3)
+        for version in (V2, None):
+            other = msgspec.structs.replace(RECORD, version=version)
+            self.replies = [StreamReply(RECORD), StreamReply(other)]
+            found = self.find()
+            self.assertEqual((found.finding, found.pin), (Finding.AMBIGUOUS, None))
+
+    def test_holders_that_differ_make_an_id_ambiguous(self) -> None:
+        """The first reply decided."""
+        other = msgspec.structs.replace(RECORD, version=V2)
+        self.replies = [StreamReply(RECORD), StreamReply(other)]
+        self.assertIs(self.find().finding, Finding.AMBIGUOUS)
+
     def test_holder_that_knows_the_stream_counts_before_those_that_dont(self) -> None:
         self.replies = [StreamReply(None), StreamReply(RECORD)]
         found = self.find()
