Holders that were mute are told of the streams that they missed

What callers saw: after a holder had not answered for a while, streams that began meanwhile had one copy less for as long as they lasted; with two hosts killed a caller's return was refused although a holder could have known the stream.

Cause: a holder counted as told before its record was queued. Records that weren't queued while it was mute, that it never acknowledged, or that a full queue dropped were never told again.

Change: such records no longer count as told, and holders that missed some are told once they aren't mute and their queue is empty. A holder isn't mute any longer once it answers or sends anything about streams; `streams` and `ask_stream` carry the sender's address for that, which hosts of an earlier program version ignore.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -97,7 +97,9 @@
         self._told_state: tuple[int, frozenset[PoolId]] | None = None
         """List of hosts and pools with streams to tell of, when holders were last told."""
         self._told_by_key: dict[StreamKey, set[str]] = {}
-        """Holders that were told of own streams, acknowledged or not yet."""
+        """Holders that have acknowledged own streams, or for which these are queued."""
+        self._skipped: set[str] = set()
+        """Holders that weren't told of some own streams, or didn't acknowledge them."""
         self._mute_until: dict[str, float] = {}
         """Until when holders that acknowledge nothing are told nothing, by the boot-time clock."""
         self._unsent_by_address: dict[str, list[tuple[StreamRecord, int]]] = {}
@@ -127,14 +129,17 @@
     def tell_untold(self) -> None:
         """Tell holders of the streams that they have to know of since something has changed.
 
-        Another version has appeared in a pool, or other hosts have become holders.
+        Another version has appeared in a pool, other hosts have become holders, or a holder that
+        acknowledged nothing may be told again.
         """
         self.versions.observe()
         telling = frozenset(each for each in self._pools if self.versions.alone(each) is None)
         state = (self.hosts.digest, telling)
-        if state == self._told_state:
+        skipped = {each for each in self._skipped if self._may_tell_again(each)}
+        if state == self._told_state and not skipped:
             return
         self._told_state = state
+        self._skipped -= skipped
         present = set()
         for record in in_turns(self.own.all()):
             present.add(record.key)
@@ -155,16 +160,35 @@
                 told.add(address)
                 self._queue(address, record)
 
+    def _is_mute(self, address: str) -> bool:
+        return clocks.now_s() < self._mute_until.get(address, float("-inf"))
+
+    def _may_tell_again(self, address: str) -> bool:
+        """Return whether a holder isn't mute, and all that was queued for it is sent."""
+        return not self._is_mute(address) and not self._unsent_by_address.get(address)
+
+    def _record_untold(self, address: str, records: Iterable[StreamRecord]) -> None:
+        """Record that a holder doesn't know of streams, so that it is told of them later."""
+        self._skipped.add(address)
+        for record in records:
+            self._told_by_key.get(record.key, set()).discard(address)
+
+    def _record_message_of(self, address: str) -> None:
+        """Record that a host has answered or sent a message: it is told of streams again."""
+        self._mute_until.pop(address, None)
+
     def _queue(self, address: str, record: StreamRecord) -> None:
-        if clocks.now_s() < self._mute_until.get(address, float("-inf")):
+        if self._is_mute(address):
             self.counts["unacknowledged"] += 1
+            self._record_untold(address, [record])
             return
         is_sending = address in self._unsent_by_address
         queued = self._unsent_by_address.setdefault(address, [])
         queued.append((record, 1))
         if len(queued) > QUEUED_MAX:
-            del queued[0]
+            dropped, _ = queued.pop(0)
             self.counts["unacknowledged"] += 1
+            self._record_untold(address, [dropped])
         if not is_sending:
             eventlet.spawn(self._send_all, address)
 
@@ -182,9 +206,10 @@
         queued = self._unsent_by_address[address]
         part = queued[:RECORDS_PER_MESSAGE]
         del queued[:RECORDS_PER_MESSAGE]
-        message = StreamsTold(tuple(record for record, _ in part))
+        message = StreamsTold(tuple(record for record, _ in part), self.hosts.own.address)
         answer = self.peers.ask(address, message, TELL_TIMEOUT_S)
         if isinstance(answer, StreamsNoted):
+            self._record_message_of(address)
             self.counts["told"] += len(part)
             self.own.mark_ambiguous(answer.ambiguous)
             return True
@@ -192,8 +217,9 @@
         again = [(each, attempt + 1) for each, attempt in part if attempt < TELL_ATTEMPTS]
         queued[:0] = again
         if len(again) < len(part):
-            lost = len(part) - len(again)
-            logger.warning("Holder %s has not acknowledged %d streams.", address, lost)
+            lost = [each for each, attempt in part if attempt >= TELL_ATTEMPTS]
+            logger.warning("Holder %s has not acknowledged %d streams.", address, len(lost))
+            self._record_untold(address, lost)
             self._mute_until[address] = clocks.now_s() + MUTE_S
         return False
 
@@ -244,6 +270,7 @@
         """
         addresses = self.other_holders(question.key)
         answers: LightQueue[object] = LightQueue()
+        question = msgspec.structs.replace(question, sender=self.hosts.own.address)
         for address in addresses:
             eventlet.spawn(self._ask_into, address, question, answers)
         replies: list[StreamReply] = []
@@ -261,6 +288,8 @@
         answer: object = None
         try:
             answer = self.peers.ask(address, question, TELL_TIMEOUT_S)
+            if isinstance(answer, StreamReply):
+                self._record_message_of(address)
         finally:
             answers.put(answer)
 
@@ -269,13 +298,15 @@
     def handle(self, message: StreamMessage) -> StreamsNoted | StreamReply | StreamsTold:
         """Handle a message of another host."""
         match message:
-            case StreamsTold(records):
+            case StreamsTold(records, sender):
+                self._record_message_of(sender)
                 return self._hold(records)
-            case StreamQuestion():
+            case StreamQuestion(sender=sender):
+                self._record_message_of(sender)
                 return self._reply(message)
             case HeldRequest(address):
                 # What it is told from now on isn't among the records that it gets.
-                self._mute_until.pop(address, None)
+                self._record_message_of(address)
                 return StreamsTold(tuple(self._records_for(address))[-HELD_MAX:])
 
     def _hold(self, records: Iterable[StreamRecord]) -> StreamsNoted:
--- a/libs/serving/ruddersaddle_serving/stream_records.py
+++ b/libs/serving/ruddersaddle_serving/stream_records.py
@@ -42,6 +42,8 @@
     """Asks the receiver to hold records; it answers with `StreamsNoted`."""
 
     records: tuple[StreamRecord, ...]
+    sender: str = ""
+    """The sender's address; empty in answers and from hosts of an earlier program version."""
 
 
 class StreamsNoted(msgspec.Struct, frozen=True, tag="streams_noted"):
@@ -55,6 +57,7 @@
 
     key: StreamKey
     pools: tuple[PoolId, ...]
+    sender: str = ""
 
 
 class AloneVersion(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -173,6 +173,80 @@
             self.begin("address-0", f"r-{number}")
         self.assertTrue(exchange._unsent_by_address["address-1"])
 
+    def skip_holder(self) -> tuple[str, list[StreamKey]]:
+        """Begin streams at the first host while one of their holders is down.
+
+        Return that holder and the keys of which it wasn't told.
+        """
+        holder = "address-1"
+        self.down.add(holder)
+        keys = [self.begin("address-0", f"in-vain-{number}") for number in range(20)]
+        self.deliver("address-0")
+        keys += [self.begin("address-0", f"skipped-{number}") for number in range(20)]
+        self.deliver("address-0")
+        self.down.clear()
+        found = [each for each in keys if holder in self.holders_of(each)]
+        self.assertGreater(len(found), 2)
+        return holder, found
+
+    def assert_held(self, holder: str, keys: list[StreamKey]) -> None:
+        held = self.exchange_by_address[holder].held
+        self.assertEqual([each for each in keys if held.find(each) is None], [])
+
+    def test_mute_holder_is_told_later_what_was_skipped(self) -> None:
+        """It counted as told of streams that were never sent to it or not acknowledged."""
+        holder, keys = self.skip_holder()
+        exchange = self.exchange_by_address["address-0"]
+        exchange.tell_untold()
+        self.deliver("address-0")
+        self.assertIsNone(self.exchange_by_address[holder].held.find(keys[0]))
+        self.now += MUTE_S + 0.1
+        exchange.tell_untold()
+        self.deliver("address-0")
+        self.assert_held(holder, keys)
+        sent = len(self.sent)
+        exchange.tell_untold()
+        self.deliver("address-0")
+        self.assertEqual(len(self.sent), sent)
+
+    def test_mute_holder_that_sends_or_answers_anything_is_told_at_once(self) -> None:
+        """It was told nothing for 10 s, although it was back."""
+        question = StreamQuestion(StreamKey(None, RequestId("unknown")), (POOL,))
+        for asker, asked in (("address-0", "address-1"), ("address-1", "address-0")):
+            with self.subTest(asker):
+                for host in self.records:
+                    self.start(host)
+                holder, keys = self.skip_holder()
+                holders = mock.Mock(return_value=[asked])
+                with mock.patch.object(StreamExchange, "other_holders", holders):
+                    self.assertEqual(len(self.exchange_by_address[asker].ask(question)), 1)
+                self.exchange_by_address["address-0"].tell_untold()
+                self.deliver("address-0")
+                self.assert_held(holder, keys)
+
+    def test_mute_holder_that_tells_of_streams_is_told_at_once(self) -> None:
+        """It was told nothing for 10 s, although it was back."""
+        holder, keys = self.skip_holder()
+        for number in range(20):
+            self.begin(holder, f"other-{number}")
+        self.deliver(holder)
+        self.exchange_by_address["address-0"].tell_untold()
+        self.deliver("address-0")
+        self.assert_held(holder, keys)
+
+    def test_streams_that_a_full_queue_dropped_are_told_later(self) -> None:
+        """Their holders counted as told."""
+        with mock.patch.object(stream_exchanges, "QUEUED_MAX", 3):
+            keys = [self.begin("address-0", f"r-{number}") for number in range(12)]
+        for _ in range(2):
+            self.deliver("address-0")
+            self.exchange_by_address["address-0"].tell_untold()
+        for address in self.exchange_by_address:
+            if address != "address-0":
+                self.assert_held(
+                    address, [each for each in keys if address in self.holders_of(each)]
+                )
+
     def test_nothing_is_told_while_one_version_is_alone_and_all_once_it_isnt(self) -> None:
         self.alone = dict.fromkeys(self.exchange_by_address, "v1")
         keys = [self.begin("address-0", f"r-{number}") for number in range(20)]
