A host that starts fetches the streams that it should hold, whatever it lists

What callers saw: a stream was refused (`unknown`) after its holders had been started again while the second version had just left the list, or while a host that was asked didn't answer.

Cause: a host that started and listed one version only fetched nothing, although others count a version for the longest time-out after its last upstream has gone; and each host was asked once.

Change: a host that starts always fetches, as soon as it knows the hosts, and asks those that don't answer three more times, a second apart.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -69,6 +69,9 @@
 """Interval of checks whether another version has appeared or the list of hosts has changed."""
 START_ASKED_AT_ONCE = 16
 """Hosts that a host that has just started asks at the same time."""
+START_ATTEMPTS = 4
+"""Times that a host that has just started asks a host that doesn't answer."""
+START_PAUSE_S = 1.0
 
 
 class StreamExchange:
@@ -326,36 +329,54 @@
         return StreamReply(self.find_known(question.key), alone)
 
     def _records_for(self, address: str) -> Iterable[StreamRecord]:
-        for records in (self.held, self.own):
-            for record in in_turns(records.all()):
-                if address in self.holders(record.key):
-                    yield record
+        for record in in_turns(self.held.all()):
+            if address in self.holders(record.key):
+                yield record
+        for record in in_turns(self.own.all()):
+            # What is alone is told to nobody.
+            if self.versions.alone(record.pool) is None and address in self.holders(record.key):
+                yield record
 
     # Start
 
     def _fetch_at_start(self) -> None:
         """Get the records that this host should hold, which it has lost with its last process.
 
-        Hosts that are started again one after another would otherwise lose all copies.
+        Hosts that are started again one after another would otherwise lose all copies. The list of
+        upstreams doesn't matter: a version that has just left it counts for others.
         """
-        while not (self.hosts.is_known and self.versions.upstreams.complete):
+        while not self.hosts.is_known:
             eventlet.sleep(CHECK_INTERVAL_S)
-        if not self.versions.has_several():
-            return
         addresses = self.hosts.region_addresses()
+        for attempt in range(START_ATTEMPTS):
+            if attempt > 0:
+                eventlet.sleep(START_PAUSE_S)
+            addresses = self._fetch_from_all(addresses)
+            if not addresses:
+                break
+        fetched = self.counts["fetched"]
+        logger.info(
+            "Streams held again after the start: %d; hosts without an answer: %d.",
+            fetched,
+            len(addresses),
+        )
+
+    def _fetch_from_all(self, addresses: list[str]) -> list[str]:
+        """Fetch from hosts; return those that didn't answer."""
         pool = eventlet.GreenPool(START_ASKED_AT_ONCE)
-        fetched = sum(pool.imap(self._fetch_from, addresses))
-        logger.info("Streams held again after the start: %d.", fetched)
+        answered = list(pool.imap(self._fetch_from, addresses))
+        return [address for address, each in zip(addresses, answered, strict=True) if not each]
 
-    def _fetch_from(self, address: str) -> int:
+    def _fetch_from(self, address: str) -> bool:
+        """Fetch from a host; return whether it answered."""
         answer = self.peers.ask(address, HeldRequest(self.hosts.own.address), TELL_TIMEOUT_S)
         if not isinstance(answer, StreamsTold):
             detail = answer.detail if isinstance(answer, Failure) else "unexpected answer"
             logger.info("Streams of %s were not fetched. %s", address, detail)
-            return 0
+            return False
         self._hold(answer.records)
         self.counts["fetched"] += len(answer.records)
-        return len(answer.records)
+        return True
 
 
 def in_turns(records: Iterable[StreamRecord]) -> Iterator[StreamRecord]:
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -10,7 +10,13 @@
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.neighbour_messages import NeighbourMessage
 from ruddersaddle_serving.routes import Target
-from ruddersaddle_serving.stream_exchanges import HOLDERS, MUTE_S, TELL_ATTEMPTS, StreamExchange
+from ruddersaddle_serving.stream_exchanges import (
+    HOLDERS,
+    MUTE_S,
+    START_ATTEMPTS,
+    TELL_ATTEMPTS,
+    StreamExchange,
+)
 from ruddersaddle_serving.stream_origins import StreamOrigins
 from ruddersaddle_serving.stream_records import (
     StreamKey,
@@ -362,6 +368,52 @@
             for key in keys:
                 self.assertEqual(self.find(address, key), "v1")
 
+    def test_host_that_starts_fetches_though_it_lists_one_version_only(self) -> None:
+        """The other version had just left the list, and the started host held nothing."""
+        keys = [self.begin("address-0", f"r-{number}") for number in range(20)]
+        self.deliver("address-0")
+        for host in self.records:
+            exchange = self.start(host)
+            exchange.versions.has_several = lambda: False
+            exchange.versions.upstreams.complete = False
+            with mock.patch("eventlet.sleep", side_effect=AssertionError("waits")):
+                exchange._fetch_at_start()
+        for address, exchange in self.exchange_by_address.items():
+            due = [each for each in keys if address in self.holders_of(each)]
+            self.assertEqual([each for each in due if exchange.held.find(each) is None], [])
+
+    def test_host_that_starts_asks_again_those_that_do_not_answer(self) -> None:
+        """A host whose connection was dead, or that paused, was asked once."""
+        for number in range(20):
+            self.begin("address-0", f"r-{number}")
+        for answers_from, is_fetched in ((3, True), (START_ATTEMPTS, False)):
+            with self.subTest(answers_from):
+                self.down = {"address-0"}
+                exchange = self.start(HostId("host-1"))
+                pauses: list[float] = []
+
+                def pause(seconds: float, pauses: list = pauses, until: int = answers_from) -> None:
+                    pauses.append(seconds)
+                    if len(pauses) >= until:
+                        self.down.clear()
+
+                self.sent.clear()
+                with mock.patch("eventlet.sleep", pause):
+                    exchange._fetch_at_start()
+                self.assertEqual(len(exchange.held) > 0, is_fetched)
+                self.assertEqual(len(pauses), START_ATTEMPTS - 1)
+                asked_once = self.count - 2
+                self.assertEqual(len(self.sent), asked_once + START_ATTEMPTS)
+
+    def test_host_that_starts_gets_nothing_while_one_version_is_alone(self) -> None:
+        """An answer with all streams of a busy host would take long."""
+        for number in range(20):
+            self.begin("address-0", f"r-{number}")
+        self.alone = dict.fromkeys(self.exchange_by_address, "v1")
+        exchange = self.start(HostId("host-1"))
+        exchange._fetch_at_start()
+        self.assertEqual(len(exchange.held), 0)
+
     def test_cut_off_host_knows_its_own_streams_only(self) -> None:
         own, other = self.begin("address-0", "own"), self.begin("address-1", "other")
         self.down = {each for each in self.exchange_by_address if each != "address-0"}
