Hosts that don't answer are replaced as holders of streams

What callers saw: streams that began while two hosts were gone, but still listed, had two copies less; when their host and another one were lost too, returns were refused.

Cause: holders were the first four hosts by rendezvous hashing, whether these answered or not, until the list of hosts changed.

Change: six candidates are ranked, equal on all hosts. A stream is told to the first four that are neither unresponsive nor mute as the telling host knows, and streams under way are looked through again when a host becomes mute or isn't any longer. All six are asked, and fetch what they may hold, so that what is asked is a superset of what is told. A return asks up to six hosts instead of four. Hosts of the former program version ask the first four only.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -41,6 +41,9 @@
 HOLDERS = 4
 """Hosts that hold a record, the one that runs the stream possibly among them. Hosts are killed and
 started again in pairs; two copies are then left."""
+CANDIDATES = 6
+"""Hosts among which the holders of a record are, and that are asked: two holders that are killed,
+and don't answer for some seconds until they are off the list, are replaced."""
 BUCKETS = 1024
 """Keys are hashed to so many buckets, each with its holders, as ranking 450 hosts takes 0.3 ms."""
 TELL_INTERVAL_S = 0.015
@@ -94,11 +97,12 @@
         """Streams that other hosts have run, as they told it."""
         self.counts: Counter[str] = Counter()
         self._digest: int | None = None
-        self._holders_by_bucket: dict[int, list[str]] = {}
+        self._candidates_by_bucket: dict[int, list[str]] = {}
         self._pools: set[PoolId] = set()
         """Pools of own streams."""
-        self._told_state: tuple[int, frozenset[PoolId]] | None = None
-        """List of hosts and pools with streams to tell of, when holders were last told."""
+        self._told_state: tuple[int, frozenset[PoolId], frozenset[str]] | None = None
+        """List of hosts, pools with streams to tell of, and mute hosts, when holders were last
+        told."""
         self._told_by_key: dict[StreamKey, set[str]] = {}
         """Holders that have acknowledged own streams, or for which these are queued."""
         self._skipped: set[str] = set()
@@ -132,12 +136,13 @@
     def tell_untold(self) -> None:
         """Tell holders of the streams that they have to know of since something has changed.
 
-        Another version has appeared in a pool, other hosts have become holders, or a holder that
-        acknowledged nothing may be told again.
+        Another version has appeared in a pool, other hosts have become holders, or a holder has
+        become mute or isn't any longer.
         """
         self.versions.observe()
         telling = frozenset(each for each in self._pools if self.versions.alone(each) is None)
-        state = (self.hosts.digest, telling)
+        mute = frozenset(each for each in self._mute_until if self._is_mute(each))
+        state = (self.hosts.digest, telling, mute)
         skipped = {each for each in self._skipped if self._may_tell_again(each)}
         if state == self._told_state and not skipped:
             return
@@ -155,10 +160,9 @@
         if len(self._told_by_key) > RECORDS_MAX:
             del self._told_by_key[next(iter(self._told_by_key))]
         told = self._told_by_key.setdefault(record.key, set())
-        holders = self.holders(record.key)
         # A host that leaves the list and comes back has lost what it was told.
-        told.intersection_update(holders)
-        for address in holders:
+        told.intersection_update(self._candidates(record.key))
+        for address in self.holders(record.key):
             if address != self.hosts.own.address and address not in told:
                 told.add(address)
                 self._queue(address, record)
@@ -229,21 +233,31 @@
     # Holders
 
     def holders(self, key: StreamKey) -> list[str]:
-        """Return the addresses of the hosts that hold a record, this one possibly among them."""
+        """Return the addresses of the hosts that hold a record, this one possibly among them.
+
+        Hosts that don't answer are among them only if there are too few others.
+        """
+        return sorted(self._candidates(key), key=self._is_unavailable)[:HOLDERS]
+
+    def other_holders(self, key: StreamKey) -> list[str]:
+        """Return the addresses of the other hosts that may hold a record."""
+        return [each for each in self._candidates(key) if each != self.hosts.own.address]
+
+    def _is_unavailable(self, address: str) -> bool:
+        return self._is_mute(address) or not self.hosts.is_responsive(address)
+
+    def _candidates(self, key: StreamKey) -> list[str]:
+        """Return the addresses of the hosts that may hold a record, equal on all hosts."""
         if self._digest != self.hosts.digest:
             self._digest = self.hosts.digest
-            self._holders_by_bucket.clear()
+            self._candidates_by_bucket.clear()
         bucket = crc32(f"{key.workspace}\0{key.request}".encode()) % BUCKETS
-        found = self._holders_by_bucket.get(bucket)
+        found = self._candidates_by_bucket.get(bucket)
         if found is None:
-            found = self._holders_by_bucket[bucket] = self._choose_holders(bucket)
+            found = self._candidates_by_bucket[bucket] = self._choose_candidates(bucket)
         return found
 
-    def other_holders(self, key: StreamKey) -> list[str]:
-        """Return the addresses of the other hosts that hold a record."""
-        return [each for each in self.holders(key) if each != self.hosts.own.address]
-
-    def _choose_holders(self, bucket: int) -> list[str]:
+    def _choose_candidates(self, bucket: int) -> list[str]:
         by_address: dict[str, HostRecord] = {
             each.address: each for each in (self.hosts.own, *self.hosts.region_others())
         }
@@ -253,7 +267,7 @@
             hall = by_address[address].hall
             ranked.append((count_by_hall[hall], place, address))
             count_by_hall[hall] += 1
-        return [address for _, _, address in sorted(ranked)[:HOLDERS]]
+        return [address for _, _, address in sorted(ranked)[:CANDIDATES]]
 
     # Asking
 
@@ -267,7 +281,7 @@
         return own
 
     def ask(self, question: StreamQuestion) -> list[StreamReply]:
-        """Ask the holders; return the replies that come in time.
+        """Ask all that may hold a record; return the replies that come in time.
 
         All are waited for, as one of them may know of a second stream with the same key.
         """
@@ -330,11 +344,12 @@
 
     def _records_for(self, address: str) -> Iterable[StreamRecord]:
         for record in in_turns(self.held.all()):
-            if address in self.holders(record.key):
+            if address in self._candidates(record.key):
                 yield record
         for record in in_turns(self.own.all()):
             # What is alone is told to nobody.
-            if self.versions.alone(record.pool) is None and address in self.holders(record.key):
+            is_told = self.versions.alone(record.pool) is None
+            if is_told and address in self._candidates(record.key):
                 yield record
 
     # Start
