Records of streams that the bound drops are counted and logged

What callers saw: on a host with more than 50,000 own or held streams, returns were refused as `unknown` with nothing in the log or the metrics that said why.

Cause: the oldest records were dropped silently.

Change: records dropped before their time are counted, own and held ones, as `ruddersaddle_stream_records_total{kind="dropped"}`, and a line says so at most every 10 s. Records that expire aren't counted.

Tests: two new ones; on the former code they end in errors, as the counts are missing.

--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -36,7 +36,9 @@
     lines += format_counters("relays", "offers to other hosts by outcome", relays)
     take_ups = host.forwarder.origins.counts()
     lines += format_counters("stream_returns", "streams taken up again by finding", take_ups)
-    lines += format_counters("stream_records", "records of streams by event", host.streams.counts)
+    lines += format_counters(
+        "stream_records", "records of streams by event", host.streams.counts_by_event()
+    )
     lines += format_counters("crashes", "broken runs by outcome", host.crash_watch.counts)
     lines += format_counters("store_calls", "calls to the store", host.store.calls_by_kind)
     lines += format_counters("contexts", "cached context by action", host.cached_parts.counts)
--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -122,6 +122,10 @@
             eventlet.sleep(CHECK_INTERVAL_S)
             self.tell_untold()
 
+    def counts_by_event(self) -> dict[str, int]:
+        """Return the numbers of records by what became of them."""
+        return {**self.counts, "dropped": self.own.dropped + self.held.dropped}
+
     # Telling
 
     def record_begun(self, record: StreamRecord) -> None:
--- a/libs/serving/ruddersaddle_serving/stream_records.py
+++ b/libs/serving/ruddersaddle_serving/stream_records.py
@@ -1,5 +1,6 @@
 """Records of which software version began a stream, and the messages that carry them."""
 
+import logging
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator
 
@@ -7,10 +8,14 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import PoolId, RequestId, SoftwareVersion, WorkspaceId
 
+logger = logging.getLogger(__name__)
+
 KEY_CHARS_MAX = 128
 """Streams with a longer request id are not recorded."""
 RECORDS_MAX = 50_000
 """Limit on the records of one host; the oldest are dropped."""
+DROPPED_PAUSE_S = 10.0
+"""Shortest time between lines on dropped records."""
 
 
 class StreamKey(msgspec.Struct, frozen=True, array_like=True):
@@ -91,6 +96,9 @@
         """Time for which a record is kept after it was last put."""
         self._by_key: OrderedDict[StreamKey, tuple[StreamRecord, float]] = OrderedDict()
         """Records, and when they were put by the boot-time clock, about in order of that."""
+        self.dropped = 0
+        """Records that were dropped before their time, as there were too many."""
+        self._dropped_logged_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._by_key)
@@ -135,6 +143,19 @@
         oldest_at = clocks.now_s() - self.memory_s()
         while self._by_key:
             _, at = next(iter(self._by_key.values()))
-            if at >= oldest_at and len(self._by_key) <= RECORDS_MAX:
-                return
+            if at >= oldest_at:
+                if len(self._by_key) <= RECORDS_MAX:
+                    return
+                self._record_dropped()
             self._by_key.popitem(last=False)
+
+    def _record_dropped(self) -> None:
+        self.dropped += 1
+        now = clocks.now_s()
+        if now >= self._dropped_logged_at + DROPPED_PAUSE_S:
+            self._dropped_logged_at = now
+            logger.warning(
+                "More than %d streams are on record; %d were dropped since the start.",
+                RECORDS_MAX,
+                self.dropped,
+            )
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -6,7 +6,7 @@
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, HostId, PoolId, RequestId, SoftwareVersion, WorkspaceId
 
-from ruddersaddle_serving import stream_exchanges
+from ruddersaddle_serving import stream_exchanges, stream_records
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.neighbour_messages import NeighbourMessage
 from ruddersaddle_serving.routes import Target
@@ -465,6 +465,19 @@
         self.assertEqual(len(answer.records), 5)
 
 
+class CountsTest(Fleet):
+    def test_dropped_records_are_counted(self) -> None:
+        """Neither own nor held records that the bound dropped were in the metrics."""
+        with mock.patch.object(stream_records, "RECORDS_MAX", 3):
+            for number in range(5):
+                self.begin("address-0", f"r-{number}")
+            self.deliver("address-0")
+        counts = [each.counts_by_event()["dropped"] for each in self.exchange_by_address.values()]
+        held = [each.held.dropped for each in self.exchange_by_address.values()]
+        self.assertEqual(counts, [2 + held[0], *held[1:]])
+        self.assertGreater(sum(held), 0)
+
+
 class ReplyTest(Fleet):
     def test_holder_says_which_version_is_alone(self) -> None:
         """A host that has just started can't know it."""
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_records.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_records.py
@@ -61,6 +61,23 @@
         self.assertEqual(len(self.records), 3)
         self.assertEqual((self.version_of("b"), self.version_of("c")), ("absent", "v1"))
 
+    def test_records_dropped_by_the_bound_are_counted_and_logged_now_and_then(self) -> None:
+        """Streams were lost with no sign of why."""
+        with (
+            mock.patch.object(stream_records, "RECORDS_MAX", 3),
+            self.assertLogs(stream_records.logger) as logs,
+        ):
+            for number in range(13):
+                self.records.put(make_record(f"r-{number}"))
+            self.assertEqual((self.records.dropped, len(logs.output)), (10, 1))
+            self.now += stream_records.DROPPED_PAUSE_S
+            for number in range(13, 18):
+                self.records.put(make_record(f"r-{number}"))
+        self.assertEqual((self.records.dropped, len(logs.output)), (15, 2))
+        self.now += MEMORY_S + 1
+        self.records.put(make_record("later"))
+        self.assertEqual((len(self.records), self.records.dropped), (1, 15))
+
     def test_long_and_empty_ids_are_no_keys(self) -> None:
         for request, is_valid in (("", False), ("a" * 128, True), ("a" * 129, False)):
             self.assertEqual(make_record(request).key.is_valid, is_valid)
