Other tasks get turns while holders are ranked anew

What callers saw: after each change of the list of hosts, all requests of a host with many streams stood still for up to 0.2 s.

Cause: 200 records were looked through in one turn. Each bucket that comes up for the first time since the change ranks all hosts, so that a turn ranked up to 200 times. Records that a started host had fetched, up to 5,000 of one host, were held in one turn.

Change: a turn also ends after 5 ms, and fetched records are held in turns.

Tests: two new ones failed on the former code (with the new constant defined).

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -65,7 +65,10 @@
 QUEUED_MAX = 5000
 """Records that wait for a mute holder; the oldest are dropped."""
 RECORDS_PER_TURN = 200
-"""Records that are looked through before other tasks get a turn, some 0.5 ms."""
+"""Records that are looked through before other tasks get a turn, if it doesn't take long."""
+TURN_S = 0.005
+"""Time after which other tasks get a turn: after a change of the list of hosts, the candidates of
+each bucket are ranked anew."""
 HELD_MAX = 5000
 """Records that a host that has just started gets from one other host, about 285 KB."""
 CHECK_INTERVAL_S = 0.1
@@ -331,6 +334,7 @@
                 return StreamsTold(tuple(self._records_for(address))[-HELD_MAX:])
 
     def _hold(self, records: Iterable[StreamRecord]) -> StreamsNoted:
+        """Hold records; return the keys that several streams have."""
         ambiguous = []
         for record in records:
             self.held.put(record)
@@ -393,14 +397,16 @@
             detail = answer.detail if isinstance(answer, Failure) else "unexpected answer"
             logger.info("Streams of %s were not fetched. %s", address, detail)
             return False
-        self._hold(answer.records)
+        self._hold(in_turns(answer.records))
         self.counts["fetched"] += len(answer.records)
         return True
 
 
 def in_turns(records: Iterable[StreamRecord]) -> Iterator[StreamRecord]:
     """Yield records, and give other tasks a turn now and then."""
+    began_at = clocks.now_s()
     for number, record in enumerate(records, 1):
         yield record
-        if number % RECORDS_PER_TURN == 0:
+        if number % RECORDS_PER_TURN == 0 or clocks.now_s() - began_at > TURN_S:
             eventlet.sleep(0)
+            began_at = clocks.now_s()
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -1,5 +1,6 @@
 """Tests of telling and asking where streams began, with hosts that fail in between."""
 
+from collections.abc import Callable
 from unittest import mock
 
 from ruddersaddle_base.codecs import decode_msgpack, encode_msgpack
@@ -465,6 +466,66 @@
         self.assertEqual(len(answer.records), 5)
 
 
+def wrapped(work: Callable, function: Callable) -> Callable:
+    """Return a method that calls `work` with the function and its arguments."""
+
+    def call(*args: object) -> object:
+        return work(function, *args)
+
+    return call
+
+
+class TurnTest(Fleet):
+    """Ranking the candidates of a bucket takes a millisecond here, and fetching a record too."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.ranked_by_turn = [0]
+        choose, put = StreamExchange._choose_candidates, StreamRecords.put
+
+        def work(function: Callable, *args: object) -> object:
+            self.now += 0.001
+            self.ranked_by_turn[-1] += 1
+            return function(*args)
+
+        for owner, name, function in (
+            (StreamExchange, "_choose_candidates", choose),
+            (StreamRecords, "put", put),
+        ):
+            patch = mock.patch.object(owner, name, wrapped(work, function))
+            patch.start()
+            self.addCleanup(patch.stop)
+        patch = mock.patch("eventlet.sleep", lambda _: self.ranked_by_turn.append(0))
+        patch.start()
+        self.addCleanup(patch.stop)
+        for number in range(100):
+            self.begin("address-0", f"r-{number}")
+
+    def assert_turns(self) -> None:
+        self.assertGreater(sum(self.ranked_by_turn), 50)
+        most = stream_exchanges.TURN_S / 0.001 + 1
+        self.assertLessEqual(max(self.ranked_by_turn), most)
+
+    def test_other_tasks_get_turns_while_holders_are_ranked_anew(self) -> None:
+        """After a change of a list of 450 hosts the host stood still for up to 0.2 s."""
+        exchange = self.exchange_by_address["address-0"]
+        self.records[HostId("host-9")] = HostRecord("address-9", HallId("h0"))
+        exchange.hosts.replace(dict(self.records))
+        self.ranked_by_turn = [0]
+        exchange.tell_untold()
+        self.assert_turns()
+
+    def test_other_tasks_get_turns_while_fetched_records_are_held(self) -> None:
+        """A host that started stood still for each answer of up to 5,000 records."""
+        self.down = {f"address-{number}" for number in range(2, self.count)}
+        exchange = self.start(HostId("host-1"))
+        exchange._candidates = lambda key: ["address-1"]
+        self.exchange_by_address["address-0"]._candidates = lambda key: ["address-1"]
+        self.ranked_by_turn = [0]
+        exchange._fetch_from("address-0")
+        self.assert_turns()
+
+
 class CountsTest(Fleet):
     def test_dropped_records_are_counted(self) -> None:
         """Neither own nor held records that the bound dropped were in the metrics."""
