Records of other hosts are checked and bounded on receipt

What callers saw: nothing so far; one message of a host with a fault could stop all requests of a host for 0.1 s, as a review measured with 50,000 records, or fill its memory with keys of a million characters.

Cause: records, keys and pools of messages were taken as they came, and records were looked through for any address that asked for them.

Change: 500 records of a message are held, 5,000 of an answer to a started host, each with texts of limited length; 100 pools of a question are looked up; only listed hosts get records. A started host that isn't listed yet is answered with something else than records and asks again. What isn't held is counted as `rejected`, with a line at most every 10 s.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -78,6 +78,10 @@
 START_ATTEMPTS = 4
 """Times that a host that has just started asks a host that doesn't answer."""
 START_PAUSE_S = 1.0
+POOLS_MAX = 100
+"""Pools of a question that are looked up."""
+REJECTED_PAUSE_S = 10.0
+"""Shortest time between lines on rejected records."""
 
 
 class StreamExchange:
@@ -114,6 +118,7 @@
         """Until when holders that acknowledge nothing are told nothing, by the boot-time clock."""
         self._unsent_by_address: dict[str, list[tuple[StreamRecord, int]]] = {}
         """Records to tell, with the number of the attempt."""
+        self._rejected_logged_at = float("-inf")
 
     def start(self) -> None:
         """Start the tasks that fetch what this host should hold, and tell others of its streams."""
@@ -225,7 +230,7 @@
         if isinstance(answer, StreamsNoted):
             self._record_message_of(address)
             self.counts["told"] += len(part)
-            self.own.mark_ambiguous(answer.ambiguous)
+            self.own.mark_ambiguous(answer.ambiguous[:RECORDS_PER_MESSAGE])
             return True
         self.counts["unacknowledged"] += len(part)
         again = [(each, attempt + 1) for each, attempt in part if attempt < TELL_ATTEMPTS]
@@ -324,27 +329,47 @@
         match message:
             case StreamsTold(records, sender):
                 self._record_message_of(sender)
-                return self._hold(records)
+                part = records[:RECORDS_PER_MESSAGE]
+                return self._hold(part, len(records) - len(part))
             case StreamQuestion(sender=sender):
                 self._record_message_of(sender)
                 return self._reply(message)
+            case HeldRequest(address) if address not in self.hosts.region_addresses():
+                # It asks again; its list of hosts may be newer than this one.
+                logger.info("Streams were not sent to %.60s: no known host.", address)
+                return StreamsNoted()
             case HeldRequest(address):
                 # What it is told from now on isn't among the records that it gets.
                 self._record_message_of(address)
                 return StreamsTold(tuple(self._records_for(address))[-HELD_MAX:])
 
-    def _hold(self, records: Iterable[StreamRecord]) -> StreamsNoted:
-        """Hold records; return the keys that several streams have."""
+    def _hold(self, records: Iterable[StreamRecord], rejected: int) -> StreamsNoted:
+        """Hold records; return the keys that several streams have.
+
+        `rejected` is the number of further records of the message that are not held.
+        """
         ambiguous = []
         for record in records:
+            if not record.is_valid:
+                rejected += 1
+                continue
             self.held.put(record)
             known = self.find_known(record.key)
             if known is not None and known.version is None:
                 ambiguous.append(record.key)
+        if rejected > 0:
+            self._record_rejected(rejected)
         return StreamsNoted(tuple(ambiguous))
 
+    def _record_rejected(self, count: int) -> None:
+        self.counts["rejected"] += count
+        now = clocks.now_s()
+        if now >= self._rejected_logged_at + REJECTED_PAUSE_S:
+            self._rejected_logged_at = now
+            logger.warning("%d records of another host are not held: too many, or too long.", count)
+
     def _reply(self, question: StreamQuestion) -> StreamReply:
-        found = ((pool, self.versions.alone(pool)) for pool in question.pools)
+        found = ((pool, self.versions.alone(pool)) for pool in question.pools[:POOLS_MAX])
         alone = tuple(
             AloneVersion(pool, version) for pool, version in found if isinstance(version, str)
         )
@@ -397,8 +422,9 @@
             detail = answer.detail if isinstance(answer, Failure) else "unexpected answer"
             logger.info("Streams of %s were not fetched. %s", address, detail)
             return False
-        self._hold(in_turns(answer.records))
-        self.counts["fetched"] += len(answer.records)
+        records = answer.records[:HELD_MAX]
+        self._hold(in_turns(records), len(answer.records) - len(records))
+        self.counts["fetched"] += len(records)
         return True
 
 
--- a/libs/serving/ruddersaddle_serving/stream_records.py
+++ b/libs/serving/ruddersaddle_serving/stream_records.py
@@ -12,6 +12,8 @@
 
 KEY_CHARS_MAX = 128
 """Streams with a longer request id are not recorded."""
+NAME_CHARS_MAX = 256
+"""Streams of longer workspaces, pools or versions are not held for other hosts."""
 RECORDS_MAX = 50_000
 """Limit on the records of one host; the oldest are dropped."""
 DROPPED_PAUSE_S = 10.0
@@ -42,6 +44,13 @@
     """None if several streams with this key began at different versions."""
     age_s: float = 0.0
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether a record of another host is held: its texts are of limited length."""
+        names = (self.key.workspace, self.pool, self.version)
+        are_short = all(each is None or len(each) <= NAME_CHARS_MAX for each in names)
+        return are_short and self.key.is_valid
+
 
 class StreamsTold(msgspec.Struct, frozen=True, tag="streams"):
     """Asks the receiver to hold records; it answers with `StreamsNoted`."""
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from unittest import mock
 
+from msgspec import structs
 from ruddersaddle_base.codecs import decode_msgpack, encode_msgpack
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, HostId, PoolId, RequestId, SoftwareVersion, WorkspaceId
@@ -14,12 +15,15 @@
 from ruddersaddle_serving.stream_exchanges import (
     HOLDERS,
     MUTE_S,
+    RECORDS_PER_MESSAGE,
     START_ATTEMPTS,
     TELL_ATTEMPTS,
     StreamExchange,
 )
 from ruddersaddle_serving.stream_origins import StreamOrigins
 from ruddersaddle_serving.stream_records import (
+    KEY_CHARS_MAX,
+    NAME_CHARS_MAX,
     StreamKey,
     StreamQuestion,
     StreamRecord,
@@ -526,6 +530,80 @@
         self.assert_turns()
 
 
+class BoundsTest(Fleet):
+    """What another host sends is bounded, also if that host has a fault."""
+
+    def make_records(self, count: int, **fields: object) -> tuple[StreamRecord, ...]:
+        keys = (StreamKey(WorkspaceId("w"), RequestId(f"r-{number}")) for number in range(count))
+        record = StreamRecord(StreamKey(None, RequestId("")), POOL, SoftwareVersion("v1"))
+        return tuple(structs.replace(record, **{"key": key, **fields}) for key in keys)
+
+    def test_records_of_one_message_are_bounded(self) -> None:
+        """50,000 records of one message were held in one turn, of 0.1 s."""
+        exchange = self.exchange_by_address["address-0"]
+        with self.assertLogs(stream_exchanges.logger) as logs:
+            for _ in range(3):
+                exchange.handle(StreamsTold(self.make_records(RECORDS_PER_MESSAGE + 7)))
+        self.assertEqual(len(exchange.held), RECORDS_PER_MESSAGE)
+        self.assertEqual((exchange.counts["rejected"], len(logs.output)), (21, 1))
+
+    def test_long_texts_are_not_held(self) -> None:
+        """A request id of a million characters was held."""
+        exchange = self.exchange_by_address["address-0"]
+        texts = "a" * 10**6
+        long_keys = (
+            StreamKey(WorkspaceId("w"), RequestId(texts)),
+            StreamKey(WorkspaceId(texts), RequestId("r")),
+            StreamKey(WorkspaceId("w"), RequestId("")),
+        )
+        records = [
+            *(each for key in long_keys for each in self.make_records(1, key=key)),
+            *self.make_records(1, pool=PoolId(texts)),
+            *self.make_records(1, version=SoftwareVersion(texts)),
+        ]
+        noted = exchange.handle(StreamsTold(tuple(records)))
+        self.assertEqual((len(exchange.held), noted.ambiguous), (0, ()))
+        self.assertEqual(exchange.counts["rejected"], len(records))
+        key = StreamKey(WorkspaceId("a" * NAME_CHARS_MAX), RequestId("a" * KEY_CHARS_MAX))
+        exchange.handle(StreamsTold(self.make_records(1, key=key)))
+        self.assertEqual(len(exchange.held), 1)
+
+    def test_answers_to_a_started_host_are_bounded(self) -> None:
+        exchange = self.exchange_by_address["address-0"]
+        exchange.peers.ask = lambda *_: StreamsTold(self.make_records(20))
+        with mock.patch.object(stream_exchanges, "HELD_MAX", 5):
+            exchange._fetch_from("address-1")
+        counts = exchange.counts
+        self.assertEqual((len(exchange.held), counts["fetched"], counts["rejected"]), (5, 5, 15))
+
+    def test_unknown_host_gets_no_records(self) -> None:
+        """All records were looked through for any address, and a pause was ended for it."""
+        exchange = self.exchange_by_address["address-0"]
+        answer = exchange.handle(stream_exchanges.HeldRequest("elsewhere"))
+        self.assertNotIsInstance(answer, StreamsTold)
+        answer = exchange.handle(stream_exchanges.HeldRequest("address-1"))
+        self.assertIsInstance(answer, StreamsTold)
+
+    def test_host_that_starts_asks_again_those_that_do_not_know_it_yet(self) -> None:
+        keys = [self.begin("address-0", f"r-{number}") for number in range(20)]
+        self.deliver("address-0")
+        other = self.exchange_by_address["address-0"].hosts
+        other.replace({each: self.records[each] for each in self.records if each != "host-1"})
+        exchange = self.start(HostId("host-1"))
+        with mock.patch("eventlet.sleep", lambda _: other.replace(dict(self.records))):
+            exchange._fetch_at_start()
+        due = [each for each in keys if "address-1" in self.holders_of(each)]
+        self.assertEqual([each for each in due if exchange.held.find(each) is None], [])
+        self.assertEqual(sum(type(each) is stream_exchanges.HeldRequest for each in self.sent), 8)
+
+    def test_pools_of_a_question_are_bounded(self) -> None:
+        exchange = self.exchange_by_address["address-0"]
+        exchange.versions.alone = mock.Mock(return_value=None)
+        pools = tuple(PoolId(f"p-{number}") for number in range(100_000))
+        exchange.handle(StreamQuestion(StreamKey(None, RequestId("r")), pools))
+        self.assertLessEqual(exchange.versions.alone.call_count, stream_exchanges.POOLS_MAX)
+
+
 class CountsTest(Fleet):
     def test_dropped_records_are_counted(self) -> None:
         """Neither own nor held records that the bound dropped were in the metrics."""
