Holders that leave questions unanswered are asked last

What callers saw: each return waited 0.2 s for a holder that was down, and each question to it closed the connection that all messages to that host share.

Cause: holders that had acknowledged nothing were told nothing for 10 s, but were asked all the same; questions that weren't answered had no consequence.

Change: mute holders, and those that left a question unanswered within 2 s, are asked only if no reply has a record of the stream. Not asking them at all while others are left was tried and failed `test_two_of_four_holders_and_the_beginner_may_be_gone`: a host that was back had the only copy, and the return was refused. So a return whose stream is unknown to the others still waits for them and closes connections.

Tests: three of four new ones failed on the former code (with the new constant defined); the fourth, on a pause of the asking process, guards the change.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -57,6 +57,9 @@
 RETELL_PAUSE_S = 0.25
 ASK_TIMEOUT_S = 0.2
 """Longest wait for holders when a caller comes back, in seconds."""
+ASK_AGAIN_S = 2.0
+"""Pause after a question that a holder didn't answer: the time-out of each closes a connection. It
+is short, as a pause of this process or a lost connection looks the same."""
 RECORDS_PER_MESSAGE = 500
 """About 29 KB."""
 MUTE_S = 10.0
@@ -116,6 +119,8 @@
         """Holders that weren't told of some own streams, or didn't acknowledge them."""
         self._mute_until: dict[str, float] = {}
         """Until when holders that acknowledge nothing are told nothing, by the boot-time clock."""
+        self._asked_in_vain_until: dict[str, float] = {}
+        """Until when holders that didn't answer a question are asked last, by the same clock."""
         self._unsent_by_address: dict[str, list[tuple[StreamRecord, int]]] = {}
         """Records to tell, with the number of the attempt."""
         self._rejected_logged_at = float("-inf")
@@ -193,8 +198,9 @@
             self._told_by_key.get(record.key, set()).discard(address)
 
     def _record_message_of(self, address: str) -> None:
-        """Record that a host has answered or sent a message: it is told of streams again."""
+        """Record that a host has answered or sent a message: it is told and asked again."""
         self._mute_until.pop(address, None)
+        self._asked_in_vain_until.pop(address, None)
 
     def _queue(self, address: str, record: StreamRecord) -> None:
         if self._is_mute(address):
@@ -295,11 +301,25 @@
     def ask(self, question: StreamQuestion) -> list[StreamReply]:
         """Ask all that may hold a record; return the replies that come in time.
 
-        All are waited for, as one of them may know of a second stream with the same key.
+        All are waited for, as one of them may know of a second stream with the same key. Those that
+        left messages unanswered are asked only if no other knows the stream.
         """
-        addresses = self.other_holders(question.key)
-        answers: LightQueue[object] = LightQueue()
+        self.counts["asked"] += 1
         question = msgspec.structs.replace(question, sender=self.hosts.own.address)
+        others = self.other_holders(question.key)
+        skipped = [each for each in others if self._is_asked_last(each)]
+        replies = self._ask_all([each for each in others if each not in skipped], question)
+        if any(each.record is not None for each in replies):
+            return replies
+        return replies + self._ask_all(skipped, question)
+
+    def _is_asked_last(self, address: str) -> bool:
+        until = self._asked_in_vain_until.get(address, float("-inf"))
+        return self._is_mute(address) or clocks.now_s() < until
+
+    def _ask_all(self, addresses: list[str], question: StreamQuestion) -> list[StreamReply]:
+        """Ask hosts at the same time; return the replies that come in time."""
+        answers: LightQueue[object] = LightQueue()
         for address in addresses:
             eventlet.spawn(self._ask_into, address, question, answers)
         replies: list[StreamReply] = []
@@ -308,7 +328,6 @@
                 answer = answers.get()
                 if isinstance(answer, StreamReply):
                     replies.append(answer)
-        self.counts["asked"] += 1
         return replies
 
     def _ask_into(
@@ -319,6 +338,8 @@
             answer = self.peers.ask(address, question, TELL_TIMEOUT_S)
             if isinstance(answer, StreamReply):
                 self._record_message_of(address)
+            else:
+                self._asked_in_vain_until[address] = clocks.now_s() + ASK_AGAIN_S
         finally:
             answers.put(answer)
 
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -617,6 +617,74 @@
         self.assertGreater(sum(held), 0)
 
 
+class AskingTest(Fleet):
+    """Each return waited for holders that answer nothing, and closed the connections to them."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.exchange = self.exchange_by_address["address-0"]
+        self.key = StreamKey(None, RequestId("r"))
+        self.others = self.exchange.other_holders(self.key)
+        self.asked: list[str] = []
+        ask = self.exchange.peers.ask
+
+        def record(address: str, *args: object) -> object:
+            self.asked.append(address)
+            return ask(address, *args)
+
+        self.exchange.peers.ask = record
+
+    def hold(self, addresses: list[str]) -> None:
+        """Let only some hosts hold the record of the stream."""
+        for address, each in self.exchange_by_address.items():
+            each.held = StreamRecords(lambda: 60.0)
+            if address in addresses:
+                each.held.put(StreamRecord(self.key, POOL, SoftwareVersion("v1")))
+
+    def ask_holders(self) -> set[str]:
+        """Ask, and return who was asked."""
+        self.asked.clear()
+        self.exchange.ask(StreamQuestion(self.key, (POOL,)))
+        return set(self.asked)
+
+    def test_mute_holders_are_asked_only_if_no_other_knows_the_stream(self) -> None:
+        for count in range(1, len(self.others) + 1):
+            mute, left = self.others[:count], self.others[count:]
+            self.exchange._mute_until = dict.fromkeys(mute, self.now + MUTE_S)
+            if left:
+                self.hold(left[:1])
+                self.assertEqual(self.ask_holders(), set(left))
+            self.hold(mute[:1])
+            self.assertEqual(self.find("address-0", self.key), "v1")
+
+    def test_holder_that_left_a_question_unanswered_is_asked_last_for_a_while(self) -> None:
+        self.hold(self.others)
+        gone = set(self.others[:2])
+        self.down = set(gone)
+        self.assertEqual(self.ask_holders(), set(self.others))
+        self.assertEqual(self.ask_holders(), set(self.others) - gone)
+        self.down.clear()
+        self.now += stream_exchanges.ASK_AGAIN_S
+        self.assertEqual(self.ask_holders(), set(self.others))
+
+    def test_holder_that_sends_something_is_asked_again_at_once(self) -> None:
+        self.hold(self.others)
+        self.down = {self.others[0]}
+        self.ask_holders()
+        self.down.clear()
+        self.assertEqual(self.ask_holders(), set(self.others[1:]))
+        self.exchange.handle(StreamQuestion(self.key, (POOL,), self.others[0]))
+        self.assertEqual(self.ask_holders(), set(self.others))
+
+    def test_all_are_asked_again_after_a_pause_of_this_process(self) -> None:
+        """To the paused process all holders look as if they hadn't answered."""
+        self.hold(self.others)
+        self.down = set(self.others)
+        self.ask_holders()
+        self.down.clear()
+        self.assertEqual(self.ask_holders(), set(self.others))
+
+
 class ReplyTest(Fleet):
     def test_holder_says_which_version_is_alone(self) -> None:
         """A host that has just started can't know it."""
