Own streams are looked through for mute holders a tenth of the time at most

What callers saw: nothing; this bounds a cost that replacing mute holders brought. Each host that becomes mute or ceases to be started one, and beside many hosts of an earlier program version, which stay mute, one would have followed the other.

Change: after a look, the next one for mute holders waits nine times as long as it took. Changes of versions or of the list of hosts don't wait.

--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -72,6 +72,9 @@
 TURN_S = 0.005
 """Time after which other tasks get a turn: after a change of the list of hosts, the candidates of
 each bucket are ranked anew."""
+PAUSE_PER_LOOK = 9.0
+"""Shortest pause after own streams were looked through before that is done again for mute holders,
+by the time that it took. With 20,000 streams it takes 0.3 s, and many hosts may be mute."""
 HELD_MAX = 5000
 """Records that a host that has just started gets from one other host, about 285 KB."""
 CHECK_INTERVAL_S = 0.1
@@ -117,6 +120,8 @@
         """Holders that have acknowledged own streams, or for which these are queued."""
         self._skipped: set[str] = set()
         """Holders that weren't told of some own streams, or didn't acknowledge them."""
+        self._look_again_at = float("-inf")
+        """When own streams may be looked through again for mute holders."""
         self._mute_until: dict[str, float] = {}
         """Until when holders that acknowledge nothing are told nothing, by the boot-time clock."""
         self._asked_in_vain_until: dict[str, float] = {}
@@ -158,13 +163,23 @@
         """
         self.versions.observe()
         telling = frozenset(each for each in self._pools if self.versions.alone(each) is None)
+        now = clocks.now_s()
         mute = frozenset(each for each in self._mute_until if self._is_mute(each))
         state = (self.hosts.digest, telling, mute)
         skipped = {each for each in self._skipped if self._may_tell_again(each)}
         if state == self._told_state and not skipped:
             return
+        is_same = self._told_state is not None and state[:2] == self._told_state[:2]
+        if is_same and now < self._look_again_at:
+            return
         self._told_state = state
         self._skipped -= skipped
+        self._tell_all(telling)
+        ended_at = clocks.now_s()
+        self._look_again_at = ended_at + PAUSE_PER_LOOK * (ended_at - now)
+
+    def _tell_all(self, telling: frozenset[PoolId]) -> None:
+        """Look through all own streams, and tell holders of those in some pools."""
         present = set()
         for record in in_turns(self.own.all()):
             present.add(record.key)
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -530,6 +530,29 @@
         self.assert_turns()
 
 
+class LookTest(Fleet):
+    def test_streams_are_looked_through_for_mute_holders_a_tenth_of_the_time(self) -> None:
+        """With many hosts of an earlier program version, it was done without a pause."""
+        exchange = self.exchange_by_address["address-0"]
+        looks: list[float] = []
+
+        def look(telling: frozenset) -> None:
+            looks.append(self.now)
+            self.now += 0.5
+
+        exchange._tell_all = look
+        ends_at = self.now + 100.0
+        while self.now < ends_at:
+            exchange._mute_until = {f"address-{len(looks) % 7 + 1}": self.now + MUTE_S}
+            exchange.tell_untold()
+            self.now += 0.1
+        self.assertLessEqual(len(looks) * 0.5, 11.0)
+        self.assertGreater(len(looks), 10)
+        exchange.hosts.replace({})
+        exchange.tell_untold()
+        self.assertAlmostEqual(looks[-1], self.now - 0.5)
+
+
 class BoundsTest(Fleet):
     """What another host sends is bounded, also if that host has a fault."""
 
