--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 
 from ruddersaddle_serving.placements import Choice
@@ -96,6 +97,7 @@
             return failure
         head = self._await_head()
         if isinstance(head, Failure):
+            self.is_invalid = self.exchange.has_invalid_head
             return head
         self.choice.tracker.record_reached()
         if self._is_from_chosen(head):
@@ -141,6 +143,8 @@
         """Return the head, or why this answer must not reach the caller."""
         if head.not_run:
             return self._refusal(head)
+        if head.framing is Framing.INVALID:
+            return self._invalid("the length of the body is stated wrongly")
         if head.request != self.request.id:
             return self._invalid("the answer belongs to another request")
         if head.encoded:
@@ -171,6 +175,8 @@
 
     def _drain_refusal(self) -> None:
         """Read the refusal's body so that its connection can be reused."""
+        if self.exchange.head.framing is Framing.INVALID:
+            return
         data = self.exchange.read_all(65536)
         if isinstance(data, Failure):
             logger.debug("Body of a refusal was not read completely. %s", data.detail)
@@ -222,7 +228,8 @@
             return
         self._finished = True
         self.choice.tracker.in_flight -= 1
-        if self.exchange is not None and self.exchange.has_ended:
+        is_alive = self.is_cut_short and not self.is_broken
+        if self.exchange is not None and (self.exchange.has_ended or is_alive):
             self._reachability = Reachability.RESPONDED
         if self._reachability is not Reachability.RESPONDED and self.lacks_path:
             # Other hosts may reach the upstream.
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -6,14 +6,20 @@
 import eventlet
 import msgspec
 from ruddersaddle_base import clocks
+from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
 from ruddersaddle_routing.retries import RetryBudget
 
-from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, Framing, ordinary_end
+from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
 from ruddersaddle_serving.crash_watches import CrashWatch
-from ruddersaddle_serving.event_streams import EventSplitter
+from ruddersaddle_serving.event_streams import (
+    EVENT_STREAM,
+    ByteStream,
+    EventSplitter,
+    content_type,
+)
 from ruddersaddle_serving.placements import (
     RETRY_SOON_S,
     Choice,
@@ -121,7 +127,7 @@
         self.outcome: AttemptOutcome | None = None
         """Record of the attempt's outcome, once it was sent."""
         self.relaying: Relaying | None = None
-        self.splitter = EventSplitter()
+        self.splitter: EventSplitter | ByteStream = EventSplitter()
         self.pool: PoolId | None = None
         self._excluded: set[UpstreamId] = set()
         self._sent_count = 0
@@ -358,6 +364,8 @@
     def _read_complete(self, head: AnswerHead) -> BufferedAnswer | Failure:
         body = self.attempt.exchange.read_all(ANSWER_BYTES_MAX)
         upstream = self.attempt.choice.tracker.id
+        if not isinstance(body, Failure) and _ends_inside_event(head, body):
+            body = self.attempt.break_off("ended inside an event")
         if isinstance(body, Failure):
             self._end_broken(body)
             return body
@@ -386,10 +394,7 @@
         self._first_events = b""
         if self.request.pin is not None and not self.attempt.has_same_upstream:
             return self._leave_replaced()
-        self.splitter.begin_answer()
-        events = self._read_events()
-        if not events and head.framing is Framing.CONNECTION:
-            events = self.attempt.break_off("the connection ended before the first event")
+        events = self._read_first_events(head)
         if isinstance(events, Failure):
             self._end_broken(events)
             return events
@@ -400,6 +405,17 @@
         self._pin_to_attempt()
         return head
 
+    def _read_first_events(self, head: AnswerHead) -> bytes | Failure:
+        if content_type(head.headers) not in (None, EVENT_STREAM):
+            if self.splitter.last_id is not None:
+                return self.attempt.break_off("the resumed part is not a stream of events")
+            self.splitter = ByteStream()
+        else:
+            if isinstance(self.splitter, ByteStream):
+                self.splitter = EventSplitter()
+            self.splitter.begin_answer()
+        return self._read_events()
+
     def _leave_replaced(self) -> Failure:
         """Leave an upstream that may have another software version than the stream's."""
         upstream = self.attempt.entry.id
@@ -428,12 +444,24 @@
             data = exchange.read_some()
             if isinstance(data, Failure):
                 return data
-            if not data and self.splitter.is_inside_event:
-                return self.attempt.break_off(f"ended inside an event after {self._last_event()}")
+            cut_short = None if data else self._find_early_end()
+            if cut_short is not None:
+                return self.attempt.break_off(cut_short)
             events = self.splitter.feed(data) if data else self.splitter.flush()
             if events or not data:
                 return events
 
+    def _find_early_end(self) -> str | None:
+        """Return what shows that the attempt's stream has ended too early; None if nothing does."""
+        if self.splitter.is_inside_event:
+            return f"ended inside an event after {self._last_event()}"
+        # A part that goes on after an event may have nothing left to send.
+        is_resumed = self.attempt.last_event is not None
+        is_unframed = self.attempt.exchange.head.framing is Framing.CONNECTION
+        if is_unframed and not self.splitter.has_event and not is_resumed:
+            return "the connection ended before the first event"
+        return None
+
     def _last_event(self) -> str:
         last_id = self.splitter.last_id
         return "no event" if last_id is None else f"event {last_id[:LOGGED_ID_CHARS]}"
@@ -448,36 +476,41 @@
             yield from self._relayed_events()
             return
         framing = self.attempt.exchange.head.framing
-        yield self._first_events
+        events = self._first_events
         while True:
+            yield events
             events = self._read_events()
-            if isinstance(events, Failure):
-                self._end_broken(events)
-                failure = self._resume(events)
+            failure = events if isinstance(events, Failure) else None
+            if failure is not None:
+                self._end_broken(failure)
+            elif events:
+                self._record_data(events)
+            else:
+                failure = self._end_stream(framing)
+                if failure is None:
+                    return
+            if failure is not None:
+                failure = self._resume(failure)
                 if failure is not None:
                     yield failure
                     return
                 events = self._first_events
-            elif not events:
-                yield from self._end_stream(framing)
-                return
-            else:
-                self._record_data(events)
-            yield events
 
-    def _end_stream(self, framing: Framing) -> Iterator[Failure]:
+    def _end_stream(self, framing: Framing) -> Failure | None:
         """End a stream that ended between events; `framing` is that of the caller's answer.
 
-        The caller isn't told that it is complete if its last part ended with its connection.
+        The caller isn't told that it is complete if its last part ended with its connection: more
+        may follow at another upstream.
         """
         outcome = "whole"
         is_complete = self._record_ordinary_end(self.attempt.exchange.head) is AnswerEnd.COMPLETE
         if not is_complete:
             outcome = f"ended with its connection after {self._last_event()}"
         self._end_attempt(False, outcome)
-        if framing is Framing.DELIMITED and not is_complete:
-            detail = f"the resumed part {outcome}"
-            yield Failure(Code.UPSTREAM_FAILED, Step.READ, self.trace.upstream, detail, Ran.RAN)
+        if is_complete or framing is Framing.CONNECTION:
+            return None
+        detail = f"the resumed part {outcome}"
+        return Failure(Code.UPSTREAM_FAILED, Step.READ, self.trace.upstream, detail, Ran.RAN)
 
     def _relayed_events(self) -> Iterator[bytes | Failure]:
         for events in self.relaying.events():
@@ -536,11 +569,14 @@
             self.outcome.record_data()
 
     def _record_ordinary_end(self, head: AnswerHead) -> AnswerEnd:
-        """Record that an answer came to its end; only a complete success clears its request."""
+        """Record that an answer came to its end; a complete success clears its request."""
         end = ordinary_end(head.framing)
         self.forwarder.ends.record(end)
-        if end is AnswerEnd.COMPLETE and head.status < 300:
-            self.forwarder.crash_watch.record_complete(self.request.fingerprint)
+        crash_watch, fingerprint = self.forwarder.crash_watch, self.request.fingerprint
+        if head.status < 300 and end is AnswerEnd.COMPLETE:
+            crash_watch.record_complete(fingerprint)
+        elif head.status < 300 and end is AnswerEnd.CONNECTION_CLOSED:
+            crash_watch.record_closed(self.attempt.choice.tracker, fingerprint)
         return end
 
     def _end_broken(self, failure: Failure) -> None:
@@ -583,5 +619,14 @@
         return waited_s > UNRESPONSIVE_FACTOR * expected_s
 
 
+def _ends_inside_event(head: AnswerHead, body: bytes) -> bool:
+    """Return whether a buffered answer is a stream that was broken off."""
+    if content_type(head.headers) != EVENT_STREAM:
+        return False
+    splitter = EventSplitter()
+    splitter.feed(body)
+    return splitter.is_inside_event
+
+
 def _may_have_run(result: BufferedAnswer | AnswerHead | Failure) -> bool:
     return isinstance(result, Failure) and result.ran is not Ran.NOT_RUN
--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -7,12 +7,13 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from zlib import crc32
 
 import eventlet
 import msgspec
 from eventlet.queue import LightQueue
+from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, PoolId
 from ruddersaddle_routing.rendezvous import rank_names
@@ -43,7 +44,9 @@
 BUCKETS = 1024
 """Keys are hashed to so many buckets, each with its holders, as ranking 450 hosts takes 0.3 ms."""
 TELL_INTERVAL_S = 0.015
-"""Interval of the messages to one holder; a message costs sender and receiver about 0.2 ms."""
+"""Pause after a message to a holder, in which further records gather; a message costs sender and
+receiver about 0.2 ms. The first record of a pause isn't held back: a host that was killed within
+15 ms of a first event took the only record of the stream with it."""
 TELL_TIMEOUT_S = 1.0
 """A connection whose message isn't answered for this long is closed."""
 TELL_ATTEMPTS = 4
@@ -52,9 +55,16 @@
 ASK_TIMEOUT_S = 0.2
 """Longest wait for holders when a caller comes back, in seconds."""
 RECORDS_PER_MESSAGE = 500
-"""About 50 KB."""
+"""About 29 KB."""
+MUTE_S = 10.0
+"""Pause after a record was told in vain: each message that isn't answered closes a connection, also
+those to hosts of a program version that doesn't know it."""
+QUEUED_MAX = 5000
+"""Records that wait for a mute holder; the oldest are dropped."""
+RECORDS_PER_TURN = 200
+"""Records that are looked through before other tasks get a turn, some 0.5 ms."""
 HELD_MAX = 5000
-"""Records that a host that has just started gets from one other host."""
+"""Records that a host that has just started gets from one other host, about 285 KB."""
 CHECK_INTERVAL_S = 0.1
 """Interval of checks whether another version has appeared or the list of hosts has changed."""
 START_ASKED_AT_ONCE = 16
@@ -88,6 +98,8 @@
         """List of hosts and pools with streams to tell of, when holders were last told."""
         self._told_by_key: dict[StreamKey, set[str]] = {}
         """Holders that were told of own streams, acknowledged or not yet."""
+        self._mute_until: dict[str, float] = {}
+        """Until when holders that acknowledge nothing are told nothing, by the boot-time clock."""
         self._unsent_by_address: dict[str, list[tuple[StreamRecord, int]]] = {}
         """Records to tell, with the number of the attempt."""
 
@@ -116,13 +128,14 @@
 
         Another version has appeared in a pool, or other hosts have become holders.
         """
+        self.versions.observe()
         telling = frozenset(each for each in self._pools if self.versions.alone(each) is None)
         state = (self.hosts.digest, telling)
         if state == self._told_state:
             return
         self._told_state = state
         present = set()
-        for record in self.own.all():
+        for record in in_turns(self.own.all()):
             present.add(record.key)
             if record.pool in telling and record.version is not None:
                 self._tell(record)
@@ -139,10 +152,17 @@
                 self._queue(address, record)
 
     def _queue(self, address: str, record: StreamRecord) -> None:
+        if clocks.now_s() < self._mute_until.get(address, float("-inf")):
+            self.counts["unacknowledged"] += 1
+            return
         is_sending = address in self._unsent_by_address
-        self._unsent_by_address.setdefault(address, []).append((record, 1))
+        queued = self._unsent_by_address.setdefault(address, [])
+        queued.append((record, 1))
+        if len(queued) > QUEUED_MAX:
+            del queued[0]
+            self.counts["unacknowledged"] += 1
         if not is_sending:
-            eventlet.spawn_after(TELL_INTERVAL_S, self._send_all, address)
+            eventlet.spawn(self._send_all, address)
 
     def _send_all(self, address: str) -> None:
         """Send a holder what is queued for it, one message after another."""
@@ -170,6 +190,7 @@
         if len(again) < len(part):
             lost = len(part) - len(again)
             logger.warning("Holder %s has not acknowledged %d streams.", address, lost)
+            self._mute_until[address] = clocks.now_s() + MUTE_S
         return False
 
     # Holders
@@ -264,7 +285,7 @@
 
     def _records_for(self, address: str) -> Iterable[StreamRecord]:
         for records in (self.held, self.own):
-            for record in records.all():
+            for record in in_turns(records.all()):
                 if address in self.holders(record.key):
                     yield record
 
@@ -293,3 +314,11 @@
         self._hold(answer.records)
         self.counts["fetched"] += len(answer.records)
         return len(answer.records)
+
+
+def in_turns(records: Iterable[StreamRecord]) -> Iterator[StreamRecord]:
+    """Yield records, and give other tasks a turn now and then."""
+    for number, record in enumerate(records, 1):
+        yield record
+        if number % RECORDS_PER_TURN == 0:
+            eventlet.sleep(0)
