--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from ruddersaddle_base import clocks
 from ruddersaddle_base.loggers import count_dropped
 
 from ruddersaddle_serving.metric_pages import (
@@ -9,7 +10,9 @@
     format_gauges,
     format_histograms,
     format_labelled,
+    format_labelled_gauges,
 )
+from ruddersaddle_serving.polled_sockets import EXPIRIES
 from ruddersaddle_serving.regions.metrics import region_lines
 from ruddersaddle_serving.rollouts.metric_lines import format_rollouts
 
@@ -41,6 +44,14 @@
     lines += format_counters("store_calls", "calls to the store", host.store.calls_by_kind)
     lines += format_counters("contexts", "cached context by action", host.cached_parts.counts)
     lines += format_counters("orders", "orders to engines", host.rollouts.counts)
+    lines += format_labelled_gauges(
+        "lease_holder",
+        "1 for the holder of the lease as this host last read it",
+        [({"holder": host.rollouts.lease.holder_name or "none"}, 1)],
+    )
+    lines += format_counters(
+        "socket_timeouts", "expired time-outs by what the socket showed", EXPIRIES.by_kind
+    )
     lines += format_rollouts(host.service_rollouts)
     if host.residency.is_in_use:
         lines += format_counters("residency", "effects of allowed regions", host.residency.counts)
@@ -113,6 +124,12 @@
             host.pool_versions.count_divided(),
         ),
         ("streams_held", "streams of other hosts on record", len(host.streams.held)),
+        ("lease_held_seconds", "seconds since this host took the lease", _lease_held_s(host)),
+        (
+            "lease_yields",
+            "holders in a row that left the lease without an order",
+            host.rollouts.lease.yields,
+        ),
         ("crash_suspects", "requests that may have crashed an upstream", suspects),
         ("crash_records_shared", "suspects known to all hosts", len(records.shared())),
         ("crash_suspects_cleared", "suspects that completed", records.cleared),
@@ -120,6 +137,13 @@
     )
 
 
+def _lease_held_s(host: "EntryHost") -> float:
+    """Return for how long this host has held the lease; 0 if it can give no orders."""
+    lease = host.rollouts.lease
+    is_held = lease.held_since is not None and lease.may_order
+    return clocks.now_s() - lease.held_since if is_held else 0.0
+
+
 def _count_evacuated(host: "EntryHost") -> int:
     return len(host.publications.evacuations.in_force())
 
--- a/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_weight_rollouts.py
@@ -54,7 +54,15 @@
         self.publications = Publications()
         self.upstreams = UpstreamList()
         self.trackers = Trackers()
-        self.lease = mock.Mock(is_holder=True, may_order=True, fence=7, holder="host", lease_s=3.0)
+        self.lease = mock.Mock(
+            is_holder=True,
+            may_order=True,
+            fence=7,
+            holder="host",
+            lease_s=3.0,
+            yields=0,
+            held_since=None,
+        )
         self.lease.acquire.return_value = True
         self.neighbours = mock.Mock(load_message_at=0.0, live_hosts=["a"], address="a")
         self.neighbours.loads.lag_s = 0.0
@@ -142,6 +150,55 @@
         self.run_for(rollouts, 20)
         self.assertEqual(len(self.engines.orders), 10)
 
+    def test_third_holder_in_a_row_keeps_the_lease_for_a_while(self) -> None:
+        """At 86 hosts each holder left the lease in turn, and no order was given."""
+        self.lease.yields = weight_rollouts.YIELDS_MAX
+        rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(10)})
+        self.respond_to_others(rollouts, 0.0)
+        self.run_for(rollouts, 6)
+        self.lease.leave.assert_not_called()
+        self.engines.unresponsive.clear()
+        self.run_for(rollouts, 20)
+        self.assertEqual(len(self.engines.orders), 10)
+
+    def test_third_holder_that_stays_cut_off_leaves_the_lease(self) -> None:
+        self.lease.yields = weight_rollouts.YIELDS_MAX
+        rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(10)})
+        self.respond_to_others(rollouts, 0.0)
+        with mock.patch.object(weight_rollouts, "KEPT_S", 0.05):
+            self.run_for(rollouts, 8)
+        self.lease.leave.assert_called_once_with()
+
+    def test_failures_while_the_process_was_late_say_nothing_about_engines(self) -> None:
+        rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(10)})
+        self.respond_to_others(rollouts, 0.0)
+        rollouts._late_s = weight_rollouts.LATE_MAX_S + 0.1
+        self.run_for(rollouts, 6)
+        self.lease.leave.assert_not_called()
+        self.assertGreater(rollouts.counts["unreached_late"], 0)
+        rollouts._late_s = 0.0
+        self.run_for(rollouts, 6)
+        self.lease.leave.assert_called_once_with()
+
+    def test_lateness_of_this_process_belongs_to_the_line_of_a_failed_read(self) -> None:
+        """Without it a time-out of a busy host looks like one of the engine."""
+        rollouts = self.make(1, {"10.0.0.0:1"})
+        blocked_s = weight_rollouts.LATE_MAX_S + 0.1
+        eventlet.spawn_after(0.02, eventlet.patcher.original("time").sleep, blocked_s)
+        rollouts._pause(0.05)
+        self.assertGreater(rollouts.late_s, weight_rollouts.LATE_MAX_S)
+        with self.assertLogs(weight_rollouts.logger, "INFO") as logs:
+            self.run_for(rollouts, 2)
+        self.assertEqual(logs.records[0].late_ms, round(rollouts.late_s * 1000))
+
+    def test_end_of_a_naming_is_told_with_its_orders(self) -> None:
+        rollouts = self.make(3, set())
+        with self.assertLogs(weight_rollouts.logger, "INFO") as logs:
+            self.run_for(rollouts, 10)
+        told = [each for each in logs.output if "All engines of m have weights 2" in each]
+        self.assertEqual(len(told), 1)
+        self.assertIn("gave 3 orders", told[0])
+
     def test_holder_keeps_the_lease_if_engines_respond_to_nobody(self) -> None:
         rollouts = self.make(10, {f"10.0.0.{number}:1" for number in range(9)})
         self.respond_to_others(rollouts, weight_rollouts.RESPONSIVE_S + 1.0)
