A return isn't refused before silent holders were asked once more

What callers saw: a return could be refused as `unknown` although its holders were up, if their answers came later than 0.2 s.

Cause: silent holders were asked once more only if nobody answered. Since six candidates are asked, two or more of them were not told of the stream and answer that they don't know it; with such an answer nobody was asked again.

Change: holders are asked once more also if some didn't answer and the others don't know the stream.

Test: a new one failed on the former code. That this was the cause is not shown.

--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -131,9 +131,12 @@
             replies = [StreamReply(record), *self.exchange.ask(question)]
             found = self._from_replies(replies, pools, drawn)
             return msgspec.structs.replace(found, finding=Finding.HERE) if found.pin else found
-        found = self._from_replies(self.exchange.ask(question), pools, drawn)
-        if found.finding is Finding.UNREACHABLE and self.exchange.other_holders(key):
-            # A pause of this process, or a connection that was dead, looks the same.
+        replies = self.exchange.ask(question)
+        found = self._from_replies(replies, pools, drawn)
+        is_missing_some = len(replies) < len(self.exchange.other_holders(key))
+        if found.finding in (Finding.UNREACHABLE, Finding.UNKNOWN) and is_missing_some:
+            # A pause of this process, or a connection that was dead, looks the same. Others may
+            # have answered that were not told of the stream.
             found = self._from_replies(self.exchange.ask(question), pools, drawn)
         for _ in range(ASKED_AGAIN):
             if found.finding is not Finding.UNKNOWN or not self.versions.is_changing(pools):
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -149,6 +149,17 @@
         self.assertIs(self.find().finding, Finding.UNREACHABLE)
         self.assertEqual(self.exchange.ask.call_count, 2)
 
+    def test_holders_are_asked_once_more_if_only_others_answered_that_were_not_told(self) -> None:
+        """The return was refused, as hosts that know nothing answered before the holders."""
+        answers = [[StreamReply(None)], [StreamReply(None), StreamReply(RECORD)]]
+        self.exchange.ask.side_effect = lambda question: answers.pop(0)
+        self.holders = ["address-1", "address-2"]
+        self.assertIs(self.find().finding, Finding.HOLDER)
+        self.exchange.ask.reset_mock(side_effect=True)
+        self.exchange.ask.return_value = [StreamReply(None), StreamReply(None)]
+        self.assertIs(self.find().finding, Finding.UNKNOWN)
+        self.assertEqual(self.exchange.ask.call_count, 1)
+
     def test_return_is_recorded_under_the_first_request(self) -> None:
         """A later return names the same request."""
         for last, request in (("3", "first"), (None, "second")):
