Which pools share a route is looked up once, not for each stream

PoolVersions.has_several had no caller left; its one assertion in a test asks for the versions themselves now.

--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -128,11 +128,6 @@
             return None
         return next(iter(seen))
 
-    def has_several(self) -> bool:
-        """Return whether several versions of the pools of any route are known here."""
-        self.observe()
-        return any(len(self.seen_beside(pool)) > 1 for pool in list(self._sight_by_version))
-
     @property
     def is_list_whole(self) -> bool:
         """Whether all upstreams that are alive are listed: it is recent, and not the first one."""
--- a/libs/serving/ruddersaddle_serving/route_pools.py
+++ b/libs/serving/ruddersaddle_serving/route_pools.py
@@ -24,6 +24,10 @@
         self._table = RouteTable(PublishedConfiguration(0))
         self._last_at_by_pool: dict[RoutePath, dict[PoolId, float]] = {}
         """When routes last had their pools, by the boot-time clock; infinity for present ones."""
+        self._beside_by_pool: dict[PoolId, set[PoolId]] = {}
+        """Results of `beside`, for which each stream asks: one takes 0.6 ms with 500 routes."""
+        self._beside_until = -math.inf
+        """Until when these results hold."""
 
     def apply_table(self, table: RouteTable) -> None:
         """Apply the routes of a configuration."""
@@ -41,6 +45,7 @@
             if route.resumable:
                 found[_path_of(route)].update({each.pool: math.inf for each in route.targets})
         self._table = table
+        self._beside_until = -math.inf
         self._last_at_by_pool = {path: self._recent(pools) for path, pools in found.items()}
 
     def _pools_until_now(self, path: RoutePath) -> dict[PoolId, float]:
@@ -56,6 +61,21 @@
 
     def beside(self, pool: PoolId) -> set[PoolId]:
         """Return the pools that share a resumable route with a pool, itself included."""
+        if clocks.now_s() > self._beside_until:
+            self._beside_by_pool = {}
+            self._beside_until = self._next_end()
+        found = self._beside_by_pool.get(pool)
+        if found is None:
+            found = self._beside_by_pool[pool] = self._find_beside(pool)
+        return found
+
+    def _next_end(self) -> float:
+        """Return when the next pool that its route has left no longer counts."""
+        now, memory_s = clocks.now_s(), self.memory_s()
+        times = (each for pools in self._last_at_by_pool.values() for each in pools.values())
+        return min((each + memory_s for each in times if each + memory_s >= now), default=math.inf)
+
+    def _find_beside(self, pool: PoolId) -> set[PoolId]:
         pools_of_routes = map(self._recent, self._last_at_by_pool.values())
         return {pool}.union(*(each for each in pools_of_routes if pool in each))
 
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -112,7 +112,7 @@
         self.versions.seen(POOL)
         self.pass_time(MEMORY_S + 1)
         self.assertEqual([self.versions.alone(each) for each in (POOL, other)], [None, None])
-        self.assertTrue(self.versions.has_several())
+        self.assertEqual(self.versions.seen_beside(POOL), {"v1", "v2"})
         self.versions.route_pools.apply_table(make_table([POOL], [other]))
         self.pass_time(MEMORY_S + 1)
         self.assertEqual([self.versions.alone(each) for each in (POOL, other)], ["v1", "v2"])
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -72,7 +72,6 @@
             alone=lambda pool: self.alone.get(record.address),
             seen=lambda pool: {"v1", "v2"},
             is_changing=lambda pools: False,
-            has_several=lambda: True,
             upstreams=mock.Mock(complete=True),
         )
         own, held = StreamRecords(lambda: 60.0), StreamRecords(lambda: 60.0)
@@ -411,7 +410,6 @@
         self.deliver("address-0")
         for host in self.records:
             exchange = self.start(host)
-            exchange.versions.has_several = lambda: False
             exchange.versions.upstreams.complete = False
             with mock.patch("eventlet.sleep", side_effect=AssertionError("waits")):
                 exchange._fetch_at_start()
