Lines of requests and crashes name the shared parts of prompts

A request's line has its first eight shared parts now; a crash's line has the parts of most runs with their counts, how many runs had begun to answer, and how long before the line the first run broke off.

No decision changes.

--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -7,15 +7,18 @@
 """
 
 import logging
+from collections import Counter
 from collections.abc import Callable
+from typing import Any
 
 import eventlet
+import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import PoolId
 
 from ruddersaddle_serving.crash_records import CRASHES_MAX, Crash, CrashRecords
-from ruddersaddle_serving.fingerprints import Fingerprint
+from ruddersaddle_serving.fingerprints import Fingerprint, PartKey
 from ruddersaddle_serving.ports import Engines, Presence
 from ruddersaddle_serving.trackers import Tracker
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
@@ -38,9 +41,21 @@
 OUTCOME_WAIT_S = 0.5
 """Longest wait for the outcome of probing; two probes that find the address down take 0.1 s."""
 OUTCOME_POLL_S = 0.01
+LOGGED_PARTS_MAX = 16
+"""Parts that the line of a crash names."""
 MS_PER_S = 1000
 
 
+class BrokenRun(msgspec.Struct, frozen=True):
+    """A run whose connection ended before its answer was complete."""
+
+    fingerprint: Fingerprint
+    parts: tuple[PartKey, ...] = ()
+    """Shared parts of its prompt."""
+    has_begun: bool = False
+    """Whether the upstream had sent the head of its answer."""
+
+
 class CrashWatch:
     """Probes the upstreams on which runs of this host broke off, and refuses requests that crash
     upstreams."""
@@ -62,7 +77,7 @@
         """Upstreams that crashed while running requests of this host, upstreams that were still
         alive after a run broke off, those that this host alone could not reach then, and requests
         that were refused because they crash upstreams."""
-        self._broken_by_instance: dict[UpstreamInstance, dict[Fingerprint, None]] = {}
+        self._broken_by_instance: dict[UpstreamInstance, dict[Fingerprint, BrokenRun]] = {}
 
     # Decisions
 
@@ -105,23 +120,23 @@
         if self.records.record_complete(fingerprint, clocks.unix_ms()):
             self.notify_cleared(fingerprint)
 
-    def record_closed(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
+    def record_closed(self, tracker: Tracker, run: BrokenRun) -> None:
         """Record a run whose answer ended with its connection, maybe by a crash of its upstream.
 
         The upstream is probed for suspects only. Probing it after each answer would double the
         calls to upstreams whose answers all end so.
         """
-        if self.records.count(fingerprint):
-            eventlet.spawn(self._check_closed, tracker, fingerprint)
+        if self.records.count(run.fingerprint):
+            eventlet.spawn(self._check_closed, tracker, run)
 
-    def _check_closed(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
+    def _check_closed(self, tracker: Tracker, run: BrokenRun) -> None:
         match self.engines.presence(tracker.entry.address, tracker.entry.instance):
             case Presence.PRESENT:
-                self.record_complete(fingerprint)
+                self.record_complete(run.fingerprint)
             case Presence.DOWN | Presence.REPLACED:
-                self.record_broken(tracker, fingerprint)
+                self.record_broken(tracker, run)
 
-    def record_broken(self, tracker: Tracker, fingerprint: Fingerprint) -> None:
+    def record_broken(self, tracker: Tracker, run: BrokenRun) -> None:
         """Record that a run broke off, and start to probe its upstream."""
         entry = tracker.entry
         listed = self.upstreams.by_id.get(entry.id)
@@ -131,7 +146,7 @@
         is_probed = entry.instance in self._broken_by_instance
         broken = self._broken_by_instance.setdefault(entry.instance, {})
         if len(broken) < FINGERPRINTS_MAX:
-            broken[fingerprint] = None
+            broken[run.fingerprint] = run
         if not is_probed:
             eventlet.spawn(self._check_instance, tracker, entry.instance)
 
@@ -144,21 +159,21 @@
         try:
             has_crashed = self._has_crashed(tracker, instance, broken_at)
         finally:
-            broken = tuple(self._broken_by_instance.pop(instance))
+            runs = self._broken_by_instance.pop(instance)
         if not has_crashed and self._lacks_path(tracker, broken_at):
             self.counts["unreachable"] += 1
             logger.info(
-                "Upstream %s is beyond this host's path; %d runs broke off.", instance, len(broken)
+                "Upstream %s is beyond this host's path; %d runs broke off.", instance, len(runs)
             )
             return
         if not has_crashed:
             self.counts["reset"] += 1
-            logger.info("Upstream %s is alive; %d runs on it broke off.", instance, len(broken))
+            logger.info("Upstream %s is alive; %d runs on it broke off.", instance, len(runs))
             return
         self.counts["crash"] += 1
-        fields = {"fingerprints": broken}
-        logger.warning("Upstream %s crashed with %d runs.", instance, len(broken), extra=fields)
-        self.notify_crash(Crash(instance, broken))
+        fields = _crash_fields(runs, clocks.now_s() - broken_at)
+        logger.warning("Upstream %s crashed with %d runs.", instance, len(runs), extra=fields)
+        self.notify_crash(Crash(instance, tuple(runs)))
 
     def _lacks_path(self, tracker: Tracker, broken_at: float) -> bool:
         """Return whether refused connections may be due to this host's own path."""
@@ -183,3 +198,14 @@
             if down_count >= (DOWN_MIN if is_alone else SEVERAL_DOWN_MIN):
                 return True
         return False
+
+
+def _crash_fields(runs: dict[Fingerprint, BrokenRun], age_s: float) -> dict[str, Any]:
+    """Return the fields of a crash's log line; the parts are those of most runs first."""
+    counts = Counter(part for run in runs.values() for part in run.parts)
+    return {
+        "fingerprints": tuple(runs),
+        "begun": sum(run.has_begun for run in runs.values()),
+        "parts": [f"{part} {count}" for part, count in counts.most_common(LOGGED_PARTS_MAX)],
+        "age_ms": round(MS_PER_S * age_s),
+    }
--- a/libs/serving/ruddersaddle_serving/fingerprints.py
+++ b/libs/serving/ruddersaddle_serving/fingerprints.py
@@ -1,4 +1,4 @@
-"""Content-based fingerprints of requests, by which all hosts recognize a repeated request."""
+"""Content-based names, by which all hosts recognize a repeated request or a part of prompts."""
 
 from hashlib import blake2b
 from typing import NewType
@@ -6,6 +6,12 @@
 Fingerprint = NewType("Fingerprint", str)
 """Two requests share it if they have the same method, target, workspace and body."""
 
+PartKey = NewType("PartKey", str)
+"""Model and id of a part of prompts. Ids are derived from the part's content, so that they name the
+same part in all workspaces; engines of another model handle it in their own way."""
+PART_KEY_CHARS_MAX = 120
+"""Longer keys are replaced by their digest."""
+
 DIGEST_BYTES = 16
 """Finding a second request with a given digest takes 2^128 attempts, so no caller can forge another
 one's fingerprint. Hashing takes 1.5 us for 830 bytes and 4.5 ms for 4 MB on one core."""
@@ -24,3 +30,11 @@
         digest.update(len(field).to_bytes(LENGTH_BYTES, "big"))
         digest.update(field)
     return Fingerprint(digest.hexdigest())
+
+
+def make_part_key(model: str, part: str) -> PartKey:
+    """Return the key of a part of prompts for a model."""
+    key = f"{model}/{part}"
+    if len(key) <= PART_KEY_CHARS_MAX:
+        return PartKey(key)
+    return PartKey(blake2b(key.encode(), digest_size=DIGEST_BYTES).hexdigest())
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -13,7 +13,7 @@
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
-from ruddersaddle_serving.crash_watches import CrashWatch
+from ruddersaddle_serving.crash_watches import BrokenRun, CrashWatch
 from ruddersaddle_serving.event_streams import (
     EVENT_STREAM,
     ByteStream,
@@ -609,7 +609,7 @@
         if head.status < 300 and end is AnswerEnd.COMPLETE:
             crash_watch.record_complete(fingerprint)
         elif head.status < 300 and end is AnswerEnd.CONNECTION_CLOSED:
-            crash_watch.record_closed(self.attempt.choice.tracker, fingerprint)
+            crash_watch.record_closed(self.attempt.choice.tracker, self._broken_run())
         return end
 
     def _end_broken(self, failure: Failure) -> None:
@@ -628,11 +628,16 @@
         self.trace.attempts.append(outcome)
         if self.attempt.is_broken:
             self.forwarder.crash_watch.record_broken(
-                self.attempt.choice.tracker, self.request.fingerprint
+                self.attempt.choice.tracker, self._broken_run()
             )
         self._finish_outcome(is_cut=False)
         self.attempt.finish(failed)
 
+    def _broken_run(self) -> BrokenRun:
+        request = self.request
+        has_begun = self.attempt.exchange.head is not None
+        return BrokenRun(request.fingerprint, request.part_keys, has_begun)
+
     def finish(self) -> None:
         """End the request at any stage; an incomplete answer's connection is closed."""
         if self.relaying is not None:
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -60,6 +60,8 @@
 """Retry delay while a host has no configuration yet; it polls for one every 0.3 to 0.6 s."""
 STARTUP_POLL_S = 0.01
 """Interval at which a waiting request checks whether the host has finished starting."""
+LOGGED_PARTS_MAX = 8
+"""Shared parts of a prompt that its line names, the first ones."""
 LONG_ANSWER_BYTES = 16384
 """Longer answers may block until the caller reads."""
 PUBLIC = "public"
@@ -457,6 +459,9 @@
             fields["prompt_tokens"] = request.head.prompt.tokens_in
             fields["size"] = self.size_band.value
             fields["affinity"] = request.head.prompt.affinity_key
+            fields["parts"] = [
+                each.id for each in request.head.prompt.shared_parts[:LOGGED_PARTS_MAX]
+            ]
         fields["candidates"] = trace.candidates
         fields["weighed"] = trace.weighed
         fields["fetched_parts"] = trace.fetched_parts
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -9,7 +9,12 @@
 from ruddersaddle_base.ids import ModelId, PoolId, RequestId, SoftwareVersion
 
 from ruddersaddle_serving.admissions import JUDGED_AS_MEDIAN_SHARE
-from ruddersaddle_serving.fingerprints import Fingerprint, make_fingerprint
+from ruddersaddle_serving.fingerprints import (
+    Fingerprint,
+    PartKey,
+    make_fingerprint,
+    make_part_key,
+)
 from ruddersaddle_serving.routes import Route, RouteKind, Workspace
 
 PartId = NewType("PartId", str)
@@ -125,6 +130,16 @@
         workspace = "" if self.workspace is None else self.workspace.id
         return make_fingerprint(self.method, self.target, workspace, self.body)
 
+    @cached_property
+    def part_keys(self) -> tuple[PartKey, ...]:
+        """Keys of the shared parts of its prompt; none for requests of plain services."""
+        prompt = self.head.prompt
+        if prompt is None:
+            return ()
+        return tuple(
+            dict.fromkeys(make_part_key(prompt.model, each.id) for each in prompt.shared_parts)
+        )
+
     @cached_property
     def is_judged_as_median(self) -> bool:
         """Whether admission judges it as having median size; drawn once per caller's attempt."""
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
@@ -10,7 +10,7 @@
 
 from ruddersaddle_serving import crash_watches
 from ruddersaddle_serving.crash_records import CRASHES_MAX, Crash, CrashRecords
-from ruddersaddle_serving.crash_watches import CrashWatch
+from ruddersaddle_serving.crash_watches import BrokenRun, CrashWatch
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.ports import Presence
 from ruddersaddle_serving.trackers import Tracker
@@ -50,7 +50,7 @@
     def count_crashes(self, *presences: Presence, tracker: Tracker | None = None) -> int:
         """Return how many crashes are reported after a broken run and probes with these results."""
         self.engines.presence.side_effect = [*presences, *[presences[-1]] * 9]
-        self.watch.record_broken(tracker or self.make_tracker(), BAD)
+        self.watch.record_broken(tracker or self.make_tracker(), BrokenRun(BAD))
         eventlet.sleep(0.1)
         return len(self.crashes)
 
@@ -58,7 +58,7 @@
         """Record that a run's answer ended with its connection, and answer probes like this."""
         self.engines.presence.side_effect = None
         self.engines.presence.return_value = presence
-        self.watch.record_closed(self.make_tracker(5), BAD)
+        self.watch.record_closed(self.make_tracker(5), BrokenRun(BAD))
         eventlet.sleep(0.1)
 
     def test_suspect_whose_answer_ended_with_its_connection_is_cleared_by_a_live_upstream(
@@ -125,8 +125,8 @@
     def test_all_broken_runs_of_an_instance_share_its_probes(self) -> None:
         tracker = self.make_tracker()
         self.engines.presence.return_value = Presence.DOWN
-        self.watch.record_broken(tracker, BAD)
-        self.watch.record_broken(tracker, OTHER)
+        self.watch.record_broken(tracker, BrokenRun(BAD))
+        self.watch.record_broken(tracker, BrokenRun(OTHER))
         eventlet.sleep(0.1)
         (crash,) = self.crashes
         self.assertEqual(set(crash.fingerprints), {BAD, OTHER})
@@ -136,7 +136,7 @@
         self.engines.presence.return_value = Presence.DOWN
         for number in range(CRASHES_MAX):
             self.assertIsNone(self.watch.check(BAD, POOL))
-            self.watch.record_broken(self.make_tracker(number), BAD)
+            self.watch.record_broken(self.make_tracker(number), BrokenRun(BAD))
             eventlet.sleep(0.1)
         failure = self.watch.check(BAD, POOL)
         self.assertEqual(failure.code, Code.CRASHES_UPSTREAMS)
@@ -148,7 +148,7 @@
         """Guards against the second attempt crashing a fourth upstream before the third counts."""
         self.engines.presence.return_value = Presence.DOWN
         for number in range(CRASHES_MAX):
-            self.watch.record_broken(self.make_tracker(number), BAD)
+            self.watch.record_broken(self.make_tracker(number), BrokenRun(BAD))
             self.watch.wait_for_outcome(BAD)
             if number < CRASHES_MAX - 1:
                 eventlet.sleep(0.1)
@@ -156,7 +156,7 @@
 
     def test_first_retry_after_a_crash_does_not_wait(self) -> None:
         self.engines.presence.return_value = Presence.DOWN
-        self.watch.record_broken(self.make_tracker(), BAD)
+        self.watch.record_broken(self.make_tracker(), BrokenRun(BAD))
         began = clocks.now_s()
         self.watch.wait_for_outcome(BAD)
         self.assertLess(clocks.now_s() - began, crash_watches.OUTCOME_POLL_S)
