Prompts with a part that crashes upstreams are refused

Cause: crash records know copies of requests (method, path, workspace, body). What crashed engines is what different requests have in common, so that each new one was sent like a first one. The class is evidence that is kept by the identity of a request while the cause is one of its properties.

Each crash is held against all shared parts of the runs that it cut. A run that began to be answered after a crash clears its parts of it, on all hosts. A part is refused after three crashes if no answer to it is known, and after four and a second's wait if it was answered lately or most prompts hold it; never for crashes that one request is in, nor where a narrower part, or one without answers, is in them too. Its crashes then count against no other part and no request. Records are unions, in messages and in the store under keys of their own; a refusal runs out after a minute, doubled by each trial that crashes, and one host at a time tries one request.

--- a/libs/base/ruddersaddle_base/failures.py
+++ b/libs/base/ruddersaddle_base/failures.py
@@ -60,6 +60,8 @@
     """The configuration is not confirmed to be recent enough to accept a caller's key."""
     CRASHES_UPSTREAMS = "crashes_upstreams"
     """Too many upstreams have crashed while running this request."""
+    PART_CRASHES_UPSTREAMS = "part_crashes_upstreams"
+    """Too many upstreams have crashed while running prompts with a part of this one."""
     FITS_NO_ENGINE = "fits_no_engine"
     """The prompt is larger than the memory of every engine."""
     EVACUATED = "evacuated"
--- a/libs/serving/ruddersaddle_serving/crash_records.py
+++ b/libs/serving/ruddersaddle_serving/crash_records.py
@@ -8,6 +8,7 @@
 - A request that completes is cleared; one that completed just before a crash is not a suspect of
   it, so that requests which many callers send are not refused.
 - Crashes attributed to a refused request do not count against any other request.
+- Crashes attributed to a refused part of prompts (`part_records`) do not count against requests.
 
 Nothing here reads a clock. Timestamps are Unix times in ms, since records outlive hosts.
 """
@@ -19,6 +20,8 @@
 import msgspec
 
 from ruddersaddle_serving.fingerprints import Fingerprint
+from ruddersaddle_serving.part_crashes import CrashedPart, PartRecord
+from ruddersaddle_serving.part_records import PartRecords
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
 from ruddersaddle_serving.upstream_lists import REVISION_BITS
 
@@ -39,6 +42,8 @@
 miss the first crashes of a request that has only begun to crash upstreams."""
 SUSPECTS_MAX = 4096
 """Requests that are remembered: the runs of 32 engines with 128 runs each; 0.6 MB of memory."""
+INSTANCES_OF_PARTS_MAX = 1024
+"""Crashes attributed to refused parts that are remembered, so that late reports don't count."""
 INSTANCES_MAX = 12
 """Crashes of one request that are remembered; further ones do not extend its refusal."""
 CLEARED_MS = 60_000
@@ -50,6 +55,20 @@
 
     instance: UpstreamInstance
     fingerprints: tuple[Fingerprint, ...]
+    parts: tuple[CrashedPart, ...] = ()
+    """Shared parts of their prompts; empty from a host of a program version that sends none."""
+    age_ms: int = 0
+    """Time from the crash until it was reported."""
+
+    def merge(self, other: "Crash") -> "Crash":
+        """Return what both reports of this crash say."""
+        fingerprints = dict.fromkeys((*self.fingerprints, *other.fingerprints))
+        by_part = {each.part: each for each in self.parts}
+        for each in other.parts:
+            known = by_part.get(each.part)
+            by_part[each.part] = each if known is None else known.merge(each)
+        age_ms = max(self.age_ms, other.age_ms)
+        return Crash(self.instance, tuple(fingerprints), tuple(by_part.values()), age_ms)
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -105,11 +124,16 @@
         self._cleared_at: dict[Fingerprint, int] = {}
         self._cause_by_instance: dict[UpstreamInstance, Fingerprint] = {}
         """Instances whose crash is attributed to a refused request."""
+        self.parts = PartRecords(self._attribute_to_part)
+        self._instances_of_parts: dict[UpstreamInstance, None] = {}
+        """Instances whose crash is attributed to a refused part, the latest last."""
 
     # Observations
 
     def record_crash(self, crash: Crash, now_ms: int) -> list[CrashRecord]:
         """Add a crash to its suspects' records; return the records that changed."""
+        if crash.instance in self._instances_of_parts:
+            return []
         suspects = self._suspects(crash, now_ms)
         changed = [self._extend(each, (crash.instance,), now_ms) for each in suspects]
         self._attribute_crashes(changed)
@@ -130,7 +154,7 @@
         fingerprint = record.fingerprint
         cleared_ms = self._cleared_at.get(fingerprint)
         is_stale = cleared_ms is not None and record.last_ms <= cleared_ms
-        instances = record.instances
+        instances = tuple(each for each in record.instances if each not in self._instances_of_parts)
         if not record.is_refusal:
             cause_of = self._cause_by_instance.get
             instances = tuple(
@@ -241,6 +265,24 @@
             else:
                 self._drop(record)
 
+    def _attribute_to_part(self, cause: PartRecord) -> None:
+        """Attribute crashes to a refused part and remove them from the records of requests."""
+        new = cause.instances - self._instances_of_parts.keys()
+        if not new:
+            return
+        self._instances_of_parts.update(dict.fromkeys(new))
+        while len(self._instances_of_parts) > INSTANCES_OF_PARTS_MAX:
+            del self._instances_of_parts[next(iter(self._instances_of_parts))]
+        for record in list(self.by_fingerprint.values()):
+            remaining = tuple(each for each in record.instances if each not in new)
+            if not remaining:
+                self._drop(record)
+            elif remaining != record.instances:
+                self.by_fingerprint[record.fingerprint] = msgspec.structs.replace(
+                    record, instances=remaining
+                )
+                self.revision += 1
+
     def _evict(self) -> None:
         """Drop the oldest record of a single crash, or else the oldest of all."""
         if len(self.by_fingerprint) < SUSPECTS_MAX:
--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from collections.abc import Iterable
 from enum import Enum
 
 import eventlet
@@ -22,9 +21,11 @@
     CrashRecord,
     CrashRecords,
 )
-from ruddersaddle_serving.fingerprints import Fingerprint
+from ruddersaddle_serving.fingerprints import Fingerprint, PartKey
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.load_shares import DIRECT_HOSTS_MAX
+from ruddersaddle_serving.part_crashes import PartClearance, PartRecord
+from ruddersaddle_serving.part_verdicts import SETTLING_MS
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import MetadataStore, Record, Topic
 from ruddersaddle_serving.tasks import spawn_forever
@@ -32,6 +33,7 @@
 
 logger = logging.getLogger(__name__)
 
+MS_PER_S = 1000
 SEND_DELAY_S = 0.01
 """Delay in which crashes are collected into one message: a crash cuts many runs at a time."""
 WRITE_PAUSE_S = 0.2
@@ -43,9 +45,22 @@
 it has written by then; readers receive a write within milliseconds."""
 SWEEP_S = 5.0
 """Interval at which expired records are removed."""
+CLEARING_DELAY_S = 0.25
+"""Delay after which the record of a part that is not refused is written: answers clear most parts
+within this time."""
+PART_PREFIX = "part:"
+"""Prefix of the store's keys of parts; other keys are fingerprints of requests."""
 CRASH_RECORDS_MAX = 512
 """Most records sent in one message or kept in the store; each takes 114 to 145 bytes."""
 
+PART_RECORDS_MAX = 64
+"""Most records of parts sent in one state update, refusals first; each takes some 600 bytes."""
+
+
+def store_key(part: PartKey) -> str:
+    """Return the key of a part's record in the store."""
+    return PART_PREFIX + part
+
 
 class Hop(Enum):
     """How far a message has been relayed; with many hosts, the halls' readers relay it."""
@@ -69,14 +84,40 @@
     crashes: tuple[Crash, ...]
     cleared: tuple[Fingerprint, ...]
     hop: Hop = Hop.FIRST
+    cleared_parts: tuple[PartClearance, ...] = ()
+
+
+class CrashNews(msgspec.Struct, frozen=True):
+    """Reports that go into one message."""
+
+    crashes: tuple[Crash, ...] = ()
+    cleared: tuple[Fingerprint, ...] = ()
+    cleared_parts: tuple[PartClearance, ...] = ()
 
 
 class PendingUpdate:
     """Crashes and cleared requests that go into the next message."""
 
     def __init__(self) -> None:
-        self.fingerprints_by_instance: dict[UpstreamInstance, dict[Fingerprint, None]] = {}
+        self.crash_by_instance: dict[UpstreamInstance, Crash] = {}
         self.cleared: dict[Fingerprint, None] = {}
+        self.cleared_by_part: dict[PartKey, dict[UpstreamInstance, None]] = {}
+
+    def add(self, news: CrashNews) -> None:
+        """Add reports, merging those of the same crash or part."""
+        for crash in news.crashes:
+            known = self.crash_by_instance.get(crash.instance)
+            self.crash_by_instance[crash.instance] = crash if known is None else known.merge(crash)
+        self.cleared.update(dict.fromkeys(news.cleared))
+        for each in news.cleared_parts:
+            found = self.cleared_by_part.setdefault(each.part, {})
+            found.update(dict.fromkeys(each.instances))
+
+    def clearances(self) -> tuple[PartClearance, ...]:
+        """Return what was collected on cleared parts."""
+        return tuple(
+            PartClearance(part, tuple(found)) for part, found in self.cleared_by_part.items()
+        )
 
 
 class CrashShares:
@@ -94,11 +135,11 @@
         answer was applied."""
         self.writes = 0
         self._pending_by_hop: dict[Hop, PendingUpdate] = {}
-        self._stored: dict[Fingerprint, CrashRecord] = {}
-        """The store's records, as far as this host knows."""
-        self._seen_locally: dict[Fingerprint, None] = {}
-        """Requests with a crash that this host saw itself, the oldest first."""
-        self._dirty: set[Fingerprint] = set()
+        self._stored: dict[str, CrashRecord | PartRecord] = {}
+        """The store's records by key, as far as this host knows."""
+        self._seen_locally: dict[str, None] = {}
+        """Keys of requests and parts with a crash that this host saw itself, the oldest first."""
+        self._dirty: set[str] = set()
         self._is_writing = False
 
     def start(self) -> None:
@@ -115,24 +156,29 @@
     def broadcast_crash(self, crash: Crash) -> None:
         """Record a crash that this host has seen, and send it to the other hosts."""
         self._seen_locally.update(dict.fromkeys(crash.fingerprints))
+        self._seen_locally.update(dict.fromkeys(store_key(each.part) for each in crash.parts))
         while len(self._seen_locally) > SUSPECTS_MAX:
             del self._seen_locally[next(iter(self._seen_locally))]
         self._record_crash(crash, 0.0)
-        self._send_first((crash,), ())
+        self._send_first(CrashNews(crashes=(crash,)))
 
     def broadcast_cleared(self, fingerprint: Fingerprint) -> None:
         """Send that a suspect completed; the records must have been updated before."""
-        self._send_first((), (fingerprint,))
+        self._send_first(CrashNews(cleared=(fingerprint,)))
         self._write_soon(fingerprint, 0.0)
 
-    def _send_first(self, crashes: Iterable[Crash], cleared: Iterable[Fingerprint]) -> None:
-        self._send_soon(Hop.TO_READERS if self._relays_for_hall else Hop.FIRST, crashes, cleared)
+    def broadcast_cleared_parts(self, clearances: list[PartClearance]) -> None:
+        """Send that parts were cleared; the records must have been updated before."""
+        self._send_first(CrashNews(cleared_parts=tuple(clearances)))
+        for each in clearances:
+            self._write_soon(store_key(each.part), 0.0)
+
+    def _send_first(self, news: CrashNews) -> None:
+        self._send_soon(Hop.TO_READERS if self._relays_for_hall else Hop.FIRST, news)
         if self.hosts.is_region_reader:
-            self._send_soon(Hop.TO_REGIONS, crashes, cleared)
+            self._send_soon(Hop.TO_REGIONS, news)
 
-    def _send_soon(
-        self, hop: Hop, crashes: Iterable[Crash], cleared: Iterable[Fingerprint]
-    ) -> None:
+    def _send_soon(self, hop: Hop, news: CrashNews) -> None:
         """Send a message after a delay, with everything that is added until then.
 
         Hundreds of hosts may lose runs at one upstream. With 195 hosts in five halls, readers that
@@ -142,18 +188,17 @@
         if pending is None:
             pending = self._pending_by_hop[hop] = PendingUpdate()
             eventlet.spawn_after(SEND_DELAY_S, self._send, hop)
-        for crash in crashes:
-            found = pending.fingerprints_by_instance.setdefault(crash.instance, {})
-            found.update(dict.fromkeys(crash.fingerprints))
-        pending.cleared.update(dict.fromkeys(cleared))
+        pending.add(news)
 
     def _send(self, hop: Hop) -> None:
         pending = self._pending_by_hop.pop(hop)
-        crashes = tuple(
-            Crash(instance, tuple(found))
-            for instance, found in pending.fingerprints_by_instance.items()
+        update = CrashUpdate(
+            self.hosts.own.address,
+            tuple(pending.crash_by_instance.values()),
+            tuple(pending.cleared),
+            hop,
+            pending.clearances(),
         )
-        update = CrashUpdate(self.hosts.own.address, crashes, tuple(pending.cleared), hop)
         self.peers.broadcast(self._targets(hop), update)
 
     @property
@@ -193,8 +238,12 @@
             for fingerprint in completed:
                 self.broadcast_cleared(fingerprint)
         self.apply_cleared(update.cleared)
+        for clearance in update.cleared_parts:
+            if self.records.parts.clear(clearance, now_ms) and self.hosts.is_reader():
+                self._write_soon(store_key(clearance.part), BACKUP_WRITE_DELAY_S)
+        news = CrashNews(update.crashes, update.cleared, update.cleared_parts)
         for next_hop in self._next_hops(update.hop):
-            self._send_soon(next_hop, update.crashes, update.cleared)
+            self._send_soon(next_hop, news)
 
     def _next_hops(self, hop: Hop) -> list[Hop]:
         """Return how this host relays a message that arrived by a hop."""
@@ -211,17 +260,37 @@
         return hops
 
     def _record_crash(self, crash: Crash, delay_s: float) -> None:
-        for record in self.records.record_crash(crash, clocks.unix_ms()):
+        now_ms = clocks.unix_ms()
+        parts = self.records.parts
+        at_ms = now_ms - crash.age_ms
+        for part in parts.record_crash(crash.instance, crash.parts, at_ms, now_ms):
+            self._write_part_soon(part, delay_s)
+        if crash.parts:
+            eventlet.spawn_after(SETTLING_MS / MS_PER_S, self._judge_settled)
+        for record in self.records.record_crash(crash, now_ms):
             if len(record.instances) >= SHARED_MIN and self._may_write(record.fingerprint):
                 self._write_soon(record.fingerprint, delay_s)
 
-    def _may_write(self, fingerprint: Fingerprint) -> bool:
-        """Return whether this host may write the store's record of a request.
+    def _judge_settled(self) -> None:
+        """Judge parts again, once all hosts have reported their runs of a crash."""
+        for part in self.records.parts.judge(clocks.unix_ms()):
+            self._write_part_soon(part, 0.0)
+
+    def _write_part_soon(self, part: PartKey, delay_s: float) -> None:
+        """Write a part's record, unless answers clear it first, as they do for most parts."""
+        record = self.records.parts.by_part.get(part)
+        key = store_key(part)
+        if record is None or len(record.crashes) < SHARED_MIN or not self._may_write(key):
+            return
+        self._write_soon(key, delay_s if record.is_refusal else delay_s + CLEARING_DELAY_S)
+
+    def _may_write(self, key: str) -> bool:
+        """Return whether this host may write the store's record of a request or a part.
 
         A host that has only received the crash, and does not follow the store, cannot know whether
         the record was written: without this rule 37 of 40 hosts wrote the same record again.
         """
-        return fingerprint in self._seen_locally or self.hosts.is_reader()
+        return key in self._seen_locally or self.hosts.is_reader()
 
     # Between hosts and the store
 
@@ -241,12 +310,17 @@
         if not self.hosts.is_reader():
             return
         delay_s = BACKUP_WRITE_DELAY_S * self.hosts.reader_rank()
-        for record in self.records.shared():
-            if self._needs_write(record.fingerprint):
-                self._write_soon(record.fingerprint, delay_s)
+        keys = [each.fingerprint for each in self.records.shared()]
+        keys += [store_key(each.part) for each in self.records.parts.shared()]
+        for key in keys:
+            if self._needs_write(key):
+                self._write_soon(key, delay_s)
 
     def apply_record(self, record: Record) -> None:
         """Apply one record of the store; one without a value was deleted."""
+        if record.key.startswith(PART_PREFIX):
+            self._apply_part_record(record)
+            return
         fingerprint = Fingerprint(record.key)
         if not record.value:
             self._stored.pop(fingerprint, None)
@@ -260,6 +334,28 @@
         self._stored[fingerprint] = decoded
         self.apply_records((decoded,))
 
+    def _apply_part_record(self, record: Record) -> None:
+        if not record.value:
+            stored = self._stored.pop(record.key, None)
+            if isinstance(stored, PartRecord):
+                clearance = PartClearance(stored.part, tuple(stored.instances))
+                self.records.parts.clear(clearance, clocks.unix_ms())
+            return
+        decoded = decode_json(record.value, PartRecord, Step.READ, record.key)
+        if isinstance(decoded, Failure) or store_key(decoded.part) != record.key:
+            detail = decoded.detail if isinstance(decoded, Failure) else "it names another part"
+            logger.error("Crash record %s is unreadable. %s", record.key, detail)
+            return
+        self._stored[record.key] = decoded
+        self.apply_part_records((decoded,))
+
+    def apply_part_records(self, records: tuple[PartRecord, ...]) -> None:
+        """Merge the records of others, and write those to which this host adds crashes."""
+        for received in records:
+            merged = self.records.parts.merge(received, clocks.unix_ms())
+            if not merged.instances <= received.instances:
+                self._write_part_soon(merged.part, BACKUP_WRITE_DELAY_S)
+
     def apply_records(self, records: tuple[CrashRecord, ...]) -> None:
         """Merge the records of others, and write those to which this host adds crashes."""
         for received in records:
@@ -280,26 +376,36 @@
             if self.hosts.is_reader():
                 self._write_soon(fingerprint, 0.0)
 
-    def _write_soon(self, fingerprint: Fingerprint, delay_s: float) -> None:
-        eventlet.spawn_after(delay_s, self._mark_dirty, fingerprint)
+    def _write_soon(self, key: str, delay_s: float) -> None:
+        eventlet.spawn_after(delay_s, self._mark_dirty, key)
 
-    def _mark_dirty(self, fingerprint: Fingerprint) -> None:
-        if not self._needs_write(fingerprint):
+    def _mark_dirty(self, key: str) -> None:
+        if not self._needs_write(key):
             return
-        self._dirty.add(fingerprint)
+        self._dirty.add(key)
         if not self._is_writing:
             self._is_writing = True
             eventlet.spawn(self._write)
 
-    def _needs_write(self, fingerprint: Fingerprint) -> bool:
-        """Return whether the store's record of a request must be added, changed or deleted."""
-        stored = self._stored.get(fingerprint)
-        known = self.records.by_fingerprint.get(fingerprint)
-        if known is None or len(known.instances) < SHARED_MIN:
-            return stored is not None
-        if stored is None:
-            return known.is_refusal or len(self._stored) < CRASH_RECORDS_MAX
-        return not set(known.instances) <= set(stored.instances)
+    def _known(self, key: str) -> CrashRecord | PartRecord | None:
+        """Return this host's record for a key of the store."""
+        if key.startswith(PART_PREFIX):
+            return self.records.parts.by_part.get(PartKey(key.removeprefix(PART_PREFIX)))
+        return self.records.by_fingerprint.get(Fingerprint(key))
+
+    def _needs_write(self, key: str) -> bool:
+        """Return whether the store's record for a key must be added, changed or deleted."""
+        stored = self._stored.get(key)
+        match self._known(key):
+            case CrashRecord() as known if len(known.instances) >= SHARED_MIN:
+                is_new = stored is None or not set(known.instances) <= set(stored.instances)
+            case PartRecord() as known if len(known.crashes) >= SHARED_MIN or known.is_refusal:
+                is_new = stored is None or not known.instances <= stored.instances
+                is_new = is_new or known.is_refusal > stored.is_refusal
+            case _:
+                return stored is not None
+        has_room = known.is_refusal or len(self._stored) < CRASH_RECORDS_MAX
+        return is_new and (stored is not None or has_room)
 
     def _write(self) -> None:
         """Write until the store is up to date; a write that fails is tried again."""
@@ -314,8 +420,8 @@
         finally:
             self._is_writing = False
 
-    def _write_batch(self, batch: list[Fingerprint]) -> None:
-        records = {each: self.records.by_fingerprint.get(each) for each in batch}
+    def _write_batch(self, batch: list[str]) -> None:
+        records = {each: self._recorded(each) for each in batch}
         values = {
             each: None if record is None else encode_json(record)
             for each, record in records.items()
@@ -328,20 +434,26 @@
             )
             return
         self._dirty -= set(batch)
-        for fingerprint, record in records.items():
+        for key, record in records.items():
             if record is None:
-                self._stored.pop(fingerprint, None)
+                self._stored.pop(key, None)
             else:
-                self._stored[fingerprint] = record
+                self._stored[key] = record
+
+    def _recorded(self, key: str) -> CrashRecord | PartRecord | None:
+        """Return what the store is to hold for a key; None if it is to be deleted."""
+        known = self._known(key)
+        return None if isinstance(known, PartRecord) and not known.crashes else known
 
     def _sweep(self) -> None:
         while True:
             eventlet.sleep(SWEEP_S)
             now_ms = clocks.unix_ms()
             self.records.sweep(now_ms)
+            self.records.parts.sweep(now_ms)
             expired = [key for key, record in self._stored.items() if record.is_expired(now_ms)]
-            for fingerprint in expired:
+            for key in expired:
                 if self.hosts.is_reader():
-                    self._write_soon(fingerprint, 0.0)
+                    self._write_soon(key, 0.0)
                 else:
-                    del self._stored[fingerprint]
+                    del self._stored[key]
--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -15,10 +15,18 @@
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
-from ruddersaddle_base.ids import PoolId
+from ruddersaddle_base.ids import PoolId, RequestId
 
 from ruddersaddle_serving.crash_records import CRASHES_MAX, Crash, CrashRecords
 from ruddersaddle_serving.fingerprints import Fingerprint, PartKey
+from ruddersaddle_serving.part_crashes import (
+    CrashedPart,
+    PartClearance,
+    RequestTag,
+    make_tag,
+    merge_tags,
+)
+from ruddersaddle_serving.part_records import TRIAL_MS
 from ruddersaddle_serving.ports import Engines, Presence
 from ruddersaddle_serving.trackers import Tracker
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
@@ -43,6 +51,8 @@
 OUTCOME_POLL_S = 0.01
 LOGGED_PARTS_MAX = 16
 """Parts that the line of a crash names."""
+REPORTED_PARTS_MAX = 256
+"""Parts that the report of a crash names; the runs of one upstream rarely hold more."""
 MS_PER_S = 1000
 
 
@@ -54,6 +64,8 @@
     """Shared parts of its prompt."""
     has_begun: bool = False
     """Whether the upstream had sent the head of its answer."""
+    began_at: float | None = None
+    """When the first event of a stream was read, by the boot-time clock."""
 
 
 class CrashWatch:
@@ -67,16 +79,18 @@
         records: CrashRecords,
         notify_crash: Callable[[Crash], None],
         notify_cleared: Callable[[Fingerprint], None],
+        notify_cleared_parts: Callable[[list[PartClearance]], None] = lambda clearances: None,
     ) -> None:
         self.engines = engines
         self.upstreams = upstreams
         self.records = records
         self.notify_crash = notify_crash
         self.notify_cleared = notify_cleared
-        self.counts = {"crash": 0, "reset": 0, "unreachable": 0, "refused": 0}
+        self.notify_cleared_parts = notify_cleared_parts
+        self.counts = {"crash": 0, "reset": 0, "unreachable": 0, "refused": 0, "refused_part": 0}
         """Upstreams that crashed while running requests of this host, upstreams that were still
-        alive after a run broke off, those that this host alone could not reach then, and requests
-        that were refused because they crash upstreams."""
+        alive after a run broke off, those that this host alone could not reach then, requests
+        that were refused because they crash upstreams, and those refused for a part that does."""
         self._broken_by_instance: dict[UpstreamInstance, dict[Fingerprint, BrokenRun]] = {}
 
     # Decisions
@@ -100,39 +114,96 @@
         left_s = (record.until_ms - now_ms) / MS_PER_S
         return Failure(Code.CRASHES_UPSTREAMS, Step.ADMIT, pool, detail, retry_after_s=left_s)
 
-    def wait_for_outcome(self, fingerprint: Fingerprint) -> None:
+    def check_parts(
+        self, parts: tuple[PartKey, ...], request: RequestId, pool: PoolId
+    ) -> Failure | None:
+        """Refuse a prompt with a part that has crashed too many upstreams."""
+        if not parts:
+            return None
+        now_ms = clocks.unix_ms()
+        record = self.records.parts.find_refusal(parts, request, now_ms)
+        if record is None:
+            return None
+        self.counts["refused_part"] += 1
+        ago_s = (now_ms - record.last_ms) / MS_PER_S
+        detail = (
+            f"part {record.part} of its prompt crashed {len(record.crashes)} upstreams, "
+            f"the last {ago_s:.1f} s ago"
+        )
+        left_s = max(TRIAL_MS, record.until_ms - now_ms) / MS_PER_S
+        return Failure(Code.PART_CRASHES_UPSTREAMS, Step.ADMIT, pool, detail, retry_after_s=left_s)
+
+    def wait_for_outcome(self, fingerprint: Fingerprint, parts: tuple[PartKey, ...] = ()) -> None:
         """Wait for the outcome of probing, if one more crash would get the request refused.
 
         Probing takes some 0.1 s; without the wait, an attempt in that time crashed a fourth
         upstream.
         """
         until = clocks.now_s() + OUTCOME_WAIT_S
-        while self._may_refuse(fingerprint) and clocks.now_s() < until:
+        while self._may_refuse(fingerprint, parts) and clocks.now_s() < until:
             eventlet.sleep(OUTCOME_POLL_S)
 
-    def _may_refuse(self, fingerprint: Fingerprint) -> bool:
-        return self.records.count(fingerprint) >= CRASHES_MAX - 1 and self.is_pending(fingerprint)
+    def _may_refuse(self, fingerprint: Fingerprint, parts: tuple[PartKey, ...]) -> bool:
+        if not self._broken_by_instance:
+            return False
+        if self.records.count(fingerprint) >= CRASHES_MAX - 1 and self.is_pending(fingerprint):
+            return True
+        now_ms = clocks.unix_ms()
+        is_suspect = self.records.parts.is_suspect
+        return any(is_suspect(part, now_ms) and self._is_part_pending(part) for part in parts)
+
+    def _is_part_pending(self, part: PartKey) -> bool:
+        """Return whether an upstream is being probed on which a run with this part broke off."""
+        return any(
+            part in run.parts
+            for broken in self._broken_by_instance.values()
+            for run in broken.values()
+        )
 
     # Observations
 
+    def record_request(self, parts: tuple[PartKey, ...]) -> None:
+        """Record that a prompt with these parts has arrived."""
+        if parts:
+            self.records.parts.history.record_request(parts, clocks.unix_ms())
+
     def record_complete(self, fingerprint: Fingerprint) -> None:
         """Record that a run completed, which clears its request."""
         if self.records.record_complete(fingerprint, clocks.unix_ms()):
             self.notify_cleared(fingerprint)
 
+    def record_answer(self, parts: tuple[PartKey, ...], began_at: float) -> None:
+        """Record that a run was answered, or has been for some time, which clears its parts.
+
+        `began_at` is when the upstream began to answer, by the boot-time clock.
+        """
+        if not parts:
+            return
+        now_ms = clocks.unix_ms()
+        began_ms = now_ms - round(MS_PER_S * (clocks.now_s() - began_at))
+        clearances = self.records.parts.record_answer(parts, began_ms, now_ms)
+        if clearances:
+            self.notify_cleared_parts(clearances)
+
     def record_closed(self, tracker: Tracker, run: BrokenRun) -> None:
         """Record a run whose answer ended with its connection, maybe by a crash of its upstream.
 
         The upstream is probed for suspects only. Probing it after each answer would double the
         calls to upstreams whose answers all end so.
         """
-        if self.records.count(run.fingerprint):
+        now_ms = clocks.unix_ms()
+        is_suspect = self.records.parts.is_suspect
+        if self.records.count(run.fingerprint) or any(
+            is_suspect(part, now_ms) for part in run.parts
+        ):
             eventlet.spawn(self._check_closed, tracker, run)
 
     def _check_closed(self, tracker: Tracker, run: BrokenRun) -> None:
         match self.engines.presence(tracker.entry.address, tracker.entry.instance):
             case Presence.PRESENT:
                 self.record_complete(run.fingerprint)
+                if run.began_at is not None:
+                    self.record_answer(run.parts, run.began_at)
             case Presence.DOWN | Presence.REPLACED:
                 self.record_broken(tracker, run)
 
@@ -173,7 +244,24 @@
         self.counts["crash"] += 1
         fields = _crash_fields(runs, clocks.now_s() - broken_at)
         logger.warning("Upstream %s crashed with %d runs.", instance, len(runs), extra=fields)
-        self.notify_crash(Crash(instance, tuple(runs)))
+        self.notify_crash(self._report(instance, runs, broken_at))
+
+    def _report(
+        self, instance: UpstreamInstance, runs: dict[Fingerprint, BrokenRun], broken_at: float
+    ) -> Crash:
+        """Return the report of a crash, with the parts of its runs and the requests of each."""
+        now_ms = clocks.unix_ms()
+        is_proven = self.records.parts.history.is_proven
+        tags_by_part: dict[PartKey, list[RequestTag]] = {}
+        for run in runs.values():
+            for part in run.parts:
+                tags_by_part.setdefault(part, []).append(make_tag(run.fingerprint))
+        parts = tuple(
+            CrashedPart(part, merge_tags(tuple(tags), ()), is_proven(part, now_ms))
+            for part, tags in list(tags_by_part.items())[:REPORTED_PARTS_MAX]
+        )
+        age_ms = round(MS_PER_S * (clocks.now_s() - broken_at))
+        return Crash(instance, tuple(runs), parts, age_ms)
 
     def _lacks_path(self, tracker: Tracker, broken_at: float) -> bool:
         """Return whether refused connections may be due to this host's own path."""
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -151,7 +151,9 @@
             self.crash_records,
             lambda crash: self.neighbours.crashes.broadcast_crash(crash),
             lambda fingerprint: self.neighbours.crashes.broadcast_cleared(fingerprint),
+            lambda clearances: self.neighbours.crashes.broadcast_cleared_parts(clearances),
         )
+        self.crash_records.parts.rank = self.hosts.rank
         self._build_request_path(wire)
         self._build_tasks()
         self.service_rollouts = connect_rollouts(
--- a/libs/serving/ruddersaddle_serving/fingerprints.py
+++ b/libs/serving/ruddersaddle_serving/fingerprints.py
@@ -38,3 +38,8 @@
     if len(key) <= PART_KEY_CHARS_MAX:
         return PartKey(key)
     return PartKey(blake2b(key.encode(), digest_size=DIGEST_BYTES).hexdigest())
+
+
+def model_of(part: PartKey) -> str:
+    """Return the model that a part's key names; empty for a key that is a digest."""
+    return part.rpartition("/")[0]
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -54,6 +54,9 @@
 ROOM_POLL_S = 0.01
 REMAINING_MIN_S = 0.02
 """Nothing is sent with less time than this left before the deadline."""
+PROGRESS_S = 0.5
+"""An answer that has gone on for this long after its first event shows that its upstream can run
+all parts of its prompt."""
 LOGGED_ID_CHARS = 40
 """Characters of an event's id in the log."""
 
@@ -64,6 +67,7 @@
         Code.NO_UPSTREAM,
         Code.DEADLINE,
         Code.CRASHES_UPSTREAMS,
+        Code.PART_CRASHES_UPSTREAMS,
         Code.FITS_NO_ENGINE,
         Code.EVACUATED,
         Code.NO_ALLOWED_REGION,
@@ -137,11 +141,16 @@
         self._sent_count = 0
         self._may_have_run = False
         self._first_events = b""
+        self._began_at: float | None = None
+        """When the attempt's first event was read."""
+        self._has_cleared_parts = False
+        """Whether the attempt has shown that upstreams can run the parts of its prompt."""
         self._is_recorded = False
         """Whether it is recorded at which software version the stream began."""
 
     def begin(self) -> BufferedAnswer | AnswerHead | Failure:
         """Return a complete answer, a stream's head once its first event is read, or a failure."""
+        self.forwarder.crash_watch.record_request(self.request.part_keys)
         self.pool = self.forwarder.placement.pick_pool(self.request.route)
         if self.pool is None:
             return Failure(Code.NO_UPSTREAM, Step.ADMIT, self.request.route.name, "no target pool")
@@ -304,7 +313,9 @@
 
     def _choose(self) -> Choice | Failure:
         """Return the upstream for the next attempt."""
-        self.forwarder.crash_watch.wait_for_outcome(self.request.fingerprint)
+        self.forwarder.crash_watch.wait_for_outcome(
+            self.request.fingerprint, self.request.part_keys
+        )
         refusal = self._check_crashes()
         if refusal is not None:
             return refusal
@@ -345,8 +356,11 @@
         return self.forwarder.placement.trackers.brittle_pools.find(self.pool) is not None
 
     def _check_crashes(self) -> Failure | None:
-        """Refuse a request that has crashed upstreams."""
-        return self.forwarder.crash_watch.check(self.request.fingerprint, self.pool)
+        """Refuse a request that has crashed upstreams, or that holds a part which has."""
+        crash_watch, request = self.forwarder.crash_watch, self.request
+        return crash_watch.check_parts(
+            request.part_keys, request.id, self.pool
+        ) or crash_watch.check(request.fingerprint, self.pool)
 
     def _send(self) -> AnswerHead | Failure:
         refusal = self.forwarder.check_key_age(self.request) or self._check_crashes()
@@ -354,6 +368,7 @@
             self._end_attempt(None, f"not sent: {refusal.detail}")
             return refusal
         self._sent_count += 1
+        self._began_at, self._has_cleared_parts = None, False
         tracker = self.attempt.choice.tracker
         upstream = tracker.id
         self._excluded.add(upstream)
@@ -424,6 +439,8 @@
             self._end_broken(events)
             return events
         self._first_events = events
+        if events:
+            self._began_at = clocks.now_s()
         self._record_data(events)
         self.attempt.record_first_event()
         self._record_first()
@@ -518,6 +535,7 @@
                 self._end_broken(failure)
             elif events:
                 self._record_data(events)
+                self._record_progress()
             else:
                 failure = self._end_stream(framing)
                 if failure is None:
@@ -601,6 +619,18 @@
         else:
             self.outcome.record_data()
 
+    def _record_progress(self) -> None:
+        """Record that the upstream has gone on with an answer for some time."""
+        if self._has_cleared_parts or self._began_at is None:
+            return
+        if clocks.now_s() - self._began_at >= PROGRESS_S:
+            self._clear_parts()
+
+    def _clear_parts(self) -> None:
+        self._has_cleared_parts = True
+        began_at = self.attempt.sent_at if self._began_at is None else self._began_at
+        self.forwarder.crash_watch.record_answer(self.request.part_keys, began_at)
+
     def _record_ordinary_end(self, head: AnswerHead) -> AnswerEnd:
         """Record that an answer came to its end; a complete success clears its request."""
         end = ordinary_end(head.framing)
@@ -608,6 +638,7 @@
         crash_watch, fingerprint = self.forwarder.crash_watch, self.request.fingerprint
         if head.status < 300 and end is AnswerEnd.COMPLETE:
             crash_watch.record_complete(fingerprint)
+            self._clear_parts()
         elif head.status < 300 and end is AnswerEnd.CONNECTION_CLOSED:
             crash_watch.record_closed(self.attempt.choice.tracker, self._broken_run())
         return end
@@ -636,7 +667,9 @@
     def _broken_run(self) -> BrokenRun:
         request = self.request
         has_begun = self.attempt.exchange.head is not None
-        return BrokenRun(request.fingerprint, request.part_keys, has_begun)
+        # What crashes upstreams as they begin to answer would have done so.
+        parts = () if self._has_cleared_parts else request.part_keys
+        return BrokenRun(request.fingerprint, parts, has_begun, self._began_at)
 
     def finish(self) -> None:
         """End the request at any stage; an incomplete answer's connection is closed."""
--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -256,6 +256,11 @@
         live = [each.address for each in self.live() if self.regions.is_own(each.hall)]
         return rank_names(duty, live).index(self.own.address)
 
+    def rank(self, duty: str) -> int:
+        """Return this host's rank for a duty among all responsive hosts."""
+        live = [each.address for each in self.live()]
+        return rank_names(duty, live).index(self.own.address)
+
     def ranked_before_own(self, count: int) -> list[str]:
         """Return the hosts of this region that rank before this one as its reader, at most `count`
         of them."""
--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -9,6 +9,7 @@
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.hosts import HostRecord
 from ruddersaddle_serving.load_shares import LoadSums, LoadSumsRequest, Notices
+from ruddersaddle_serving.part_crashes import PartRecord
 from ruddersaddle_serving.part_updates import PartsRequest, PartsUpdate, StoreLost
 from ruddersaddle_serving.ports import TOPIC_START, ModelVersion, StorePosition
 from ruddersaddle_serving.publications import NamingAge
@@ -91,6 +92,8 @@
     """Instances that announced in a response that they are leaving, whatever their entries say."""
     rollouts: tuple[SharedRollout, ...] | msgspec.UnsetType = msgspec.UNSET
     """The newest order of each service, with its stop or decision."""
+    part_records: tuple[PartRecord, ...] = ()
+    """Parts of prompts during which two or more upstreams crashed; sent with `crashes`."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -13,7 +13,12 @@
 
 from ruddersaddle_serving.cached_parts import CachedParts
 from ruddersaddle_serving.crash_records import CrashRecords
-from ruddersaddle_serving.crash_shares import CRASH_RECORDS_MAX, CrashShares, CrashUpdate
+from ruddersaddle_serving.crash_shares import (
+    CRASH_RECORDS_MAX,
+    PART_RECORDS_MAX,
+    CrashShares,
+    CrashUpdate,
+)
 from ruddersaddle_serving.host_lists import HostList
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.load_shares import LoadExchange, LoadSums, LoadSumsRequest, Notices
@@ -308,6 +313,7 @@
     def _apply_crashes(self, update: StateUpdate, asked_at: float) -> None:
         self.crashes.apply_cleared(update.cleared)
         self.crashes.apply_records(update.crashes or ())
+        self.crashes.apply_part_records(update.part_records)
         self.crashes.confirm(asked_at - update.crashes_age_s)
 
     def _handle(self, message: NeighbourMessage) -> NeighbourMessage:
@@ -363,7 +369,8 @@
         omits_entries = request.entries_revision == upstreams.revision or not upstreams.complete
         versions = publications.version_by_model
         records = self.crashes.records
-        knows_crashes = request.crashes_revision == records.revision
+        crashes_revision = records.revision + records.parts.revision
+        knows_crashes = request.crashes_revision == crashes_revision
         return StateUpdate(
             age_s=publications.age_s,
             end=publications.end.offset,
@@ -383,7 +390,8 @@
             namings=publications.naming_ages(),
             crashes=None if knows_crashes else records.shared()[:CRASH_RECORDS_MAX],
             cleared=() if knows_crashes else records.recently_cleared()[:CRASH_RECORDS_MAX],
-            crashes_revision=records.revision,
+            part_records=() if knows_crashes else records.parts.shared()[:PART_RECORDS_MAX],
+            crashes_revision=crashes_revision,
             crashes_age_s=self.crashes.age_s,
             evacuated=publications.evacuations.in_force(),
             cold=upstreams.cold.current(),
