--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -115,6 +115,13 @@
         "ms from the 50th bad answer of a software version until no host sends to it",
         100,
     ),
+    Default(
+        "crashes",
+        "admitted_parts",
+        "",
+        str,
+        "ids of parts of prompts that are never refused for crashes, comma-separated",
+    ),
     Default("claims", "memory_s", "3600", float, "seconds that a key is remembered", 1, 86400),
     Default("claims", "skew_s", "30", float, "largest clock skew in seconds", 0, 600),
     Default("claims", "wait_s", "2.0", float, "longest wait for a claim in seconds", 0.05, 60),
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -154,6 +154,7 @@
             lambda clearances: self.neighbours.crashes.broadcast_cleared_parts(clearances),
         )
         self.crash_records.parts.rank = self.hosts.rank
+        self.crash_records.parts.admit(settings.text("crashes.admitted_parts"))
         self._build_request_path(wire)
         self._build_tasks()
         self.service_rollouts = connect_rollouts(
@@ -183,6 +184,7 @@
         self.rollouts.weights_s = self.weights_s
         self.rollouts.lease.lease_s = settings.number("bounds.lease_ms") / MS_PER_S
         self.retry_budget.share = settings.number("bounds.retry_share") * RETRY_BUDGET_SHARE
+        self.crash_records.parts.admit(settings.text("crashes.admitted_parts"))
         if self.service_rollouts is not None:
             self.service_rollouts.plans.limits = ExposureLimits.from_settings(settings)
 
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -43,6 +43,9 @@
         "stream_records", "records of streams by event", host.streams.counts_by_event()
     )
     lines += format_counters("crashes", "broken runs by outcome", host.crash_watch.counts)
+    lines += format_counters(
+        "crash_parts", "parts of prompts by event", host.crash_records.parts.counts
+    )
     lines += format_counters("store_calls", "calls to the store", host.store.calls_by_kind)
     lines += format_counters("contexts", "cached context by action", host.cached_parts.counts)
     lines += format_counters("orders", "orders to engines", host.rollouts.counts)
@@ -135,6 +138,16 @@
         ("crash_suspects", "requests that may have crashed an upstream", suspects),
         ("crash_records_shared", "suspects known to all hosts", len(records.shared())),
         ("crash_suspects_cleared", "suspects that completed", records.cleared),
+        (
+            "crash_parts_suspect",
+            "parts of prompts that may have crashed an upstream",
+            sum(bool(each.crashes) for each in records.parts.by_part.values()),
+        ),
+        (
+            "crash_parts_refused",
+            "parts of prompts that are refused",
+            len(records.parts.refused()),
+        ),
         ("stood_still_seconds", "seconds stalled since the start", host.stall_monitor.total_s),
     )
 
--- a/libs/serving/ruddersaddle_serving/part_records.py
+++ b/libs/serving/ruddersaddle_serving/part_records.py
@@ -131,6 +131,10 @@
         """Clear a part of crashes; return whether anything changed."""
         return self._merge(clearance.part, (), clearance.instances, now_ms)
 
+    def admit(self, ids: str) -> None:
+        """Never refuse the parts with these comma-separated ids."""
+        self.admitted = frozenset(each.strip() for each in ids.split(",") if each.strip())
+
     # Decisions
 
     def find_refusal(
--- a/libs/serving/ruddersaddle_serving/rollouts/attempt_outcomes.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/attempt_outcomes.py
@@ -195,8 +195,9 @@
             # The failure is this host's own, and other hosts may reach the upstream.
             return
         if end.is_broken:
-            crashes = outcomes.crash_records.count(request.fingerprint)
-            if crashes >= SHARED_MIN:
+            records = outcomes.crash_records
+            is_explained = records.parts.is_refused(request.part_keys)
+            if is_explained or records.count(request.fingerprint) >= SHARED_MIN:
                 end = msgspec.structs.replace(end, crash_explained=True)
         found = classify(end)
         if self.side is VersionSide.BASELINE and found.reason is Reason.ANSWERED:
--- a/libs/serving/ruddersaddle_serving/rollouts/tests/test_attempt_outcomes.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/tests/test_attempt_outcomes.py
@@ -25,12 +25,16 @@
         self.order()
         self.host = self.hosts[0]
         self.crashes = 0
+        self.has_refused_part = False
         self.outcomes = AttemptOutcomes(
             self.host.participant.book,
             self.host.participant.exchange,
             mock.Mock(),
             mock.Mock(is_cold=lambda tracker: False),
-            mock.Mock(count=lambda fingerprint: self.crashes),
+            mock.Mock(
+                count=lambda fingerprint: self.crashes,
+                parts=mock.Mock(is_refused=lambda parts: self.has_refused_part),
+            ),
             mock.Mock(total_s=0.0),
         )
 
@@ -110,6 +114,15 @@
             counts = self.host.participant.exchange.counts_of(self.host.rollout)
             self.assertEqual(sum(counts.recorder.counts().target_breaks.values()), breaks)
 
+    def test_break_by_a_refused_part_of_the_prompt_is_no_evidence_of_the_version(self) -> None:
+        self.has_refused_part = True
+        outcome = self.start(NEW)
+        outcome.attempt.is_broken = True
+        outcome.record_head(BROKEN)
+        outcome.finish()
+        counts = self.host.participant.exchange.counts_of(self.host.rollout)
+        self.assertEqual(sum(counts.recorder.counts().target_breaks.values()), 0)
+
     def test_streams_that_were_cut_short_count_against_their_version(self) -> None:
         """Ends of a version that breaks off its answers in order looked like good answers."""
         for is_broken, failed, breaks in ((False, 1, 0), (True, 1, 1)):
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
@@ -5,18 +5,21 @@
 
 import eventlet
 from ruddersaddle_base import clocks
+from ruddersaddle_base.codecs import decode_json, encode_json
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId, UpstreamId
 
 from ruddersaddle_serving import crash_shares
-from ruddersaddle_serving.crash_records import Crash, CrashRecords
-from ruddersaddle_serving.crash_shares import CrashShares, CrashUpdate
-from ruddersaddle_serving.fingerprints import Fingerprint
+from ruddersaddle_serving.crash_records import Crash, CrashRecord, CrashRecords
+from ruddersaddle_serving.crash_shares import CrashShares, CrashUpdate, store_key
+from ruddersaddle_serving.fingerprints import Fingerprint, PartKey
 from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.part_crashes import CrashedPart, PartCrash, PartRecord, make_tag
 from ruddersaddle_serving.ports import Record, Topic
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
 
 BAD, COMMON = Fingerprint("bad"), Fingerprint("common")
+PART, OTHER_PART = PartKey("m/deadly"), PartKey("m/other")
 STORE_DOWN = Failure(Code.LOG_UNAVAILABLE, Step.APPEND, "store", "status 503")
 
 
@@ -181,6 +184,93 @@
         self.assertEqual(self.refusing(fleet), 40)
         self.assertLessEqual(self.store.calls, 5)
 
+    def crash_with_part(self, shares: CrashShares, number: int, age_ms: int = 0) -> None:
+        """Let a host see the crash of an engine that ran one prompt with the part."""
+        fingerprint = Fingerprint(f"{number:08}")
+        part = CrashedPart(PART, (make_tag(fingerprint),))
+        shares.broadcast_crash(Crash(instance(number), (fingerprint,), (part,), age_ms))
+
+    def arrive(self, fleet: list[CrashShares]) -> None:
+        """Let each host receive a prompt with the part, and others without it that are answered."""
+        now_ms = clocks.unix_ms()
+        for shares in fleet:
+            history = shares.records.parts.history
+            history.record_request((PART,), now_ms)
+            for _ in range(3):
+                history.record_request((OTHER_PART,), now_ms)
+            history.record_answer((OTHER_PART,), now_ms)
+
+    def refusing_part(self, fleet: list[CrashShares]) -> int:
+        now_ms = clocks.unix_ms()
+        found = [each.records.parts.find_refusal((PART,), "r", now_ms) for each in fleet]
+        return sum(each is not None for each in found)
+
+    def test_part_in_crashes_that_three_hosts_saw_is_refused_by_all(self) -> None:
+        fleet = self.make_fleet(4, 10)
+        self.arrive(fleet)
+        for number in range(3):
+            self.crash_with_part(fleet[7 * number], number, age_ms=900 - 300 * number)
+        self.settle()
+        self.assertEqual(self.refusing_part(fleet), 40)
+
+    def test_partitioned_hosts_refuse_a_part_by_the_store(self) -> None:
+        fleet = self.make_fleet(3, 1)
+        self.store.followers = fleet
+        self.peers.is_partitioned = True
+        self.arrive(fleet)
+        with mock.patch.object(crash_shares, "CLEARING_DELAY_S", 0.002):
+            for number in range(6):
+                age_ms = 2000 - 300 * number
+                self.crash_with_part(fleet[number % 3], number, age_ms)
+            self.settle()
+        self.assertEqual(self.refusing_part(fleet), 3)
+
+    def test_host_that_has_just_started_refuses_a_part_by_the_store_alone(self) -> None:
+        fleet = self.make_fleet(1, 2)
+        self.arrive(fleet)
+        for number in range(3):
+            self.crash_with_part(fleet[0], number, age_ms=900 - 300 * number)
+        self.settle()
+        (new, *_) = self.make_fleet(1, 1)
+        self.store.read(new)
+        self.assertEqual(self.refusing_part([new]), 1)
+
+    def test_answer_at_any_host_clears_a_part_everywhere_and_in_the_store(self) -> None:
+        fleet = self.make_fleet(2, 2)
+        self.store.followers = [each for each in fleet if each.hosts.is_reader()]
+        self.arrive(fleet)
+        for number in range(3):
+            self.crash_with_part(fleet[0], number, age_ms=900 - 300 * number)
+        self.settle()
+        self.assertIn(store_key(PART), self.store.value_by_key)
+        now_ms = clocks.unix_ms()
+        clearances = fleet[3].records.parts.record_answer((PART,), now_ms + 1, now_ms + 1)
+        fleet[3].broadcast_cleared_parts(clearances)
+        self.settle()
+        self.assertEqual(self.refusing_part(fleet), 0)
+        self.assertNotIn(store_key(PART), self.store.value_by_key)
+
+    def test_parts_that_answers_clear_at_once_cost_no_call(self) -> None:
+        (only,) = self.make_fleet(1, 1)
+        self.arrive([only])
+        for number in range(2):
+            self.crash_with_part(only, number, age_ms=900 - 300 * number)
+        now_ms = clocks.unix_ms()
+        only.broadcast_cleared_parts(only.records.parts.record_answer((PART,), now_ms, now_ms))
+        eventlet.sleep(crash_shares.CLEARING_DELAY_S + 0.05)
+        self.assertEqual(self.store.calls, 0)
+
+    def test_record_of_a_part_is_no_record_of_a_request(self) -> None:
+        """Hosts of the former program version read all keys as those of requests."""
+        record = PartRecord(PART, (PartCrash(instance(0), 1, (), is_decisive=True),))
+        decoded = decode_json(encode_json(record), CrashRecord, Step.READ, "key")
+        self.assertIsInstance(decoded, Failure)
+
+    def test_crash_reported_by_a_host_of_the_former_program_version_names_no_part(self) -> None:
+        former = encode_json([["e-0", 1000], ["bad"]])
+        crash = decode_json(former, Crash, Step.READ, "key")
+        self.assertEqual(crash.parts, ())
+
     def test_record_of_a_completed_request_is_deleted_whichever_host_saw_it(self) -> None:
         fleet = self.make_fleet(4, 10)
         self.store.followers = [each for each in fleet if each.hosts.is_reader()]
