Clearances of parts are sent after a random delay, and once

After a crash every host soon has an answer that clears its most common parts: at 200 hosts each would send its own clearance, which readers relay to all. Each host waits up to 0.2 s (2 ms a host) and leaves out what another one has sent. test_part_that_all_hosts_clear_at_once_costs_few_messages: under ten messages a host at 200 hosts that all clear one part.

--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -6,6 +6,8 @@
 """
 
 import logging
+import random
+from collections.abc import Iterable
 from enum import Enum
 
 import eventlet
@@ -48,6 +50,9 @@
 CLEARING_DELAY_S = 0.25
 """Delay after which the record of a part that is not refused is written: answers clear most parts
 within this time."""
+CLEARANCE_SPREAD_S = 0.2
+"""Longest delay of a clearance."""
+SPREAD_PER_HOST_S = 0.002
 PART_PREFIX = "part:"
 """Prefix of the store's keys of parts; other keys are fingerprints of requests."""
 CRASH_RECORDS_MAX = 512
@@ -139,6 +144,8 @@
         """The store's records by key, as far as this host knows."""
         self._seen_locally: dict[str, None] = {}
         """Keys of requests and parts with a crash that this host saw itself, the oldest first."""
+        self._cleared_elsewhere: dict[tuple[PartKey, UpstreamInstance], None] = {}
+        """Clearances that other hosts have sent, the latest last."""
         self._dirty: set[str] = set()
         self._is_writing = False
 
@@ -168,11 +175,40 @@
         self._write_soon(fingerprint, 0.0)
 
     def broadcast_cleared_parts(self, clearances: list[PartClearance]) -> None:
-        """Send that parts were cleared; the records must have been updated before."""
-        self._send_first(CrashNews(cleared_parts=tuple(clearances)))
+        """Send that parts were cleared; the records must have been updated before.
+
+        After a crash all hosts have answers that clear its most common parts. Each sends after a
+        random delay, and only what no other host has sent by then.
+        """
+        delay_s = random.random() * min(CLEARANCE_SPREAD_S, self.hosts.count * SPREAD_PER_HOST_S)
+        eventlet.spawn_after(delay_s, self._send_clearances, clearances)
+
+    def _send_clearances(self, clearances: list[PartClearance]) -> None:
+        news = []
         for each in clearances:
+            left = tuple(
+                instance
+                for instance in each.instances
+                if (each.part, instance) not in self._cleared_elsewhere
+            )
+            if left:
+                news.append(PartClearance(each.part, left))
+        if news:
+            self._send_first(CrashNews(cleared_parts=tuple(news)))
+        for each in news:
             self._write_soon(store_key(each.part), 0.0)
 
+    def _apply_clearances(self, clearances: Iterable[PartClearance]) -> None:
+        """Apply what other hosts have sent on cleared parts."""
+        for each in clearances:
+            keys = ((each.part, instance) for instance in each.instances)
+            self._cleared_elsewhere.update(dict.fromkeys(keys))
+            is_news = self.records.parts.clear(each, clocks.unix_ms())
+            if is_news and self.hosts.is_reader():
+                self._write_soon(store_key(each.part), BACKUP_WRITE_DELAY_S)
+        while len(self._cleared_elsewhere) > SUSPECTS_MAX:
+            del self._cleared_elsewhere[next(iter(self._cleared_elsewhere))]
+
     def _send_first(self, news: CrashNews) -> None:
         self._send_soon(Hop.TO_READERS if self._relays_for_hall else Hop.FIRST, news)
         if self.hosts.is_region_reader:
@@ -238,9 +274,7 @@
             for fingerprint in completed:
                 self.broadcast_cleared(fingerprint)
         self.apply_cleared(update.cleared)
-        for clearance in update.cleared_parts:
-            if self.records.parts.clear(clearance, now_ms) and self.hosts.is_reader():
-                self._write_soon(store_key(clearance.part), BACKUP_WRITE_DELAY_S)
+        self._apply_clearances(update.cleared_parts)
         news = CrashNews(update.crashes, update.cleared, update.cleared_parts)
         for next_hop in self._next_hops(update.hop):
             self._send_soon(next_hop, news)
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
@@ -250,6 +250,18 @@
         self.assertEqual(self.refusing_part(fleet), 0)
         self.assertNotIn(store_key(PART), self.store.value_by_key)
 
+    def test_part_that_all_hosts_clear_at_once_costs_few_messages(self) -> None:
+        fleet = self.make_fleet(5, 40)
+        self.crash_with_part(fleet[0], 0)
+        self.settle()
+        self.peers.sent = 0
+        now_ms = clocks.unix_ms()
+        for shares in fleet:
+            clearances = shares.records.parts.record_answer((PART,), now_ms + 1, now_ms + 1)
+            shares.broadcast_cleared_parts(clearances)
+        eventlet.sleep(crash_shares.CLEARANCE_SPREAD_S + 0.1)
+        self.assertLess(self.peers.sent, 10 * len(fleet))
+
     def test_parts_that_answers_clear_at_once_cost_no_call(self) -> None:
         (only,) = self.make_fleet(1, 1)
         self.arrive([only])
