--- a/libs/serving/ruddersaddle_serving/part_records.py
+++ b/libs/serving/ruddersaddle_serving/part_records.py
@@ -104,7 +104,17 @@
         """Merge a record of another host or of the store; return the merged record."""
         if record.is_expired(now_ms) and not record.cleared:
             return record
-        self._merge(record.part, record.crashes, record.cleared, now_ms)
+        # A host whose clock is ahead must not make a refusal last longer.
+        crashes = [
+            msgspec.structs.replace(crash, at_ms=min(crash.at_ms, now_ms))
+            for crash in record.crashes
+        ]
+        was_refused = self._is_refused(record.part)
+        self._merge(record.part, crashes, record.cleared, now_ms)
+        if self._is_refused(record.part) and not was_refused:
+            logger.info(
+                "Part %s is on record as refused.", record.part, extra={"part": record.part}
+            )
         self.judge(now_ms)
         return self.by_part.get(record.part, record)
 
@@ -175,8 +185,14 @@
         for record in list(self.by_part.values()):
             age_ms = now_ms - self._changed_ms[record.part]
             is_expired = record.is_expired(now_ms) if record.crashes else age_ms >= CLEARED_MS
-            if is_expired:
-                self._drop(record)
+            if not is_expired:
+                continue
+            if record.is_refusal:
+                fields = {"part": record.part}
+                logger.info(
+                    "Part %s is admitted again: its record expired.", record.part, extra=fields
+                )
+            self._drop(record)
 
     def judge(self, now_ms: int) -> list[PartKey]:
         """Refuse the parts that must have caused crashes; return them."""
@@ -283,8 +299,6 @@
         was_refusal = known is not None and known.is_refusal
         if merged.is_refusal:
             self.counts["refused"] += not was_refusal
-            if not was_refusal:
-                logger.info("Part %s is on record as refused.", part, extra={"part": part})
             self.notify_refused(merged)
         elif was_refusal:
             self.counts["cleared"] += 1
--- a/libs/serving/ruddersaddle_serving/tests/test_part_records.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_part_records.py
@@ -138,6 +138,12 @@
         self.parts.merge(PartRecord(DEADLY, crashes), self.now_ms)
         self.assertTrue(self.is_refused(DEADLY))
 
+    def test_crash_that_a_host_with_a_clock_ahead_reported_extends_no_refusal(self) -> None:
+        ahead = PartCrash(instance(0), self.now_ms + 3_600_000, (), is_decisive=True)
+        self.parts.merge(PartRecord(DEADLY, (ahead,)), self.now_ms)
+        self.now_ms += REFUSAL_MS
+        self.assertFalse(self.is_refused(DEADLY))
+
     def test_first_host_by_rank_tries_the_part_with_one_request(self) -> None:
         self.crash_thrice()
         self.now_ms += REFUSAL_MS + 1
