Hosts with more new connections than they can serve close some unread

Cause: the accept loop takes whatever arrives, so that each request waits for all others. Connections were closed above a count of connections only, which says nothing about work.

A probe that is due after 5 ms, started as connections are accepted, tells how late tasks run. After 0.8 s above 80 ms a share of the new connections is closed unread, which grows with the delay. Nothing has run then, and callers go to other hosts. Tried and given up: the turn in which the accept loop itself runs as the measure; a limit for each turn; a limited rate; a smoothed delay (docs/design/overloaded-hosts.md).

--- a/libs/serving/ruddersaddle_serving/caller_listeners.py
+++ b/libs/serving/ruddersaddle_serving/caller_listeners.py
@@ -15,6 +15,8 @@
 from eventlet.greenio import GreenSocket
 from ruddersaddle_base import clocks
 
+from ruddersaddle_serving.connection_gates import ConnectionGate
+
 logger = logging.getLogger(__name__)
 
 LISTENER_GONE = frozenset({errno.EBADF, errno.EINVAL, errno.ENOTCONN, errno.ENOTSOCK})
@@ -47,7 +49,11 @@
     nothing has run. If it were left in the backlog, its caller would wait until its deadline.
     """
 
-    def __init__(self, listener: GreenSocket, pool: GreenPool) -> None:
+    def __init__(
+        self, listener: GreenSocket, pool: GreenPool, gate: ConnectionGate | None = None
+    ) -> None:
+        self.gate = gate
+        """Decides which connections are closed unread; None if all are accepted."""
         self.listener = listener
         self.pool = pool
         self.family = listener.family
@@ -68,7 +74,9 @@
             if accepted is None:
                 eventlet.sleep(ERROR_PAUSE_S)
             elif self.pool.free() > 0:
-                return accepted
+                if self.gate is None or self.gate.admits():
+                    return accepted
+                accepted[0].close()
             else:
                 accepted[0].close()
                 self._log_refused("the connection limit is reached")
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -21,6 +21,7 @@
 from ruddersaddle_serving.caller_listeners import ResilientListener, connection_limit
 from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_BYTES_MAX, CallerProtocol, RelayProtocol
+from ruddersaddle_serving.connection_gates import ConnectionGate
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.fence_leases import FenceLease
@@ -122,6 +123,7 @@
         self.stopping = False
         self.signals = StopSignals()
         self.stall_monitor = StallMonitor()
+        self.gate = ConnectionGate()
         self.histograms = Histograms()
         self.store_link = StoreLink()
         self.publications = Publications()
@@ -315,7 +317,8 @@
         start_collecting()
         signal.signal(signal.SIGTERM, self._handle_signal)
         signal.signal(signal.SIGINT, self._handle_signal)
-        served = [self._listen("listen.callers", self.front, CallerProtocol)]
+        callers = self._listen("listen.callers", self.front, CallerProtocol, self.gate)
+        served = [callers]
         if self.settings.text("listen.relays"):
             served.append(self._listen("listen.relays", self.front, RelayProtocol))
         self._listen("listen.ready", self._serve_ready, eventlet.wsgi.HttpProtocol)
@@ -326,12 +329,14 @@
             eventlet.sleep(STOP_CHECK_S)
         self._drain(served)
 
-    def _listen(self, name: str, app: Any, protocol: type) -> ServedPort:
+    def _listen(
+        self, name: str, app: Any, protocol: type, gate: ConnectionGate | None = None
+    ) -> ServedPort:
         host, _, port = self.settings.text(name).rpartition(":")
         listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
         set_listener_options(listener)
         pool = CallerPool(connection_limit())
-        listener = ResilientListener(listener, pool)
+        listener = ResilientListener(listener, pool, gate)
         server = eventlet.spawn(
             eventlet.wsgi.server,
             listener,
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -43,6 +43,7 @@
         "stream_records", "records of streams by event", host.streams.counts_by_event()
     )
     lines += format_counters("crashes", "broken runs by outcome", host.crash_watch.counts)
+    lines += format_counters("connections", "new connections of callers", host.gate.counts)
     lines += format_counters(
         "crash_parts", "parts of prompts by event", host.crash_records.parts.counts
     )
@@ -148,6 +149,7 @@
             "parts of prompts that are refused",
             len(records.parts.refused()),
         ),
+        ("task_delay_seconds", "how late the last sampled task ran", host.gate.delay_s),
         ("stood_still_seconds", "seconds stalled since the start", host.stall_monitor.total_s),
     )
 
