--- a/libs/serving/ruddersaddle_serving/connection_gates.py
+++ b/libs/serving/ruddersaddle_serving/connection_gates.py
@@ -22,7 +22,7 @@
 PROBE_S = 0.005
 """Time after which a probe is due; how late it runs is the delay of all tasks."""
 OVERLOAD_S = 0.08
-"""Delay that shows overload. Hosts with a small share of a core have some 40 ms on calm days."""
+"""Delay that shows overload. On hosts with a small share of a core, shorter ones are common."""
 SAMPLES = 4
 """Samples in a row that must show it: one stall of the process makes one sample late."""
 SUSTAINED_S = 0.8
