The measurement of orders runs alone in the test command

It is a measurement with bounds on time, so it runs after all other modules now; the test and its bounds are unchanged.

--- a/libs/standins/ruddersaddle_standins/suites.py
+++ b/libs/standins/ruddersaddle_standins/suites.py
@@ -17,6 +17,8 @@
 KNOWN_RED_MAX = 3
 CONCURRENT_MODULES = 3
 """Modules that run concurrently; each may start a fleet of a dozen processes."""
+MEASURING_MODULES = frozenset({"ruddersaddle_platform.tests.test_order_givers"})
+"""Modules that run alone: they measure how soon the processes that they start respond."""
 MODULE_TIMEOUT_S = 600.0
 MODULE_COMMAND = "module"
 
@@ -93,8 +95,12 @@
 def run_all(root: Path) -> int:
     """Run all modules; return the exit code."""
     known = read_known_red(root)
+    modules = find_modules(root)
+    measuring = [each for each in modules if each in MEASURING_MODULES]
+    others = [each for each in modules if each not in MEASURING_MODULES]
     with ThreadPoolExecutor(CONCURRENT_MODULES) as pool:
-        results = list(pool.map(start_module, find_modules(root)))
+        results = list(pool.map(start_module, others))
+    results += [start_module(each) for each in measuring]
     ran = sum(result.ran for result in results)
     skipped = sum(result.skipped for result in results)
     failed = [test for result in results for test in result.failed]
