--- a/review/2/case.py
+++ b/review/2/case.py
@@ -56,7 +56,6 @@
             Engine(f"i-{each}", deployment.next_ip(), deployment.store, self.stores, record)
             for each in ("first", "second")
         ]
-        self.statuses: list[int] = []
 
     def publish(self) -> None:
         """Publish the configuration."""
@@ -108,8 +107,11 @@
             "Deadline_Ms": "8000",
         }
         channel = Channel((host.ip, host.front), self.record)
+        self.record.line("client", f"sends {request} to {host.name}: {prompt['Prompt_Prefix']}")
         channel.send(make_head("POST", "/draft/x", request, KEY, **prompt))
-        self.statuses.append(channel.read().status)
+        answer = channel.read()
+        signature = answer.headers.get("response-signature", "none")
+        self.record.line("client", f"gets for {request}: {answer.status}, signature {signature}")
         channel.close()
 
     def call_for(self, seconds: float, pause_s: float) -> None:
