--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -84,6 +84,12 @@
         ("store_returns", "restores of the store from a copy", host.store.eras.restores),
         ("configuration_awaited", "versions lost by the store", _count_awaited(host)),
         ("upstreams", "entries of upstreams", len(host.upstreams.by_id)),
+        ("upstreams_age_seconds", "seconds since the list's confirmation", host.upstreams.age_s),
+        (
+            "upstream_lists_ignored",
+            "lists of upstreams from peers that were older than the own one",
+            host.upstreams.lists_ignored,
+        ),
         (
             "upstreams_cold",
             "upstreams that are still cold",
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -7,6 +7,7 @@
 import msgspec
 from eventlet.queue import LightQueue
 from ruddersaddle_base import clocks
+from ruddersaddle_base.clocks import MS_PER_S
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, StoreId
 from ruddersaddle_routing.rendezvous import rank_names
@@ -266,12 +267,12 @@
             hosts.record_unresponsive(address)
             return False
         hosts.record_response(address)
-        self._apply_state(answer, asked_at)
+        self._apply_state(address, answer, asked_at)
         self._revision_by_address[address] = answer.entries_revision
         self._crashes_revision_by_address[address] = answer.crashes_revision
         return True
 
-    def _apply_state(self, update: StateUpdate, asked_at: float) -> None:
+    def _apply_state(self, address: str, update: StateUpdate, asked_at: float) -> None:
         """Apply a peer's state, with ages relative to the time of the request."""
         self._learn_era(update.known_era)
         if clocks.now_s() < self.publications.settling_until:
@@ -295,12 +296,24 @@
         self.upstreams.apply_leaving(update.leaving)
         entries_at = asked_at - update.entries_age_s
         if entries_at <= self.upstreams.confirmed_at:
+            if update.entries is not None:
+                self._log_ignored_list(address, entries_at)
             return
         if update.entries is None:
             self.upstreams.confirm(entries_at)
         else:
             self.upstreams.replace_reported(update.entries, update.lapsing, entries_at, update.gone)
 
+    def _log_ignored_list(self, address: str, entries_at: float) -> None:
+        self.upstreams.lists_ignored += 1
+        ahead_s = self.upstreams.confirmed_at - entries_at
+        logger.info(
+            "List of upstreams of %s ignored: it is %.3f s older than the one in use.",
+            address,
+            ahead_s,
+            extra={"entries_age_ms": round(self.upstreams.age_s * MS_PER_S)},
+        )
+
     def _apply_evacuations(self, halls: tuple[HallId, ...] | None, end: StorePosition) -> None:
         if halls is not None:
             is_copy = self.publications.is_of_later_era(end)
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -43,6 +43,8 @@
         """Grows with each change of an entry; starts at random, so that two processes differ."""
         self.confirmed_at = float("-inf")
         """When the request was sent whose response was last applied."""
+        self.lists_ignored = 0
+        """Number of lists from other hosts that were ignored as older than the one in use."""
         self._lapse_at_by_id: dict[UpstreamId, float] = {}
         """When entries that may have lapsed in an outage are dropped; infinity until it ends."""
         self._unanswered_at: float | None = None
