--- a/libs/serving/ruddersaddle_serving/crash_records.py
+++ b/libs/serving/ruddersaddle_serving/crash_records.py
@@ -19,11 +19,11 @@
 
 import msgspec
 
+from ruddersaddle_serving.context_stores import REVISION_BITS
 from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.part_crashes import CrashedPart, PartRecord
 from ruddersaddle_serving.part_records import PartRecords
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
-from ruddersaddle_serving.upstream_lists import REVISION_BITS
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -41,8 +41,9 @@
     host: HostId
     record: HostRecord
     version: int
-    entries_revision: int
-    """Revision of the peer's entries that the sender has; -1 for none."""
+    entries_digest: int = msgspec.field(name="entries_revision")
+    """Digest of the sender's entries; -1 without a complete list. Hosts of the former version send
+    the number of the peer's list that they received last."""
     hosts_digest: int
     """Digest of the sender's list of hosts."""
     crashes_revision: int = -1
@@ -61,8 +62,9 @@
     named: tuple[ModelVersion, ...]
     published: PublishedConfiguration | None
     entries: tuple[UpstreamEntry, ...] | None
-    """None if the requesting host has them."""
-    entries_revision: int
+    """None if the requesting host has the same."""
+    entries_digest: int = msgspec.field(name="entries_revision")
+    """Digest of the sender's entries; -1 without a complete list."""
     entries_age_s: float
     hosts: dict[HostId, HostRecord] | None
     """None if the requesting host knows the same hosts, or a newer list."""
@@ -94,6 +96,9 @@
     """The newest order of each service, with its stop or decision."""
     part_records: tuple[PartRecord, ...] = ()
     """Parts of prompts during which two or more upstreams crashed; sent with `crashes`."""
+    entries_end: StorePosition = TOPIC_START
+    """Position in the store's topic up to which the sender's entries have all changes; the start
+    from hosts of the former version."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -35,7 +35,7 @@
 )
 from ruddersaddle_serving.part_updates import PartsRequest, StoreLost, reply_parts
 from ruddersaddle_serving.peers import Peers
-from ruddersaddle_serving.ports import MetadataStore, ModelVersion, StorePosition
+from ruddersaddle_serving.ports import TOPIC_START, MetadataStore, ModelVersion, StorePosition
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.regions.link_probes import LinkProbes
 from ruddersaddle_serving.regions.links import LinkReports, RegionLinks
@@ -117,7 +117,6 @@
         self.host_list.listeners.append(self.traffic.update)
         self.links = RegionLinks(hosts.regions)
         self.link_probes = LinkProbes(hosts, self.peers, self.links)
-        self._revision_by_address: dict[str, int] = {}
         self._crashes_revision_by_address: dict[str, int] = {}
         self._asked_at = float("-inf")
         self._last_broadcast = (0, 0)
@@ -250,13 +249,12 @@
     def _request_state(self, address: str) -> bool:
         """Ask one peer; return whether it answered."""
         asked_at = clocks.now_s()
-        revision = self._revision_by_address.get(address, -1)
         hosts = self.hosts
         request = StateRequest(
             hosts.own_id,
             hosts.own,
             self.publications.version,
-            revision,
+            self._entries_digest(),
             hosts.digest,
             self._crashes_revision_by_address.get(address, -1),
             self.store.eras.newest,
@@ -268,7 +266,6 @@
             return False
         hosts.record_response(address)
         self._apply_state(address, answer, asked_at)
-        self._revision_by_address[address] = answer.entries_revision
         self._crashes_revision_by_address[address] = answer.crashes_revision
         return True
 
@@ -294,15 +291,32 @@
         # Cold instances are applied before the entries, so that none of these counts as warm.
         self.upstreams.cold.apply_all(update.cold)
         self.upstreams.apply_leaving(update.leaving)
-        entries_at = asked_at - update.entries_age_s
-        if entries_at <= self.upstreams.confirmed_at:
+        self._apply_entries(address, update, asked_at - update.entries_age_s)
+
+    def _apply_entries(self, address: str, update: StateUpdate, entries_at: float) -> None:
+        """Apply a peer's list of upstreams if it has all that this host's list has.
+
+        `entries_at` is the time before which it has every change that the store had accepted.
+        """
+        upstreams = self.upstreams
+        is_ordered = update.entries_end != TOPIC_START
+        if is_ordered and upstreams.covers(update.entries_end):
+            upstreams.confirm_covered(update.entries_end, entries_at)
+            return
+        if not is_ordered and entries_at <= upstreams.confirmed_at:
             if update.entries is not None:
                 self._log_ignored_list(address, entries_at)
             return
-        if update.entries is None:
-            self.upstreams.confirm(entries_at)
-        else:
-            self.upstreams.replace_reported(update.entries, update.lapsing, entries_at, update.gone)
+        if update.entries is not None:
+            upstreams.replace_reported(
+                update.entries, update.lapsing, entries_at, update.gone, update.entries_end
+            )
+        elif update.entries_digest == self._entries_digest():
+            upstreams.advance(update.entries_end)
+            upstreams.confirm(entries_at)
+
+    def _entries_digest(self) -> int:
+        return self.upstreams.digest if self.upstreams.complete else -1
 
     def _log_ignored_list(self, address: str, entries_at: float) -> None:
         self.upstreams.lists_ignored += 1
@@ -379,7 +393,8 @@
         upstreams = self.upstreams
         table = publications.table
         is_newer = table is not None and publications.version > request.version
-        omits_entries = request.entries_revision == upstreams.revision or not upstreams.complete
+        entries_digest = self._entries_digest()
+        omits_entries = request.entries_digest == entries_digest or not upstreams.complete
         versions = publications.version_by_model
         records = self.crashes.records
         crashes_revision = records.revision + records.parts.revision
@@ -394,8 +409,9 @@
             entries=None if omits_entries else tuple(upstreams.by_id.values()),
             gone=() if omits_entries else upstreams.recently_gone(),
             lapsing=() if omits_entries else upstreams.lapsing,
-            entries_revision=upstreams.revision if upstreams.complete else -1,
+            entries_digest=entries_digest,
             entries_age_s=upstreams.age_s,
+            entries_end=upstreams.end,
             hosts={**hosts.by_id, hosts.own_id: hosts.own}
             if self._has_newer_list_for(request)
             else None,
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -288,11 +288,15 @@
         outage, even if other hosts have reported that the store answers again."""
 
     def apply(self, page: Page, complete: bool, asked_at: float) -> bool:
-        """Apply entries and their removals."""
+        """Apply entries and their removals, unless another host's list already has them all."""
+        if self.upstreams.covers(page.end):
+            self._is_first_page = False
+            self.upstreams.confirm_covered(page.end, asked_at)
+            return True
         if complete:
             decoded = [self._decode(record) for record in page.records if record.value]
             entries = [entry for entry in decoded if entry is not None]
-            self.upstreams.replace(entries, asked_at)
+            self.upstreams.replace(entries, asked_at, page.end)
             self._is_first_page = False
             return True
         put = self.upstreams.put if self._is_first_page else self.upstreams.put_written
@@ -307,6 +311,7 @@
                 self.upstreams.drop(UpstreamId(record.key))
             else:
                 self.upstreams.remove(UpstreamId(record.key))
+        self.upstreams.advance(page.end)
         self.upstreams.confirm(asked_at)
         return True
 
--- a/libs/serving/ruddersaddle_serving/tests/state_orders.py
+++ b/libs/serving/ruddersaddle_serving/tests/state_orders.py
@@ -12,6 +12,7 @@
 
 import greenlet
 import msgspec
+from eventlet.hubs import get_hub
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId, PoolId, UpstreamId
 
@@ -131,6 +132,8 @@
         self._queue: list[tuple[float, int, Callable[[], object]]] = []
         self._numbers = itertools.count()
         self._hub = greenlet.getcurrent()
+        # Created here, so that it isn't created by a task of this class.
+        get_hub()
         self.records = {
             HostId(f"host-{n}"): HostRecord(f"10.0.0.{n}:1", HALL) for n in range(count)
         }
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -1,7 +1,7 @@
 """The list of upstreams, built from the entries that they write to the platform's store."""
 
+import hashlib
 import logging
-import random
 from collections.abc import Collection, Iterable
 
 import msgspec
@@ -9,14 +9,16 @@
 from ruddersaddle_base.ids import PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.cold_starts import ColdStarts
+from ruddersaddle_serving.ports import TOPIC_START, StorePosition
 from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamInstance
 
 logger = logging.getLogger(__name__)
+_entry_encoder = msgspec.msgpack.Encoder(order="deterministic")
 
 LAPSE_GRACE_S = 2.0
 """How long after an outage of the store an entry that lapsed in it is kept: an upstream that is
 alive has written its entry again by then."""
-REVISION_BITS = 40
+DIGEST_MAX = 2**63 - 1
 OUTAGE_MEMORY_S = 4.0
 """How long after an outage the list may lack upstreams that are alive: two seconds until they write
 again, and two until this host has read it."""
@@ -32,6 +34,13 @@
 """Age up to which a list counts as up to date; hosts receive what others read within 1.9 s."""
 
 
+class EntryHash(msgspec.Struct, frozen=True):
+    """An entry and its hash, which is computed once: few entries change at a time."""
+
+    entry: UpstreamEntry
+    value: int
+
+
 class UpstreamList:
     """The entries by id. All times are of the boot-time clock, in seconds."""
 
@@ -39,12 +48,19 @@
         self.by_id: dict[UpstreamId, UpstreamEntry] = {}
         self.cold = ColdStarts()
         self.complete = False
-        self.revision = random.getrandbits(REVISION_BITS)
-        """Grows with each change of an entry; starts at random, so that two processes differ."""
+        self.revision = 0
+        """Grows with each change of an entry."""
         self.confirmed_at = float("-inf")
-        """When the request was sent whose response was last applied."""
+        """Time before which the list has every change that the store had accepted."""
+        self.end = TOPIC_START
+        """Position in the store's topic up to which the list has all changes. It orders lists: the
+        time of a request doesn't, as a response may have changes that the store accepted later."""
         self.lists_ignored = 0
         """Number of lists from other hosts that were ignored as older than the one in use."""
+        self._hash_by_entry_id: dict[UpstreamId, EntryHash] = {}
+        self._digest = 0
+        self._digest_source: tuple[int, tuple[UpstreamId, ...]] | None = None
+        """Revision and lapsing entries that the digest was computed of."""
         self._lapse_at_by_id: dict[UpstreamId, float] = {}
         """When entries that may have lapsed in an outage are dropped; infinity until it ends."""
         self._unanswered_at: float | None = None
@@ -103,18 +119,65 @@
         """Return whether an instance listed in the restored copy is known to be gone."""
         return clocks.now_s() < self._gone_ignored_until and instance in self._gone
 
-    def replace(self, entries: Iterable[UpstreamEntry], asked_at: float) -> None:
-        """Apply a complete list read from the store."""
+    def replace(
+        self,
+        entries: Iterable[UpstreamEntry],
+        asked_at: float,
+        end: StorePosition = TOPIC_START,
+    ) -> None:
+        """Apply a complete list read from the store, which ends at `end`."""
         self._replace(
             [entry for entry in entries if not self._is_known_gone(entry.instance)], asked_at
         )
+        self.advance(end)
+
+    def covers(self, end: StorePosition) -> bool:
+        """Return whether this list has all changes before a position, and later ones."""
+        return end < self.end
+
+    def advance(self, end: StorePosition) -> None:
+        """Record that all changes before a position have been applied."""
+        self.end = max(self.end, end)
+
+    def confirm_covered(self, end: StorePosition, asked_at: float) -> None:
+        """Confirm the list by a response that has no changes beyond those that this list has.
+
+        A response of an earlier era says nothing of a list that was read after a restore.
+        """
+        if end.era == self.end.era:
+            self.confirm(asked_at)
+
+    @property
+    def digest(self) -> int:
+        """Digest of the entries that the store has; equal on hosts with equal lists.
+
+        Entries kept for a grace period don't count: which ones a host keeps depends on what it
+        knew before the outage.
+        """
+        source = (self.revision, self.lapsing)
+        if source != self._digest_source:
+            self._digest_source = source
+            self._digest = self._compute_digest()
+        return self._digest
+
+    def _compute_digest(self) -> int:
+        known = self._hash_by_entry_id
+        self._hash_by_entry_id = {
+            each.id: known[each.id]
+            if each.id in known and known[each.id].entry is each
+            else EntryHash(each, _hash_entry(each))
+            for each in self.by_id.values()
+            if each.id not in self._lapse_at_by_id
+        }
+        return sum(each.value for each in self._hash_by_entry_id.values()) & DIGEST_MAX
 
     def replace_reported(
         self,
-        entries: Iterable[UpstreamEntry],
+        entries: Collection[UpstreamEntry],
         lapsing: Collection[UpstreamId],
         asked_at: float,
         gone: Collection[UpstreamInstance] = (),
+        end: StorePosition = TOPIC_START,
     ) -> None:
         """Apply a complete list that another host sent.
 
@@ -139,6 +202,7 @@
         for instance in known & kept - set(gone):
             self._lapse_at_by_id.setdefault(instance.id, until)
         self._replace(fresh, asked_at, {instance.id for instance in kept})
+        self.advance(end)
 
     @property
     def lapsing(self) -> tuple[UpstreamId, ...]:
@@ -290,6 +354,11 @@
         return [each for each in self.by_id.values() if each.pool == pool and not each.leaving]
 
 
+def _hash_entry(entry: UpstreamEntry) -> int:
+    data = _entry_encoder.encode(entry)
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
+
+
 def _with_known_version(entry: UpstreamEntry, known: UpstreamEntry | None) -> UpstreamEntry:
     """Return an entry with the software version that is known of the same process.
 
