--- a/libs/serving/ruddersaddle_serving/part_relays.py
+++ b/libs/serving/ruddersaddle_serving/part_relays.py
@@ -86,6 +86,5 @@
         }
         for update in answer.stores:
             store = self.cached_parts.by_id.get(update.store)
-            if store is not None:
-                apply_store_update(store, update, asked_at)
+            if store is not None and apply_store_update(store, update, asked_at):
                 self._revision_by_source[reader, update.store] = update.revision
--- a/libs/serving/ruddersaddle_serving/part_updates.py
+++ b/libs/serving/ruddersaddle_serving/part_updates.py
@@ -1,5 +1,7 @@
 """Messages by which hosts relay changes at context stores, so that few hosts poll each store."""
 
+import logging
+
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import StoreId
@@ -8,6 +10,8 @@
 from ruddersaddle_serving.context_stores import StoreView
 from ruddersaddle_serving.ports import StoreChange
 
+logger = logging.getLogger(__name__)
+
 ROWS_MAX = 3000
 """Most changes in one answer, about 120 KB, unless a single store has more."""
 
@@ -89,11 +93,15 @@
     )
 
 
-def apply_store_update(store: StoreView, update: StoreUpdate, asked_at: float) -> None:
-    """Apply a peer's update to the view of its store.
+def apply_store_update(store: StoreView, update: StoreUpdate, asked_at: float) -> bool:
+    """Apply a peer's update to the view of its store; return False if the view is newer.
 
     Its age is counted from when the request was sent, so the listing never seems too recent.
     """
+    confirmed_at = asked_at - update.age_s
+    if _is_older(store, update, confirmed_at):
+        logger.info("Changes at store %s ignored: this host's listing is newer.", store.spec.id)
+        return False
     if update.is_complete or update.epoch != store.epoch:
         store.reset(update.epoch, update.next, bool(update.changes))
     for change in update.changes:
@@ -101,4 +109,12 @@
     store.next_event = update.next
     store.used_tokens = update.used_tokens
     store.record_clock(int(update.clock_ms))
-    store.confirmed_at = max(store.confirmed_at, asked_at - update.age_s)
+    store.confirmed_at = max(store.confirmed_at, confirmed_at)
+    return True
+
+
+def _is_older(store: StoreView, update: StoreUpdate, confirmed_at: float) -> bool:
+    """Return whether an update lacks events of the view; epochs are compared by their dates."""
+    if update.epoch == store.epoch:
+        return update.next < store.next_event
+    return store.epoch is not None and confirmed_at <= store.confirmed_at
--- a/libs/serving/ruddersaddle_serving/tests/test_part_updates.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_part_updates.py
@@ -102,6 +102,26 @@
         self.now += LISTING_TRUST_S + 0.1
         self.assertEqual(self.ask(), PartsUpdate(()))
 
+    def test_listing_of_a_reader_that_lags_brings_back_a_part_that_was_removed(self) -> None:
+        self.put("a", 10)
+        lagging = reply_parts(self.reader, PartsRequest((KnownRevision(SPEC.id, -1),))).stores[0]
+        self.put("a", 0)
+        self.read_view.next_event += 1
+        self.ask()
+        self.assertFalse(apply_store_update(self.relayed_view, lagging, self.now))
+        self.assertEqual(self.parts(), {})
+
+    def test_listing_of_an_earlier_epoch_counts_as_new(self) -> None:
+        self.put("a", 10)
+        lagging = reply_parts(self.reader, PartsRequest((KnownRevision(SPEC.id, -1),))).stores[0]
+        asked_at = self.now
+        self.now += 1.0
+        self.read_view.reset(8, 0)
+        self.read_view.confirmed_at = self.now
+        self.ask()
+        self.assertFalse(apply_store_update(self.relayed_view, lagging, asked_at))
+        self.assertEqual((self.parts(), self.relayed_view.epoch), ({}, 8))
+
     def test_relayed_clock_is_never_ahead(self) -> None:
         self.ask(latency_s=0.2)
         passed_ms = (self.now - 100.0) * 1000
