--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -56,6 +56,8 @@
 
     records: tuple[Record, ...]
     end: StorePosition
+    has_more: bool = False
+    """Whether the topic had more records than one answer holds."""
 
 
 class ModelVersion(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -127,7 +127,7 @@
                 self._record_failure(page)
                 self._pause_after_failure(is_reader, await_change)
                 continue
-            eventlet.sleep(pause_s)
+            eventlet.sleep(0.0 if page.has_more else pause_s)
 
     def draw_fallback_s(self) -> float:
         """Return the age of the view above which this host reads the topic if it isn't a reader."""
@@ -158,7 +158,9 @@
         if self._era not in (None, page.end.era):
             self.record_restore()
         self._era = page.end.era
-        if self.apply(page, complete, asked_at):
+        # Until the rest is read, the view lacks changes that the store had accepted before.
+        confirmed_at = float("-inf") if page.has_more else asked_at
+        if self.apply(page, complete, confirmed_at):
             self.position = page.end
         return page
 
