--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -5,7 +5,7 @@
 
 import eventlet
 import msgspec
-from eventlet.queue import LightQueue
+from eventlet.queue import Empty, LightQueue
 from ruddersaddle_base import clocks
 from ruddersaddle_base.clocks import MS_PER_S
 from ruddersaddle_base.failures import Failure
@@ -62,6 +62,9 @@
 CHECK_PAUSE_S = 1.0
 """Interval between probes of connections to peers, one connection at a time: each of nine hosts
 finds a dead one within 8 s. Probing all of them each second would be 72 messages a second."""
+PATIENCE_SHARE = 0.25
+"""Share of a request's time-out after which the next reader is asked as well: connections to
+several readers may be dead at the same time, and a leave must be known within 2 s."""
 START_WAIT_S = 0.6
 """Longest wait of a starting host for other hosts: the list of hosts arrives in milliseconds, and
 the hosts on it are asked concurrently. With a longer wait, callers were refused for a second."""
@@ -184,7 +187,7 @@
     def refresh(self) -> None:
         """Notify others of changes, and ask for their state if it is time to."""
         self._broadcast_changes()
-        age_s = max(self.publications.age_s, self.upstreams.age_s)
+        age_s = self._view_age_s
         since_s = clocks.now_s() - self._asked_at
         is_due = since_s > self._request_pause_s(age_s)
         if is_due and (age_s > STALE_S or not self.hosts.is_reader()):
@@ -196,7 +199,7 @@
 
         The pause is shorter from when the view becomes older than `STALE_S`.
         """
-        age_s = max(self.publications.age_s, self.upstreams.age_s)
+        age_s = self._view_age_s
         since_s = clocks.now_s() - self._asked_at
         until_s = self._request_pause_s(age_s) - since_s
         urgent_s = self._request_pause_s(math.inf) - since_s
@@ -224,12 +227,20 @@
         self.peers.broadcast(self.sources.to_notify(is_published), Changed(self.address))
 
     def _request_state_from_reader(self, age_s: float) -> None:
-        """Ask the readers in turn until one answers with a recent state."""
+        """Ask the readers until one answers with a recent state; a slow one delays no other."""
         self._asked_at = clocks.now_s()
+        answers: LightQueue[bool] = LightQueue()
         for address in self.sources.readers_to_ask(age_s):
-            if self._request_state(address) and self.publications.age_s < STALE_S:
+            eventlet.spawn(self._request_state_into, address, answers)
+            patience_s = self.sources.timeout_s(address) * PATIENCE_SHARE
+            if _has_answer(answers, patience_s) and self._view_age_s < STALE_S:
                 return
 
+    @property
+    def _view_age_s(self) -> float:
+        """Age of the older one of the views of configuration and upstreams."""
+        return max(self.publications.age_s, self.upstreams.age_s)
+
     def _check_connections(self) -> None:
         """Probe the peers in turn; the probe's time-out closes a dead connection."""
         index = 0
@@ -486,6 +497,14 @@
         return answer
 
 
+def _has_answer(answers: LightQueue[bool], wait_s: float) -> bool:
+    """Return whether a peer answered within a time."""
+    try:
+        return answers.get(timeout=wait_s)
+    except Empty:
+        return False
+
+
 def rank_for_duty(duty: str, neighbours: Neighbours) -> int:
     """Return this host's rank among the responsive hosts for a duty; 0 is the first."""
     return rank_names(duty, neighbours.live_hosts).index(neighbours.address)
