--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -293,6 +293,8 @@
         forbidden = self._find_forbidding(request, tracker.entry)
         if self.upstreams.is_leaving(tracker.entry.instance):
             detail = "since it was chosen, it reported that it leaves"
+        elif not self.upstreams.is_listed(tracker.entry.instance):
+            detail = "since it was chosen, its entry has gone"
         elif self.publications.evacuations.is_in_force(hall):
             detail = f"since it was chosen, hall {hall} was evacuated"
         elif tracker.reported.backoff_s > 0:
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -380,6 +380,17 @@
         self.assertEqual((refusal.code, refusal.ran), (Code.EVACUATED, Ran.NOT_RUN))
         self.assertGreater(refusal.retry_after_s, 0)
 
+    def test_request_is_sent_to_an_upstream_whose_entry_went_as_it_connected(self) -> None:
+        self.upstreams.drop(self.first.id)
+        failure = self.placement.check_available(self.request, self.first)
+        self.assertIn("gone", failure.detail)
+        self.assertEqual(failure.ran, Ran.NOT_RUN)
+
+    def test_request_is_sent_to_an_instance_that_another_one_replaced(self) -> None:
+        later = msgspec.structs.replace(self.first.entry, born_ms=5)
+        self.upstreams.put(later)
+        self.assertIn("gone", self.placement.check_available(self.request, self.first).detail)
+
     def test_availability_is_checked_again_when_a_request_is_sent(self) -> None:
         self.assertIsNone(self.placement.check_available(self.request, self.first))
         self.turn_cold(self.first)
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -320,11 +320,15 @@
 
     def is_leaving(self, instance: UpstreamInstance) -> bool:
         """Return whether an instance is leaving, by its announcement or by its entry."""
-        entry = self.by_id.get(instance.id)
         return instance in self._leaving or (
-            entry is not None and entry.instance == instance and entry.leaving
+            self.is_listed(instance) and self.by_id[instance.id].leaving
         )
 
+    def is_listed(self, instance: UpstreamInstance) -> bool:
+        """Return whether an instance has an entry; otherwise it left, or another replaced it."""
+        entry = self.by_id.get(instance.id)
+        return entry is not None and entry.instance == instance
+
     def leaving(self) -> tuple[UpstreamInstance, ...]:
         """Return the instances that announced last that they are leaving, to send to hosts."""
         return tuple(self._leaving)[-REPORTED_MAX:]
