--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -135,6 +135,9 @@
         self.outcome: AttemptOutcome | None = None
         """Record of the attempt's outcome, once it was sent."""
         self.relaying: Relaying | None = None
+        """The relayed attempt whose answer is being read."""
+        self._has_relayed = False
+        """Whether another host has accepted the request, or may have; it is offered once."""
         self.splitter: EventSplitter | ByteStream = EventSplitter()
         self.pool: PoolId | None = None
         self._excluded: set[UpstreamId] = set()
@@ -212,7 +215,7 @@
     def _relay(self, reason: str) -> BufferedAnswer | AnswerHead | Failure | None:
         """Return another host's answer; None if no host accepts the request."""
         peers = self.forwarder.relay_peers
-        if peers is None or self.request.terms is not None or self.relaying is not None:
+        if peers is None or self.request.terms is not None or self._has_relayed:
             return None
         # A stream that is under way is not resumed by another host.
         upstreams_max = self.request.upstreams_max - self._sent_count
@@ -224,11 +227,14 @@
         terms = RelayTerms(peers.hosts.own_id, self.forwarder.publications.version, upstreams_max)
         self.relaying = Relaying(peers, self.request, terms, self.trace)
         result = self.relaying.begin()
-        if result is None:
+        if isinstance(result, BufferedAnswer) and self._sent_count:
+            result = self._as_refusal(result) if result.status in NOT_RUN_STATUSES else result
+        self._has_relayed = result is not None
+        if result is None or isinstance(result, Failure):
+            # A later attempt of this host reads its own answer.
+            self.relaying.finish()
             self.relaying = None
         elif isinstance(result, BufferedAnswer):
-            if self._sent_count and result.status in NOT_RUN_STATUSES:
-                return self._as_refusal(result)
             self._record_first()
         return result
 
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -154,6 +154,20 @@
         self.assertIsInstance(self.relay(1, 503), Failure)
         self.assertIsInstance(self.relay(1, 200), BufferedAnswer)
 
+    def test_answer_of_an_attempt_is_read_from_a_relayed_one_that_failed(self) -> None:
+        forwarding = self.make_forwarding()
+        forwarding._sent_count = 1
+        forwarding.request.route = msgspec.structs.replace(ROUTE, upstreams_max=4)
+        forwarding.forwarder.relay_peers = mock.Mock()
+        broken = Failure(Code.UPSTREAM_FAILED, Step.PEER, "host-2", "broken", Ran.UNKNOWN)
+        refused = BufferedAnswer(503, (), b"", Framing.DELIMITED)
+        for result in (broken, refused):
+            forwarding._has_relayed = False
+            with mock.patch.object(Relaying, "begin", return_value=result):
+                self.assertIsInstance(forwarding._relay("lost"), Failure)
+            self.assertIsNone(forwarding.relaying)
+            self.assertIsNone(forwarding._relay("lost"), "a request is relayed once")
+
     def test_request_without_attempts_left_is_not_relayed(self) -> None:
         self.assertIsNone(self.relay(2, 200))
 
