--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -24,6 +24,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise the caller that its request has not run and never will."""
 UNAVAILABLE = 503
+LOGGED_ID_CHARS = 80
+"""Characters of a request's id that an answer names, in the log."""
 REFUSAL_RETRY_AFTER_S = 0.2
 """Retry delay given to callers after an upstream's refusal: its reasons (a full queue, weights
 being loaded) pass within some hundred milliseconds, or another upstream accepts the request."""
@@ -99,16 +101,27 @@
         if isinstance(head, Failure):
             self.is_invalid = self.exchange.has_invalid_head
             return head
+        if head.request != self.request.id:
+            # It may be a surplus answer of an earlier request, so nothing that it says is used.
+            return self._foreign(head)
         self.choice.tracker.record_reached()
         if self._is_from_chosen(head):
-            is_ordinary = head.has_receipt and head.request == self.request.id
             notice = self.choice.tracker.apply_self_report(
-                head.report, self.request.id, is_ordinary
+                head.report, self.request.id, head.has_receipt
             )
             if notice is not None:
                 self.broadcast_notice(notice)
         return self._check(head)
 
+    def _foreign(self, head: AnswerHead) -> Failure:
+        """Return the failure of an answer that doesn't name this request alone."""
+        named = None if head.request is None else head.request[:LOGGED_ID_CHARS]
+        detail = f"the answer names request {named!r}, not {self.request.id!r}"
+        logger.warning(
+            "Answer of %s not used: %s.", self.choice.tracker.id, detail, extra={"named": named}
+        )
+        return self._invalid(detail)
+
     def _await_head(self) -> AnswerHead | Failure:
         paths = self.choice.tracker.path.paths
         paths.watch(self, self.sent_at)
@@ -145,8 +158,6 @@
             return self._refusal(head)
         if head.framing is Framing.INVALID:
             return self._invalid("the length of the body is stated wrongly")
-        if head.request != self.request.id:
-            return self._invalid("the answer belongs to another request")
         if head.encoded:
             return self._invalid("the body has a Content-Encoding, which was not requested")
         if head.status in NOT_RUN_STATUSES:
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -320,8 +320,8 @@
         head = failure or exchange.read_head(self.peers.wire)
         if isinstance(head, Failure):
             return self._fail(head)
-        if head.request not in (None, self.request.id):
-            detail = "the answer belongs to another request"
+        if head.request != self.request.id:
+            detail = f"the answer names request {head.request!r}, not {self.request.id!r}"
             return self._fail(
                 Failure(Code.UPSTREAM_FAILED, Step.PEER, peer.host, detail, Ran.UNKNOWN)
             )
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -1,23 +1,27 @@
 """Tests of when a request counts towards its engine's load."""
 
 import unittest
+from itertools import product
 from unittest import mock
 
 from ruddersaddle_base import clocks
-from ruddersaddle_base.failures import Code, Failure, Step
-from ruddersaddle_base.ids import HallId, PoolId, RequestId, UpstreamId
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import HallId, ModelId, PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.answer_ends import Framing
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.placements import Choice
+from ruddersaddle_serving.ports import AnswerHead
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName
+from ruddersaddle_serving.self_reports import SelfReport
 from ruddersaddle_serving.tests.engine_waits import wait_s
 from ruddersaddle_serving.trackers import Assignment, Notice, Tracker
 from ruddersaddle_serving.upstream_connections import Exchange
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 
 ROUTE = Route(RouteName("r"), "h", "/", RouteKind.STREAM, 9.0, 0.4, ())
+MODEL = ModelId("m")
 ENTRY = UpstreamEntry(UpstreamId("e"), PoolId("p"), "10.0.0.1:80", HallId("h"), 8, False, {})
 
 
@@ -56,6 +60,55 @@
                 responded_at = self.tracker.liveness.last_response_at
                 self.assertEqual(responded_at > float("-inf"), responds)
 
+    def read(self, head: AnswerHead) -> AnswerHead | Failure:
+        """Return what the attempt makes of an answer's head."""
+        exchange = self.attempt.exchange = mock.Mock(spec=Exchange)
+        exchange.head = head
+        exchange.send.return_value = None
+        exchange.read_head.return_value = head
+        exchange.read_all.return_value = b""
+        return self.attempt.open()
+
+    def test_rejection_of_another_request_passes_for_the_answer(self) -> None:
+        """Nothing that an answer says is used unless it names this request, and no other."""
+        for status, request, not_run, framing in product(
+            (200, 204, 301, 408, 413, 421, 429, 500, 503),
+            (None, RequestId(""), RequestId("p"), RequestId("q, q"), RequestId("q, p")),
+            (False, True),
+            Framing,
+        ):
+            with self.subTest(status=status, request=request, not_run=not_run, framing=framing):
+                self.setUp()
+                head = make_head(status, request, not_run, framing)
+                failure = self.read(head)
+                self.assertEqual((failure.ran, failure.code), (Ran.UNKNOWN, Code.UPSTREAM_FAILED))
+                self.assertIn(repr(request), failure.detail)
+                self.assertTrue(self.attempt.is_invalid)
+                self.assertEqual(self.tracker.reported.backoff_s, 0.0)
+                self.assertEqual(self.tracker.version_by_model.get(MODEL, 0), 0)
+
+    def test_rejection_of_this_request_is_a_true_refusal(self) -> None:
+        failure = self.read(make_head(503, RequestId("q"), True, Framing.DELIMITED))
+        self.assertEqual((failure.ran, failure.code), (Ran.NOT_RUN, Code.OVERLOADED))
+
+
+def make_head(
+    status: int, request: RequestId | None, not_run: bool, framing: Framing
+) -> AnswerHead:
+    return AnswerHead(
+        status=status,
+        request=request,
+        has_receipt=True,
+        not_run=not_run,
+        upstream=ENTRY.id,
+        version=7,
+        keep_alive_s=None,
+        encoded=False,
+        headers=(),
+        report=SelfReport(limit_per_s=1.0, leaving=True, backoff_s=1.0),
+        framing=framing,
+    )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -6,7 +6,7 @@
 
 from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from ruddersaddle_base.ids import HallId, HostId
+from ruddersaddle_base.ids import HallId, HostId, RequestId
 from urllib3 import HTTPHeaderDict
 
 from ruddersaddle_serving.hosts import HostRecord, Hosts
@@ -146,7 +146,9 @@
         peers.choose.side_effect = [peer, None]
         peers.open_exchange.return_value = exchange
         sent = tuple((name.replace("_", "-"), value) for name, value in headers.items())
-        head = AnswerHead(200, None, True, False, None, None, None, False, sent, framing=framing)
+        head = AnswerHead(
+            200, RequestId("q"), True, False, None, None, None, False, sent, framing=framing
+        )
 
         def read_head(wire: object) -> AnswerHead:
             exchange.raw = mock.Mock(headers=HTTPHeaderDict(sent))
