--- a/libs/serving/ruddersaddle_serving/context_stores.py
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -190,7 +190,11 @@
     @property
     def fetch_until_ms(self) -> int:
         """Deadline of a fetch that starts now, in ms on the engines' clock."""
-        return int(self.clock_ms + FETCH_TIMEOUT_S * 1000.0)
+        return self.deadline_ms(FETCH_TIMEOUT_S)
+
+    def deadline_ms(self, seconds: float) -> int:
+        """Return the time some seconds from now, in ms on the engines' clock; never too late."""
+        return int(self.clock_ms + seconds * 1000.0)
 
 
 def _round_up_to_block(tokens: int) -> int:
--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -180,10 +180,14 @@
     def make_estimator(self, request: CallerRequest, prompt: Prompt) -> CostEstimator:
         """Return an estimator of a prompt's cost on engines."""
         if self.region_chooser is None:
-            return CostEstimator(request, prompt, self.cached_parts)
+            return CostEstimator(request, prompt, self.cached_parts, may_fetch=self.may_fetch)
         crossing_s = self.region_chooser.crossing_s
         return CostEstimator(
-            request, prompt, self.cached_parts, lambda each: crossing_s(request, each)
+            request,
+            prompt,
+            self.cached_parts,
+            lambda each: crossing_s(request, each),
+            self.may_fetch,
         )
 
     def choose_among(
@@ -412,7 +416,7 @@
         transfer = self.cached_parts.plan(
             best.salt,
             prompt,
-            estimator.holders_by_salt[best.salt],
+            estimator.holders_for(best.tracker, best.salt),
             hall,
             best.covered_tokens,
             is_newest and self.may_save_parts(best.tracker.entry),
@@ -486,6 +490,15 @@
         pool = best.tracker.entry.pool
         return Failure(Code.OVERLOADED, Step.ADMIT, pool, detail, retry_after_s=retry_after_s)
 
+    def may_fetch(self, model: ModelId, tracker: Tracker) -> bool:
+        """Return whether an engine may fetch parts of its weights.
+
+        One that came back with weights that had been replaced may not: where its entry was missing,
+        hosts take these parts for unused and free them.
+        """
+        replaced_at = self.publications.replaced_at(model, tracker.version_by_model.get(model, 0))
+        return replaced_at is None or self.upstreams.listed_since(tracker.id) <= replaced_at
+
     def _has_allowed_weights(self, model: ModelId, tracker: Tracker) -> bool:
         """Return whether an engine's weights are current, or are outdated within the bound."""
         version = tracker.version_by_model.get(model, 0)
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -311,6 +311,10 @@
         """Return all parts of a context store."""
 
     def free(
-        self, store: ContextStore, epoch: int, parts: tuple[StoreChange, ...]
+        self, store: ContextStore, epoch: int, parts: tuple[StoreChange, ...], until_ms: int
     ) -> Failure | None:
-        """Delete parts of a context store, unless it was restarted since `epoch`."""
+        """Delete parts of a context store.
+
+        The store refuses it if it was restarted since `epoch`, or after `until_ms` on the engines'
+        clock: what showed that nobody uses the parts may not hold any more by then.
+        """
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -149,6 +149,11 @@
         allowed_s = min(bound_s, START_GRACE_S) if was_known_at_start else bound_s
         return clocks.now_s() - naming.received_at >= allowed_s
 
+    def replaced_at(self, model: ModelId, version: int) -> float | None:
+        """Return when this host learnt that newer weights are named; None if there are none."""
+        naming = self._first_after(model, version)
+        return None if naming is None else naming.received_at
+
     def _first_after(self, model: ModelId, version: int) -> "Naming | None":
         namings = self.namings_by_model.get(model, ())
         return next((each for each in namings if each.version > version), None)
--- a/libs/serving/ruddersaddle_serving/regions/restricted_parts.py
+++ b/libs/serving/ruddersaddle_serving/regions/restricted_parts.py
@@ -17,7 +17,7 @@
 from ruddersaddle_serving.context_stores import StoreView
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.ports import StoreChange
-from ruddersaddle_serving.regions.residency import FREE_AFTER_S, Residency
+from ruddersaddle_serving.regions.residency import FREE_AFTER_S, FREE_CALL_S, Residency
 from ruddersaddle_serving.replaced_parts import FREE_BATCH
 from ruddersaddle_serving.tasks import spawn_forever
 
@@ -120,7 +120,8 @@
 
     def _free(self, store: StoreView, parts: tuple[StoreChange, ...]) -> bool:
         """Free some parts; return whether it succeeded."""
-        failure = self.cached_parts.engines.free(store.spec, store.epoch, parts)
+        until_ms = store.deadline_ms(FREE_CALL_S)
+        failure = self.cached_parts.engines.free(store.spec, store.epoch, parts, until_ms)
         if failure is not None:
             logger.warning("Freeing parts at %s failed. %s", store.spec.id, failure.detail)
             return False
--- a/libs/serving/ruddersaddle_serving/regions/tests/test_restricted_parts.py
+++ b/libs/serving/ruddersaddle_serving/regions/tests/test_restricted_parts.py
@@ -14,6 +14,7 @@
 from ruddersaddle_serving.ports import StoreChange, StoreListing
 from ruddersaddle_serving.regions.residency import (
     FREE_AFTER_S,
+    FREE_CALL_S,
     FREE_TRUST_S,
     LEFTOVERS_S,
     Residency,
@@ -100,7 +101,11 @@
         self.engines.store_listing.return_value = StoreListing(1, 0, (), parts)
         self.run_for(FREE_AFTER_S + 1.0)
         gone = (StoreChange(BOTH, SHARED.id, 0),)
-        self.engines.free.assert_called_once_with(STORE_BY_REGION[NORTH], 1, gone)
+        self.engines.free.assert_called_once()
+        store, epoch, parts, until_ms = self.engines.free.call_args.args
+        self.assertEqual((store, epoch, parts), (STORE_BY_REGION[NORTH], 1, gone))
+        view = self.cached_parts.by_id[NORTH]
+        self.assertLessEqual(until_ms, view.clock_ms + FREE_CALL_S * 1000)
         self.put(BOTH)
         self.run_for(1.0)
         self.assertEqual(self.held(), set())
--- a/libs/serving/ruddersaddle_serving/replaced_parts.py
+++ b/libs/serving/ruddersaddle_serving/replaced_parts.py
@@ -2,7 +2,9 @@
 
 A request states the weights that it expects, and an engine with others refuses it. So once every
 engine has newer weights, no part of the replaced ones is fetched any more, even if some hosts still
-have an outdated view, and fetches that are under way end within `FETCH_TIMEOUT_S`.
+have an outdated view, and fetches that are under way end within `FETCH_TIMEOUT_S`. An engine that
+comes back with replaced weights fetches nothing (`Placement.may_fetch`): it may be back at other
+hosts before the one that frees parts knows.
 """
 
 import logging
@@ -28,6 +30,8 @@
 `FETCH_TIMEOUT_S` would do for listed engines. `LISTING_TRUST_S` covers an engine whose entry has
 expired while some host still knows it, and 0.6 s covers requests in flight.
 """
+FREE_CALL_S = 0.5
+"""How long a call may take to arrive; later the store refuses it."""
 FREE_BATCH = 400
 """Number of parts that one call frees."""
 
@@ -69,12 +73,11 @@
 
     def free_unused(self, model: ModelId) -> None:
         """Free parts that no engine can fetch any more, if this host ranks first for the model."""
-        version = self._oldest_fetchable(model)
-        if version <= 0 or self.stopping:
-            return
-        if self._rank(f"free/{model}") > 0:
-            return
-        for store in self.cached_parts.by_id.values():
+        for store in list(self.cached_parts.by_id.values()):
+            # A call may block for seconds, in which an engine may return with replaced weights.
+            version = self._oldest_fetchable(model)
+            if version <= 0 or self.stopping or self._rank(f"free/{model}") > 0:
+                return
             if store.is_trusted:
                 self._free_at(store, model, version)
 
@@ -114,7 +117,8 @@
         parts = store.parts_before(model, version)[:FREE_BATCH]
         if not parts:
             return
-        failure = self.cached_parts.engines.free(store.spec, store.epoch, parts)
+        until_ms = store.deadline_ms(FREE_CALL_S)
+        failure = self.cached_parts.engines.free(store.spec, store.epoch, parts, until_ms)
         if failure is not None:
             logger.info("Freeing parts at %s failed. %s", store.spec.id, failure.detail)
             return
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -263,6 +263,28 @@
         for _ in range(3):
             self.assertEqual((self.choose().tracker, self.choose().version), (self.first, 2))
 
+    def test_engine_that_is_back_with_replaced_weights_fetches_parts_that_are_being_freed(
+        self,
+    ) -> None:
+        self.assertTrue(self.placement.may_fetch(MODEL, self.first))
+        self.now += 1.0
+        self.publications.apply(ModelVersion(MODEL, 2))
+        self.assertTrue(self.placement.may_fetch(MODEL, self.first))
+        self.now += 1.0
+        self.upstreams.drop(self.first.id)
+        self.upstreams.put(self.first.entry)
+        self.assertFalse(self.placement.may_fetch(MODEL, self.first))
+        self.assertTrue(self.placement.may_fetch(MODEL, self.second))
+        store = mock.Mock(**{"transfer_s.return_value": 0.01, "spec.address": "10.0.0.8:1"})
+        request = make_request(1000)
+        held = [store] * len(request.head.prompt.shared_parts)
+        with mock.patch.object(self.placement.cached_parts, "find_holders", return_value=held):
+            choice = self.placement.choose(request, POOL, {self.second.id})
+        self.assertIs(choice.tracker, self.first)
+        self.assertFalse(any(choice.transfer.fetch_from))
+        self.first.record_version(MODEL, 2)
+        self.assertTrue(self.placement.may_fetch(MODEL, self.first))
+
     def test_bound_counts_from_the_first_newer_weights(self) -> None:
         """A second version published 4 s later must not extend the use of the oldest weights."""
         self.publications.confirm(self.now, StorePosition(0, 1))
--- a/libs/serving/ruddersaddle_serving/tests/test_replaced_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_replaced_parts.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+import msgspec
+from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, StoreId, UpstreamId
 
 from ruddersaddle_serving.cached_parts import CachedParts
@@ -10,7 +12,7 @@
 from ruddersaddle_serving.ports import ModelVersion, StoreChange
 from ruddersaddle_serving.prompts import Part, PartId, Prompt
 from ruddersaddle_serving.publications import Publications
-from ruddersaddle_serving.replaced_parts import FREE_AFTER_S, ReplacedParts
+from ruddersaddle_serving.replaced_parts import FREE_AFTER_S, FREE_CALL_S, ReplacedParts
 from ruddersaddle_serving.routes import ContextStore
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Tracker, Trackers
@@ -72,7 +74,10 @@
         self.engines.free.assert_not_called()
         self.run_for(1.0)
         gone = (StoreChange("m/1", SHARED.id, 0),)
-        self.engines.free.assert_called_once_with(SPEC, 1, gone)
+        self.engines.free.assert_called_once()
+        store, epoch, parts, until_ms = self.engines.free.call_args.args
+        self.assertEqual((store, epoch, parts), (SPEC, 1, gone))
+        self.assertLessEqual(until_ms, self.store.clock_ms + FREE_CALL_S * 1000)
         self.assertEqual(self.store.tokens_by_part, {("m/2", SHARED.id): SHARED.tokens})
 
     def test_nothing_is_freed_while_entries_may_be_missing(self) -> None:
@@ -93,6 +98,26 @@
         self.run_for(10.0)
         self.engines.free.assert_not_called()
 
+    def test_parts_are_freed_at_the_next_store_after_an_engine_has_returned(self) -> None:
+        """A call to a store that hangs took two seconds, in which an engine came back."""
+        other = msgspec.structs.replace(SPEC, id=StoreId("t"))
+        view = self.cached_parts.by_id[other.id] = StoreView(other)
+        view.reset(1, 0)
+        view.record_clock(5_000)
+        view.apply(OLD_PART)
+        view.confirmed_at = self.now + 60.0
+        hung = Failure(Code.UPSTREAM_FAILED, Step.KEEP, SPEC.address, "timed out")
+
+        def hang(*call: object) -> Failure:
+            self.second.version_by_model[MODEL] = 1
+            return hung
+
+        self.engines.free.side_effect = hang
+        for tracker in (self.first, self.second):
+            tracker.record_version(MODEL, 2)
+        self.run_for(FREE_AFTER_S + 3.0)
+        self.engines.free.assert_called_once()
+
     def test_wait_outlasts_trusted_listings_and_the_fetch_that_follows(self) -> None:
         self.assertGreater(FREE_AFTER_S, LISTING_TRUST_S + FETCH_TIMEOUT_S)
 
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -63,6 +63,7 @@
         """Revision and lapsing entries that the digest was computed of."""
         self._lapse_at_by_id: dict[UpstreamId, float] = {}
         """When entries that may have lapsed in an outage are dropped; infinity until it ends."""
+        self._listed_since_by_id: dict[UpstreamId, float] = {}
         self._unanswered_at: float | None = None
         """When the store last failed to answer this host; None once it has answered this host, or
         another one that sent its list."""
@@ -240,6 +241,8 @@
             self.cold.apply(entry.instance, entry.heartbeat)
             entry = msgspec.structs.replace(entry, heartbeat=None)
         entry = _with_known_version(entry, known)
+        if known is None or entry.id in self._lapse_at_by_id:
+            self._listed_since_by_id[entry.id] = clocks.now_s()
         self._lapse_at_by_id.pop(entry.id, None)
         self._gone.pop(entry.instance, None)
         is_same = known is not None and not entry.is_later_than(known)
@@ -288,6 +291,7 @@
     def drop(self, upstream: UpstreamId) -> None:
         """Drop an entry at once."""
         self._lapse_at_by_id.pop(upstream, None)
+        self._listed_since_by_id.pop(upstream, None)
         self._written_since_outage.discard(upstream)
         entry = self.by_id.pop(upstream, None)
         if entry is not None:
@@ -324,6 +328,10 @@
             self.is_listed(instance) and self.by_id[instance.id].leaving
         )
 
+    def listed_since(self, upstream: UpstreamId) -> float:
+        """Return since when an upstream has had an entry without a gap; infinity without one."""
+        return self._listed_since_by_id.get(upstream, float("inf"))
+
     def is_listed(self, instance: UpstreamInstance) -> bool:
         """Return whether an instance has an entry; otherwise it left, or another replaced it."""
         entry = self.by_id.get(instance.id)
--- a/libs/serving/ruddersaddle_serving/weighings.py
+++ b/libs/serving/ruddersaddle_serving/weighings.py
@@ -91,12 +91,15 @@
         prompt: Prompt,
         cached_parts: CachedParts,
         crossing_s: Callable[[Tracker], float] = lambda _: 0.0,
+        may_fetch: Callable[[ModelId, Tracker], bool] = lambda model, tracker: True,
     ) -> None:
         self.request = request
         self.prompt = prompt
         self.cached_parts = cached_parts
         self.crossing_s = crossing_s
         """How much later a first event arrives from an engine because of its region."""
+        self.may_fetch = may_fetch
+        """Whether an engine may fetch parts of its weights of a model."""
         self.estimates: list[Estimate] = []
         self.holders_by_salt: dict[str, list[StoreView | None]] = {}
         rule = cached_parts.rule
@@ -132,7 +135,7 @@
             self.holders_by_salt[salt] = self.cached_parts.find_holders(salt, prompt)
         cached = tracker.memory.cached_prefix_tokens(salt, prompt.shared_parts)
         hall = tracker.entry.hall
-        holders = self.cached_parts.holders_for(hall, self.holders_by_salt[salt])
+        holders = self.holders_for(tracker, salt)
         fetched, fetch_s = _fetchable_parts(prompt, cached, holders, hall)
         missing = max(0, prompt.tokens_in - cached - fetched)
         tokens = prompt.tokens
@@ -155,6 +158,12 @@
             missing_tokens=missing,
         )
 
+    def holders_for(self, tracker: Tracker, salt: str) -> list[StoreView | None]:
+        """Return the stores that an engine may fetch each shared part from."""
+        if not self.may_fetch(self.prompt.model, tracker):
+            return [None] * len(self.prompt.shared_parts)
+        return self.cached_parts.holders_for(tracker.entry.hall, self.holders_by_salt[salt])
+
     def _salt(self, model: ModelId, version: int | None) -> str:
         """Return the salt of cached parts: one per weights, dedicated workspace and namespace."""
         workspace = self.request.workspace
