--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -13,6 +13,7 @@
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
+from ruddersaddle_serving.authorizations import authorize
 from ruddersaddle_serving.crash_watches import BrokenRun, CrashWatch
 from ruddersaddle_serving.event_streams import (
     EVENT_STREAM,
@@ -64,6 +65,8 @@
 FINAL_CODES = frozenset(
     {
         Code.STALE_CONFIGURATION,
+        Code.UNAUTHORIZED,
+        Code.NOT_FOUND,
         Code.NO_UPSTREAM,
         Code.DEADLINE,
         Code.CRASHES_UPSTREAMS,
@@ -111,6 +114,17 @@
         """Return a new forwarding of one request."""
         return Forwarding(self, request)
 
+    def renew(self, request: CallerRequest) -> bool | Failure:
+        """Authorize a request anew if another configuration is in force than when it last was.
+
+        Return whether it changes where or for whom the request runs, or why it may not run.
+        """
+        table = self.publications.table
+        if request.asked is None or table.published.version == request.version:
+            return False
+        allowed = authorize(table, request.asked, request.head.key)
+        return allowed if isinstance(allowed, Failure) else request.apply(allowed)
+
     def check_key_age(self, request: CallerRequest) -> Failure | None:
         """Refuse a keyed request while the configuration may be too old to show a revoked key."""
         if request.workspace is None:
@@ -154,10 +168,7 @@
     def begin(self) -> BufferedAnswer | AnswerHead | Failure:
         """Return a complete answer, a stream's head once its first event is read, or a failure."""
         self.forwarder.crash_watch.record_request(self.request.part_keys)
-        self.pool = self.forwarder.placement.pick_pool(self.request.route)
-        if self.pool is None:
-            return Failure(Code.NO_UPSTREAM, Step.ADMIT, self.request.route.name, "no target pool")
-        refusal = self._pin_return()
+        refusal = self._renew() or self._pick_pool() or self._pin_return()
         if refusal is not None:
             return refusal
         relayed = self._relay_if_reached_elsewhere()
@@ -176,6 +187,22 @@
                     self._as_unknown(result) if self._may_have_run else self._with_backoff(result)
                 )
 
+    def _pick_pool(self) -> Failure | None:
+        self.pool = self.forwarder.placement.pick_pool(self.request.route)
+        if self.pool is None:
+            return Failure(Code.NO_UPSTREAM, Step.ADMIT, self.request.route.name, "no target pool")
+        return None
+
+    def _renew(self) -> Failure | None:
+        """Authorize the request by the configuration in force; return why it may not run."""
+        changed = self.forwarder.renew(self.request)
+        if isinstance(changed, Failure):
+            logger.info("Request %s may not run any more.", self.request.id)
+            return changed
+        if changed and self.pool is not None and self.request.pin is None:
+            return self._pick_pool()
+        return None
+
     def _pin_return(self) -> Failure | None:
         """Pin a stream that its caller takes up again to the version that began it."""
         origins, request = self.forwarder.origins, self.request
@@ -280,24 +307,17 @@
         for _ in range(CONNECT_ATTEMPTS_MAX):
             if self.request.remaining_s < REMAINING_MIN_S:
                 return Failure(Code.DEADLINE, Step.CONNECT, str(self.pool), "deadline too close")
+            refusal = self._renew()
+            if refusal is not None:
+                return refusal
             choice = self._choose()
             if isinstance(choice, Failure):
                 if failure is None or choice.code is Code.NO_ALLOWED_REGION:
                     return choice
                 return self._relay_without_connection() or self._without_connection(failure)
-            self.attempt = Attempt(
-                self.request, choice, forwarder.wire, last_event, forwarder.broadcast_notice
-            )
-            self._record_choice()
-            failure = self.attempt.connect()
-            outcome = "no connection"
+            failure = self._connect(choice, last_event)
             if failure is None:
-                failure = forwarder.placement.check_available(self.request, choice.tracker)
-                if failure is None:
-                    return self._send()
-                outcome = failure.detail
-            self._excluded.add(choice.tracker.id)
-            self._end_attempt(None, f"{choice.tracker.id} {outcome}")
+                return self._send()
             if forwarder.placement.trackers.paths.is_isolated:
                 # Each further upstream may cost a connect timeout.
                 relayed = self._relay_without_connection()
@@ -305,6 +325,40 @@
                     return relayed
         return self._relay_without_connection() or self._without_connection(failure)
 
+    def _connect(self, choice: Choice, last_event: str | None) -> Failure | None:
+        """Begin an attempt; return why the request can't be sent to the chosen upstream."""
+        forwarder = self.forwarder
+        self.attempt = Attempt(
+            self.request, choice, forwarder.wire, last_event, forwarder.broadcast_notice
+        )
+        self._record_choice()
+        failure = self.attempt.connect()
+        outcome = "no connection"
+        if failure is None:
+            failure = self._check_unchanged() or forwarder.placement.check_available(
+                self.request, choice.tracker
+            )
+            if failure is None:
+                return None
+            outcome = failure.detail
+        if failure.code is not Code.OTHER_VERSION:
+            self._excluded.add(choice.tracker.id)
+        self._end_attempt(None, f"{choice.tracker.id} {outcome}")
+        return failure
+
+    def _check_unchanged(self) -> Failure | None:
+        """Refuse an upstream that was chosen by an earlier configuration.
+
+        The request may have another route or workspace now, or none.
+        """
+        version = self.forwarder.publications.version
+        if self.request.asked is None or version == self.request.version:
+            return None
+        detail = f"since it was chosen, configuration {version} came into force"
+        return Failure(
+            Code.OTHER_VERSION, Step.CONNECT, str(self.pool), detail, retry_after_s=RETRY_SOON_S
+        )
+
     def _relay_without_connection(self) -> BufferedAnswer | AnswerHead | Failure | None:
         """Relay a request that got no connection; None if no host accepts it."""
         return self._relay("no upstream accepted a connection")
@@ -369,7 +423,9 @@
         ) or crash_watch.check(request.fingerprint, self.pool)
 
     def _send(self) -> AnswerHead | Failure:
-        refusal = self.forwarder.check_key_age(self.request) or self._check_crashes()
+        refusal = (
+            self._renew() or self.forwarder.check_key_age(self.request) or self._check_crashes()
+        )
         if refusal is not None:
             self._end_attempt(None, f"not sent: {refusal.detail}")
             return refusal
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -12,6 +12,7 @@
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.histograms import Histograms, Measure
 
+from ruddersaddle_serving.authorizations import RequestTarget, authorize
 from ruddersaddle_serving.caller_bodies import read_body
 from ruddersaddle_serving.caller_protocols import CallerProtocol
 from ruddersaddle_serving.caller_watches import CallerLeftError, CallerWatch
@@ -35,7 +36,7 @@
     zero_counts,
 )
 from ruddersaddle_serving.request_sizes import SizeBand, SizeCounts
-from ruddersaddle_serving.routes import CallerLimits, Route, RouteTable, Workspace
+from ruddersaddle_serving.routes import CallerLimits, Route, RouteTable
 from ruddersaddle_serving.socket_liveness import bounded_writes
 
 logger = logging.getLogger(__name__)
@@ -197,19 +198,26 @@
         if refusal is not None:
             return refusal
         target = self.environ["caller.target"]
-        route = table.find(self.environ.get("HTTP_HOST", ""), target.partition("?")[0])
-        if route is None:
-            return Failure(Code.NOT_FOUND, Step.ADMIT, "routes", "no route matches the request")
-        workspace = self._find_workspace(table, route, head)
-        if isinstance(workspace, Failure):
-            return workspace
-        body = self._read_body(table, route)
+        asked = RequestTarget(self.environ.get("HTTP_HOST", ""), target.partition("?")[0])
+        allowed = authorize(table, asked, head.key)
+        if isinstance(allowed, Failure):
+            return allowed
+        body = self._read_body(table, allowed.route)
         if isinstance(body, Failure):
             return body
-        method = self.environ["REQUEST_METHOD"]
-        return CallerRequest(
-            head, method, target, body, route, workspace, self.began, headers, self.terms
+        request = CallerRequest(
+            head,
+            self.environ["REQUEST_METHOD"],
+            target,
+            body,
+            allowed.route,
+            allowed.workspace,
+            self.began,
+            headers,
+            self.terms,
         )
+        request.asked, request.version = asked, allowed.version
+        return request
 
     def _check_terms(self) -> Failure | None:
         """Refuse a relayed request if another host should serve it."""
@@ -232,16 +240,6 @@
         while self.front.publications.is_settling:
             eventlet.sleep(STARTUP_POLL_S)
 
-    def _find_workspace(
-        self, table: RouteTable, route: Route, head: CallerHead
-    ) -> Workspace | None | Failure:
-        if route.public or not table.published.checks_keys:
-            return None
-        found = table.published.workspace_by_key.get(head.key or "")
-        if found is None:
-            return Failure(Code.UNAUTHORIZED, Step.AUTHENTICATE, "keys", "unknown API key")
-        return found
-
     def _read_body(self, table: RouteTable, route: Route) -> bytes | Failure:
         with DeferredTimeout(route.timeout_s, False):
             return read_body(self.environ, table.published.limits.body_bytes)
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -9,6 +9,7 @@
 from ruddersaddle_base.ids import ModelId, PoolId, RequestId, SoftwareVersion
 
 from ruddersaddle_serving.admissions import JUDGED_AS_MEDIAN_SHARE
+from ruddersaddle_serving.authorizations import Authorization, RequestTarget
 from ruddersaddle_serving.fingerprints import (
     Fingerprint,
     PartKey,
@@ -113,12 +114,26 @@
         self.body = body
         self.route = route
         self.workspace = workspace
+        self.asked: RequestTarget | None = None
+        """What its caller asked for; None if no configuration was asked whether it may run."""
+        self.version = 0
+        """Version of the configuration that it was last authorized by."""
         self.started_at = began
         self.pin: VersionPin | None = None
         """Where the request must go on; None while it may begin at any software version."""
         budget_s = route.timeout_s if head.budget_s is None else head.budget_s
         self.budget_s = min(budget_s, route.timeout_s)
 
+    def apply(self, allowed: Authorization) -> bool:
+        """Go on by a newer configuration; return whether that changes where or for whom it runs."""
+        self.version = allowed.version
+        if (allowed.route, allowed.workspace) == (self.route, self.workspace):
+            return False
+        self.route, self.workspace = allowed.route, allowed.workspace
+        # The workspace is a part of it.
+        self.__dict__.pop("fingerprint", None)
+        return True
+
     @property
     def id(self) -> RequestId:
         """The id that the caller set."""
--- /dev/null
+++ b/libs/serving/ruddersaddle_serving/tests/test_authorizations.py
@@ -0,0 +1,169 @@
+"""Tests that a request runs only as the configuration in force when it is sent allows."""
+
+import unittest
+from collections.abc import Callable
+from enum import Enum
+from unittest import mock
+
+from ruddersaddle_base import clocks
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import PoolId, RequestId, WorkspaceId
+
+from ruddersaddle_serving.attempts import Attempt
+from ruddersaddle_serving.authorizations import Authorization, RequestTarget, authorize
+from ruddersaddle_serving.crash_records import CrashRecords
+from ruddersaddle_serving.crash_watches import CrashWatch
+from ruddersaddle_serving.forwarders import Forwarder, Forwarding, RetryBudget
+from ruddersaddle_serving.placements import Choice
+from ruddersaddle_serving.ports import StorePosition
+from ruddersaddle_serving.prompts import CallerHead, CallerRequest
+from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.routes import (
+    PublishedConfiguration,
+    Route,
+    RouteKind,
+    RouteName,
+    Target,
+    Workspace,
+)
+from ruddersaddle_serving.upstream_lists import UpstreamList
+
+KEY = "key"
+FIRST, SECOND = Workspace(WorkspaceId("first")), Workspace(WorkspaceId("second"))
+ASKED = RequestTarget("api.example", "/c/x")
+POOL, OTHER_POOL = PoolId("p"), PoolId("q")
+BROKEN = Failure(Code.UPSTREAM_FAILED, Step.READ, "u", "broken", Ran.NOT_RUN)
+
+
+def make_route(pool: PoolId = POOL, path: str = "/c") -> Route:
+    targets = (Target(pool),)
+    return Route(
+        RouteName("r"),
+        "api.example",
+        path,
+        RouteKind.REPEATABLE,
+        9.0,
+        1.0,
+        targets,
+        upstreams_max=3,
+    )
+
+
+def make_configuration(
+    version: int, workspace: Workspace | None, route: Route | None = None
+) -> PublishedConfiguration:
+    keys = {} if workspace is None else {KEY: workspace}
+    routes = (route or make_route(),)
+    return PublishedConfiguration(version, routes, workspace_by_key=keys, checks_keys=True)
+
+
+class Moment(Enum):
+    """A wait of a request at which the configuration changes."""
+
+    BODY = "body"
+    ROOM = "room"
+    CONNECT = "connect"
+    RETRY = "retry"
+
+
+class AuthorizationsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.publications = Publications()
+        self.publish(make_configuration(1, FIRST))
+        self.sent_for: list[WorkspaceId] = []
+        self.sent_to: list[PoolId] = []
+        self.changes_at: dict[Moment, Callable[[], None]] = {}
+
+    def publish(self, published: PublishedConfiguration) -> None:
+        self.publications.apply(published)
+        self.publications.confirm(clocks.now_s(), StorePosition(1, published.version))
+
+    def reach(self, moment: Moment) -> None:
+        self.changes_at.pop(moment, lambda: None)()
+
+    def make_forwarding(self) -> Forwarding:
+        allowed = authorize(self.publications.table, ASKED, KEY)
+        head = CallerHead(RequestId("q"), KEY, None, None, None, ())
+        request = CallerRequest(
+            head, "POST", "/c/x", b"", allowed.route, allowed.workspace, clocks.now_s()
+        )
+        request.asked, request.version = ASKED, allowed.version
+        placement = mock.Mock()
+        placement.trackers.paths.has_lost = placement.trackers.paths.is_isolated = False
+        placement.check_available.return_value = None
+        placement.pick_pool = lambda route: route.targets[0].pool
+        placement.choose = self.choose
+        watch = CrashWatch(mock.Mock(), UpstreamList(), CrashRecords(), mock.Mock(), mock.Mock())
+        forwarder = Forwarder(
+            placement, mock.Mock(), self.publications, RetryBudget(9.0), 5.0, mock.Mock(), watch
+        )
+        return Forwarding(forwarder, request)
+
+    def choose(self, request: CallerRequest, pool: PoolId, *more: object) -> Choice:
+        self.reach(Moment.ROOM)
+        self.sent_to.append(pool)
+        return Choice(mock.Mock(in_flight=0), 1, None, 1)
+
+    def forward(self) -> Failure:
+        """Forward a request that every upstream rejects."""
+        forwarding = self.make_forwarding()
+        self.reach(Moment.BODY)
+
+        def connect(attempt: Attempt) -> None:
+            self.reach(Moment.CONNECT)
+
+        def open_attempt(attempt: Attempt) -> Failure:
+            self.sent_for.append(attempt.request.workspace.id)
+            self.reach(Moment.RETRY)
+            return BROKEN
+
+        with (
+            mock.patch.object(Attempt, "connect", connect),
+            mock.patch.object(Attempt, "open", open_attempt),
+            mock.patch.object(Attempt, "is_broken", False),
+        ):
+            return forwarding.begin()
+
+    def test_request_runs_with_a_key_that_was_taken_away_while_it_waited(self) -> None:
+        for moment in Moment:
+            with self.subTest(moment=moment):
+                self.setUp()
+                self.changes_at[moment] = lambda: self.publish(make_configuration(2, None))
+                failure = self.forward()
+                self.assertEqual((failure.code, failure.ran), (Code.UNAUTHORIZED, Ran.NOT_RUN))
+                self.assertEqual(len(self.sent_for), 1 if moment is Moment.RETRY else 0)
+
+    def test_request_runs_for_the_workspace_that_had_its_key(self) -> None:
+        for moment in Moment:
+            with self.subTest(moment=moment):
+                self.setUp()
+                self.changes_at[moment] = lambda: self.publish(make_configuration(2, SECOND))
+                self.forward()
+                later = self.sent_for[1:] if moment is Moment.RETRY else self.sent_for
+                self.assertEqual(set(later), {SECOND.id})
+
+    def test_request_goes_to_the_pool_that_its_route_had(self) -> None:
+        for moment in Moment:
+            with self.subTest(moment=moment):
+                self.setUp()
+                moved = make_configuration(2, FIRST, make_route(OTHER_POOL))
+                self.changes_at[moment] = lambda moved=moved: self.publish(moved)
+                self.forward()
+                self.assertEqual(self.sent_to[-1], OTHER_POOL)
+
+    def test_request_whose_route_was_removed_is_not_sent(self) -> None:
+        gone = make_configuration(2, FIRST, make_route(path="/other"))
+        self.changes_at[Moment.CONNECT] = lambda: self.publish(gone)
+        self.assertEqual(self.forward().code, Code.NOT_FOUND)
+        self.assertEqual(self.sent_for, [])
+
+    def test_fingerprint_of_a_request_names_the_former_workspace(self) -> None:
+        request = self.make_forwarding().request
+        before = request.fingerprint
+        self.assertTrue(request.apply(Authorization(2, request.route, SECOND)))
+        self.assertNotEqual(request.fingerprint, before)
+        self.assertFalse(request.apply(Authorization(3, request.route, SECOND)))
+
+
+if __name__ == "__main__":
+    unittest.main()
