--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -34,6 +34,14 @@
 RELAY_IDLE_S = 10.0
 """Idle time of connections between hosts; the sender stops using one earlier."""
 CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}\Z")
+REQUEST_LINE_PATTERN = re.compile(
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ (/[\x21-\x7e]*) HTTP/1\.[01]\r?\n\Z"
+)
+"""A request line with a target in origin form (RFC 9112, section 3)."""
+CONTROL_PATTERN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+"""Characters that no header value holds (RFC 9110, section 5.5)."""
+OPTIONAL_SPACE = " \t"
+"""White space around a header value that is no part of it (RFC 9110, section 5.6.3)."""
 HEADER_NAME_PATTERN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 """A header name (RFC 9110, section 5.6.2)."""
 BAD_REQUEST_ANSWER = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -102,18 +110,16 @@
         return False
 
     def _find_refusal(self) -> bytes | None:
-        if self.headers.defects or not self.path.startswith("/"):
+        line = REQUEST_LINE_PATTERN.match(self.raw_requestline)
+        if self.headers.defects or line is None:
             return BAD_REQUEST_ANSWER
         size = len(self.raw_requestline)
         for name, value in self.headers.items():
             size += len(name) + len(value) + 4
-            if (
-                not HEADER_NAME_PATTERN.match(name)
-                or "\r" in value
-                or "\n" in value
-                or "\0" in value
-            ):
+            if not HEADER_NAME_PATTERN.match(name) or CONTROL_PATTERN.search(value):
                 return BAD_REQUEST_ANSWER
+        if len(self.headers.get_all("host", [])) > 1:
+            return BAD_REQUEST_ANSWER
         if size > self.limits.header_bytes:
             return TOO_LARGE_ANSWER
         return None if self._is_framing_unambiguous() else BAD_REQUEST_ANSWER
@@ -124,9 +130,9 @@
         encodings = self.headers.get_all("transfer-encoding", [])
         if len(lengths) > 1 or len(encodings) > 1 or (lengths and encodings):
             return False
-        if lengths and not CONTENT_LENGTH_PATTERN.match(lengths[0]):
+        if lengths and not CONTENT_LENGTH_PATTERN.match(lengths[0].strip(OPTIONAL_SPACE)):
             return False
-        return not encodings or encodings[0].strip().lower() == "chunked"
+        return not encodings or encodings[0].strip(OPTIONAL_SPACE).lower() == "chunked"
 
     def _refuse(self, answer: bytes) -> None:
         self.close_connection = True
