--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -113,6 +113,8 @@
         line = REQUEST_LINE_PATTERN.match(self.raw_requestline)
         if self.headers.defects or line is None:
             return BAD_REQUEST_ANSWER
+        # The library shortens leading slashes, which would make it another path.
+        self.path = line.group(1).decode("ascii")
         size = len(self.raw_requestline)
         for name, value in self.headers.items():
             size += len(name) + len(value) + 4
