--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -4,6 +4,8 @@
 import re
 import socket
 import struct
+from enum import Enum
+from http.client import responses
 from http.server import BaseHTTPRequestHandler
 
 import msgspec
@@ -44,12 +46,29 @@
 """White space around a header value that is no part of it (RFC 9110, section 5.6.3)."""
 HEADER_NAME_PATTERN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 """A header name (RFC 9110, section 5.6.2)."""
-BAD_REQUEST_ANSWER = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-TIMEOUT_ANSWER = b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-TOO_LARGE_ANSWER = (
-    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
-    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
-)
+LOGGED_LINE_BYTES = 80
+"""Bytes of a refused request line in the log."""
+
+
+class HeadFault(Enum):
+    """Why a request's head is refused."""
+
+    UNREADABLE = "unreadable"
+    REQUEST_LINE = "request_line"
+    FIELD = "field"
+    HOST = "host"
+    FRAMING = "framing"
+    VERSION = "version"
+    TOO_LARGE = "too_large"
+    TIMEOUT = "timeout"
+
+
+STATUS_BY_FAULT = {
+    HeadFault.VERSION: 505,
+    HeadFault.TOO_LARGE: 431,
+    HeadFault.TIMEOUT: 408,
+}
+"""Status by fault; all other faults get 400."""
 
 
 class HeadTimeout(DeferredTimeout):
@@ -84,7 +103,7 @@
         try:
             super().handle_one_request()
         except HeadTimeout:
-            self._refuse(TIMEOUT_ANSWER)
+            self._refuse(HeadFault.TIMEOUT)
         finally:
             self._head_timer.cancel()
 
@@ -103,28 +122,30 @@
         if not super().parse_request():
             return False
         self._head_timer.cancel()
-        refusal = self._find_refusal()
-        if refusal is None:
+        fault = self._find_fault()
+        if fault is None:
             return True
-        self._refuse(refusal)
+        self._refuse(fault)
         return False
 
-    def _find_refusal(self) -> bytes | None:
+    def _find_fault(self) -> HeadFault | None:
         line = REQUEST_LINE_PATTERN.match(self.raw_requestline)
-        if self.headers.defects or line is None:
-            return BAD_REQUEST_ANSWER
+        if line is None:
+            return HeadFault.REQUEST_LINE
+        if self.headers.defects:
+            return HeadFault.FIELD
         # The library shortens leading slashes, which would make it another path.
         self.path = line.group(1).decode("ascii")
         size = len(self.raw_requestline)
         for name, value in self.headers.items():
             size += len(name) + len(value) + 4
             if not HEADER_NAME_PATTERN.match(name) or CONTROL_PATTERN.search(value):
-                return BAD_REQUEST_ANSWER
+                return HeadFault.FIELD
         if len(self.headers.get_all("host", [])) > 1:
-            return BAD_REQUEST_ANSWER
+            return HeadFault.HOST
         if size > self.limits.header_bytes:
-            return TOO_LARGE_ANSWER
-        return None if self._is_framing_unambiguous() else BAD_REQUEST_ANSWER
+            return HeadFault.TOO_LARGE
+        return None if self._is_framing_unambiguous() else HeadFault.FRAMING
 
     def _is_framing_unambiguous(self) -> bool:
         """Return whether the body's length is stated once and clearly (RFC 9112, section 6)."""
@@ -136,10 +157,16 @@
             return False
         return not encodings or encodings[0].strip(OPTIONAL_SPACE).lower() == "chunked"
 
-    def _refuse(self, answer: bytes) -> None:
+    def _refuse(self, fault: HeadFault) -> None:
         self.close_connection = True
+        counts = self.server.app.head_faults
+        counts[fault.value] = counts.get(fault.value, 0) + 1
+        line = bytes(getattr(self, "raw_requestline", b""))[:LOGGED_LINE_BYTES]
+        logger.info("Head of a request refused: %s.", fault.value, extra={"line": repr(line)})
+        status = STATUS_BY_FAULT.get(fault, 400)
+        head = f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\n"
         try:
-            self.wfile.write(answer)
+            self.wfile.write(f"{head}Content-Length: 0\r\n\r\n".encode())
             self.wfile.flush()
         except OSError:
             # The caller has disconnected.
@@ -210,7 +237,13 @@
 
     def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
         """Answer a head that can't be parsed, without the library's error page."""
-        self._refuse(TOO_LARGE_ANSWER if code == 431 else BAD_REQUEST_ANSWER)
+        match code:
+            case 431 | 414:
+                self._refuse(HeadFault.TOO_LARGE)
+            case 505:
+                self._refuse(HeadFault.VERSION)
+            case _:
+                self._refuse(HeadFault.UNREADABLE)
 
     def log_message(self, format: str, *args: object) -> None:  # noqa: A002
         """Discard the library's own log lines; requests are logged by the front."""
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -95,6 +95,8 @@
         self.exchanges: set[_CallerExchange] = set()
         """Active requests."""
         self.counts: dict[str, int] = {}
+        self.head_faults: dict[str, int] = {}
+        """Numbers of requests whose heads were refused, by reason."""
         self.outcome_counts = zero_counts()
         """Numbers of ended requests by kind of outcome."""
         self.sizes = SizeCounts()
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -25,6 +25,7 @@
     budget = {"spent": host.retry_budget.spent, "denied": host.retry_budget.denied}
     lines = format_gauges(_gauges(host))
     lines += format_counters("answers", "answers by status", host.front.counts)
+    lines += format_counters("heads_refused", "refused heads by reason", host.front.head_faults)
     lines += format_counters(
         "requests_ended", "requests by how they ended", host.front.outcome_counts
     )
