--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from http.client import responses
 from http.server import BaseHTTPRequestHandler
+from typing import BinaryIO
 
 import msgspec
 from eventlet import wsgi
@@ -37,7 +38,7 @@
 """Idle time of connections between hosts; the sender stops using one earlier."""
 CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}\Z")
 REQUEST_LINE_PATTERN = re.compile(
-    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ (/[\x21-\x7e]*) HTTP/1\.[01]\r?\n\Z"
+    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ (/[\x21-\x7e]*) HTTP/1\.[01]\r\n\Z"
 )
 """A request line with a target in origin form (RFC 9112, section 3)."""
 CONTROL_PATTERN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
@@ -55,6 +56,7 @@
 
     UNREADABLE = "unreadable"
     REQUEST_LINE = "request_line"
+    LINE_END = "line_end"
     FIELD = "field"
     HOST = "host"
     FRAMING = "framing"
@@ -71,6 +73,23 @@
 """Status by fault; all other faults get 400."""
 
 
+class HeadLines:
+    """Reads the lines of a head, and notices one that doesn't end with CR and LF.
+
+    A recipient before or behind this one may not take a lone LF for a line's end.
+    """
+
+    def __init__(self, file: BinaryIO) -> None:
+        self._file = file
+        self.has_bare_end = False
+
+    def readline(self, size: int = -1) -> bytes:
+        """Read one line."""
+        line = self._file.readline(size)
+        self.has_bare_end |= line.endswith(b"\n") and not line.endswith(b"\r\n")
+        return line
+
+
 class HeadTimeout(DeferredTimeout):
     """Raised if a caller takes too long to send a request's head."""
 
@@ -119,9 +138,17 @@
 
     def parse_request(self) -> bool:
         """Parse the head; refuse requests with ambiguous framing (request smuggling)."""
-        if not super().parse_request():
-            return False
+        lines = HeadLines(self.rfile)
+        file, self.rfile = self.rfile, lines
+        try:
+            if not super().parse_request():
+                return False
+        finally:
+            self.rfile = file
         self._head_timer.cancel()
+        if lines.has_bare_end:
+            self._refuse(HeadFault.LINE_END)
+            return False
         fault = self._find_fault()
         if fault is None:
             return True
