--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -197,7 +197,7 @@
         """Authorize the request by the configuration in force; return why it may not run."""
         changed = self.forwarder.renew(self.request)
         if isinstance(changed, Failure):
-            logger.info("Request %s may not run any more.", self.request.id)
+            logger.info("Request %s may not run any more: %s.", self.request.id, changed.detail)
             return changed
         if changed and self.pool is not None and self.request.pin is None:
             return self._pick_pool()
