One pattern of tokens, one look-up of when weights were replaced, one refusal of heads

The read of the whole change found three copies: the characters of a token stood in the patterns of request lines and of header names, replaced_at_least_s looked up the naming that replaced_at returns, and parse_request refused a head in two branches.

--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -37,16 +37,15 @@
 RELAY_IDLE_S = 10.0
 """Idle time of connections between hosts; the sender stops using one earlier."""
 CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}\Z")
-REQUEST_LINE_PATTERN = re.compile(
-    rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ (/[\x21-\x7e]*) HTTP/1\.[01]\r\n\Z"
-)
+TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+"""A method or a header name (RFC 9110, section 5.6.2)."""
+REQUEST_LINE_PATTERN = re.compile(TOKEN.encode() + rb" (/[\x21-\x7e]*) HTTP/1\.[01]\r\n\Z")
 """A request line with a target in origin form (RFC 9112, section 3)."""
 CONTROL_PATTERN = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 """Characters that no header value holds (RFC 9110, section 5.5)."""
 OPTIONAL_SPACE = " \t"
 """White space around a header value that is no part of it (RFC 9110, section 5.6.3)."""
-HEADER_NAME_PATTERN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
-"""A header name (RFC 9110, section 5.6.2)."""
+HEADER_NAME_PATTERN = re.compile(TOKEN + r"\Z")
 LOGGED_LINE_BYTES = 80
 """Bytes of a refused request line in the log."""
 
@@ -146,10 +145,7 @@
         finally:
             self.rfile = file
         self._head_timer.cancel()
-        if lines.has_bare_end:
-            self._refuse(HeadFault.LINE_END)
-            return False
-        fault = self._find_fault()
+        fault = HeadFault.LINE_END if lines.has_bare_end else self._find_fault()
         if fault is None:
             return True
         self._refuse(fault)
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -133,8 +133,8 @@
 
     def replaced_at_least_s(self, model: ModelId, version: int) -> float:
         """Return how long this host has known that newer weights are named; 0 if there are none."""
-        naming = self._first_after(model, version)
-        return 0.0 if naming is None else clocks.now_s() - naming.received_at
+        replaced_at = self.replaced_at(model, version)
+        return 0.0 if replaced_at is None else clocks.now_s() - replaced_at
 
     def is_replaced_for(self, model: ModelId, version: int, bound_s: float) -> bool:
         """Return whether newer weights may have been named longer ago than a bound.
