--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -69,7 +69,7 @@
     def connect(self) -> Failure | None:
         """Get a connection without sending anything."""
         tracker = self.choice.tracker
-        exchange = tracker.connections.open_exchange()
+        exchange = tracker.connections.open_exchange(self.request.id)
         if isinstance(exchange, Failure):
             tracker.record_connect_failure()
             self._reachability = Reachability.NO_CONNECTION
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -16,7 +16,7 @@
 from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.codecs import is_decimal_integer
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
-from ruddersaddle_base.ids import HallId, HostId
+from ruddersaddle_base.ids import HallId, HostId, RequestId
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, ordinary_end
@@ -212,12 +212,12 @@
         is_late = clocks.now_s() < peer.suspect_until
         return is_late or not self.hosts.is_responsive(peer.record.address)
 
-    def open_exchange(self, peer: RelayPeer) -> Exchange | Failure:
+    def open_exchange(self, peer: RelayPeer, request: RequestId) -> Exchange | Failure:
         """Return an exchange with a host; a connection to a suspect one clears it."""
         is_suspect = self.is_suspect(peer)
         peer.is_connecting = is_suspect
         try:
-            exchange = peer.connections.open_exchange()
+            exchange = peer.connections.open_exchange(request)
         finally:
             peer.is_connecting = False
         if is_suspect and not isinstance(exchange, Failure):
@@ -312,7 +312,7 @@
     def _offer(self) -> BufferedAnswer | AnswerHead | Failure:
         peer = self._peer
         peer.in_flight += 1
-        exchange = self.peers.open_exchange(peer)
+        exchange = self.peers.open_exchange(peer, self.request.id)
         if isinstance(exchange, Failure):
             return self._fail(exchange)
         self._exchange = exchange
--- a/libs/serving/ruddersaddle_serving/reset_sockets.py
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -8,10 +8,12 @@
 import socket
 import struct
 import termios
+from array import array
 from typing import Any
 
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import trampoline
+from ruddersaddle_base.ids import RequestId
 from ruddersaddle_base.strict_answers import StrictAnswer
 from urllib3.connection import HTTPConnection
 
@@ -37,6 +39,24 @@
 
     response_class = StrictAnswer
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._carried = array("q")
+        """Hashes of the ids of all requests that it was opened or reused for."""
+
+    @property
+    def carried_count(self) -> int:
+        """Number of requests that it was opened or reused for."""
+        return len(self._carried)
+
+    def record_carried(self, request: RequestId) -> None:
+        """Record that it is used for a request."""
+        self._carried.append(hash(request))
+
+    def may_have_carried(self, request: RequestId) -> bool:
+        """Return whether it was used for a request of this id, or of one with the same hash."""
+        return hash(request) in self._carried
+
     def _new_conn(self) -> ResetAwareSocket:
         """Return a connected socket; called by the library."""
         plain = super()._new_conn()
--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -101,12 +101,12 @@
         self.hosts.record_unresponsive(f"{only.host}:1")
         chosen_meanwhile = []
 
-        def open_exchange() -> mock.Mock:
+        def open_exchange(request: RequestId) -> mock.Mock:
             chosen_meanwhile.append(self.choose())
             return mock.Mock()
 
         only.connections = mock.Mock(open_exchange=open_exchange)
-        peers.open_exchange(only)
+        peers.open_exchange(only, RequestId("r-1"))
         self.assertEqual(chosen_meanwhile, [None])
         self.assertFalse(peers.is_suspect(only))
         self.assertEqual(self.choose(), only.host)
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -5,12 +5,14 @@
 eventlet.monkey_patch()
 
 # The library's sockets have to be green, as in the program.
+import itertools  # noqa: E402
 import socket  # noqa: E402
 import unittest  # noqa: E402
 from unittest import mock  # noqa: E402
 
 from ruddersaddle_base.answer_framings import Framing  # noqa: E402
 from ruddersaddle_base.failures import Failure  # noqa: E402
+from ruddersaddle_base.ids import RequestId  # noqa: E402
 
 from ruddersaddle_serving import upstream_connections  # noqa: E402
 from ruddersaddle_serving.ports import AnswerHead  # noqa: E402
@@ -20,6 +22,13 @@
     UpstreamConnections,
 )
 
+_numbers = itertools.count(1)
+
+
+def next_id() -> RequestId:
+    """Return an id that no request has had."""
+    return RequestId(f"r-{next(_numbers)}")
+
 
 class IdleConnectionsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -39,7 +48,7 @@
 
     def release_one(self) -> Exchange:
         """Open a connection and release it, as after a complete answer."""
-        exchange = self.pool.open_exchange()
+        exchange = self.pool.open_exchange(next_id())
         self.assertIsInstance(exchange, Exchange)
         eventlet.sleep(0.02)
         self.pool.release(exchange.connection, None)
@@ -47,7 +56,22 @@
 
     def test_released_connection_is_reused(self) -> None:
         released = self.release_one()
-        self.assertIs(self.pool.open_exchange().connection, released.connection)
+        self.assertIs(self.pool.open_exchange(next_id()).connection, released.connection)
+
+    def test_id_sent_again_gets_a_connection_that_has_not_carried_it(self) -> None:
+        """A late answer to the first sending passed for the answer to the second one."""
+        again = next_id()
+        first = self.pool.open_exchange(again)
+        self.pool.release(first.connection, None)
+        second = self.pool.open_exchange(again)
+        self.assertIsNot(second.connection, first.connection)
+        self.pool.release(second.connection, None)
+        self.assertNotIn(
+            self.pool.open_exchange(again).connection, (first.connection, second.connection)
+        )
+        # Connections that were passed over stay in order for other ids.
+        taken = [self.pool.open_exchange(next_id()).connection for _ in range(2)]
+        self.assertEqual(taken, [second.connection, first.connection])
 
     def test_unresponsive_connection_is_aborted_by_the_kernel(self) -> None:
         """Keep-alive probes and the TCP user timeout detect it without sending anything."""
@@ -60,22 +84,22 @@
         released = self.release_one()
         maintenance = eventlet.spawn(self.pool.close_expired)
         eventlet.sleep(0)
-        taken = self.pool.open_exchange()
+        taken = self.pool.open_exchange(next_id())
         maintenance.wait()
         self.assertIs(taken.connection, released.connection)
-        self.assertIsNot(self.pool.open_exchange().connection, released.connection)
+        self.assertIsNot(self.pool.open_exchange(next_id()).connection, released.connection)
 
     def test_connection_with_unread_bytes_is_not_reused(self) -> None:
         released = self.release_one()
         self.accepted[0].sendall(b"late answer")
         eventlet.sleep(0.02)
-        self.assertIsNot(self.pool.open_exchange().connection, released.connection)
+        self.assertIsNot(self.pool.open_exchange(next_id()).connection, released.connection)
 
     def test_connection_closed_by_the_upstream_is_not_reused(self) -> None:
         released = self.release_one()
         self.accepted[0].close()
         eventlet.sleep(0.02)
-        self.assertIsNot(self.pool.open_exchange().connection, released.connection)
+        self.assertIsNot(self.pool.open_exchange(next_id()).connection, released.connection)
 
 
 ANY_HEAD = AnswerHead(200, None, False, False, None, None, None, False, ())
@@ -110,7 +134,7 @@
     def read(self, *parts: bytes) -> tuple[Framing, bytes | Failure]:
         """Return an answer's framing, and its body or the failure to read it."""
         self.parts = parts
-        exchange = self.pool.open_exchange()
+        exchange = self.pool.open_exchange(next_id())
         self.assertIsInstance(exchange, Exchange)
         exchange.send("GET", "/", b"", {}, 1.0)
         head = exchange.read_head(mock.Mock(read_answer=lambda status, headers: ANY_HEAD))
@@ -126,7 +150,7 @@
             for size in range(len(head)):
                 with self.subTest(head=head[:size]):
                     self.parts = (head[:size],)
-                    exchange = self.pool.open_exchange()
+                    exchange = self.pool.open_exchange(next_id())
                     exchange.send("GET", "/", b"", {}, 1.0)
                     wire = mock.Mock(read_answer=lambda status, headers: ANY_HEAD)
                     self.assertIsInstance(exchange.read_head(wire), Failure)
@@ -180,7 +204,7 @@
 
     def test_lengths_that_contradict_each_other_are_an_invalid_head(self) -> None:
         self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",)
-        exchange = self.pool.open_exchange()
+        exchange = self.pool.open_exchange(next_id())
         exchange.send("GET", "/", b"", {}, 1.0)
         self.assertIsInstance(exchange.read_head(mock.Mock()), Failure)
         self.assertEqual((exchange.has_invalid_head, exchange.is_broken), (True, False))
@@ -201,7 +225,7 @@
         self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata",)
         for is_broken_off in (False, True):
             with self.subTest(is_broken_off=is_broken_off):
-                exchange = self.pool.open_exchange()
+                exchange = self.pool.open_exchange(next_id())
                 exchange.send("GET", "/", b"", {}, 1.0)
                 exchange.read_head(mock.Mock(read_answer=lambda status, headers: head))
                 self.assertEqual(exchange.read_all(65536), b"data")
@@ -211,6 +235,19 @@
                 self.assertEqual(self.pool.has_idle, not is_broken_off)
                 self.pool.close()
 
+    def test_connection_remembers_a_bounded_number_of_ids(self) -> None:
+        self.keeps_open = True
+        self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",)
+        head = AnswerHead(200, None, False, False, None, None, None, False, ())
+        exchange = self.pool.open_exchange(next_id())
+        for _ in range(upstream_connections.REQUESTS_MAX - 1):
+            exchange.connection.record_carried(next_id())
+        exchange.send("GET", "/", b"", {}, 1.0)
+        exchange.read_head(mock.Mock(read_answer=lambda status, headers: head))
+        self.assertEqual(exchange.read_all(65536), b"")
+        exchange.finish()
+        self.assertFalse(self.pool.has_idle)
+
     def test_answers_without_bodies_are_delimited(self) -> None:
         for status in (b"204 No Content", b"304 Not Modified"):
             framing, body = self.read(b"HTTP/1.1 %s\r\n\r\n" % status)
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -1,7 +1,9 @@
 """Connections to upstreams for callers' requests, kept open between requests.
 
 A connection is reused only after a complete answer to the right request was read from it, and only
-while nothing has arrived on it since: bytes on an idle connection belong to no request.
+while nothing has arrived on it since: bytes on an idle connection belong to no request. It carries
+each request id once: answers name ids, so a late answer to the first sending of an id would pass
+for the answer to a second one on the same connection.
 """
 
 import socket
@@ -12,6 +14,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.answer_framings import Framing, framing_of
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.ids import RequestId
 from urllib3.exceptions import HTTPError, InvalidHeader, ProtocolError
 from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 from urllib3.response import BaseHTTPResponse
@@ -33,6 +36,8 @@
 """An idle connection is no longer reused this long before the upstream would close it."""
 IDLE_MAX = 32
 """Largest number of idle connections for each address."""
+REQUESTS_MAX = 1000
+"""Requests for which one connection is used, as it remembers their ids, in 8 bytes each."""
 READ_BYTES = 65536
 ANSWER_BYTES_MAX = 16 * 1024 * 1024
 """Largest answer that is buffered before it is forwarded, in bytes."""
@@ -190,6 +195,8 @@
             return False
         if "close" in self.raw.headers.get("Connection", "").lower():
             return False
+        if self.connection.carried_count >= REQUESTS_MAX:
+            return False
         if self.head.framing is not Framing.DELIMITED:
             return False
         # An upstream may answer before it has read the body; a next request would queue behind it.
@@ -232,17 +239,32 @@
         """Whether the next request probably needs no new connection."""
         return any(idle.is_usable for idle in self._idle)
 
-    def open_exchange(self) -> Exchange | Failure:
-        """Return an exchange on an idle connection, or on a new one."""
-        while self._idle:
-            idle = self._idle.pop()
-            if idle.is_usable:
-                return Exchange(self, idle.connection)
-            idle.connection.close()
-        connection = self._open()
-        if isinstance(connection, Failure):
-            return connection
-        return Exchange(self, connection, is_new=True)
+    def open_exchange(self, request: RequestId) -> Exchange | Failure:
+        """Return an exchange for a request, on an idle connection or on a new one."""
+        connection = self._take_idle(request)
+        is_new = connection is None
+        if is_new:
+            connection = self._open()
+            if isinstance(connection, Failure):
+                return connection
+        connection.record_carried(request)
+        return Exchange(self, connection, is_new)
+
+    def _take_idle(self, request: RequestId) -> UpstreamConnection | None:
+        """Return the newest idle connection that hasn't carried the request's id."""
+        passed_over: list[IdleConnection] = []
+        try:
+            while self._idle:
+                idle = self._idle.pop()
+                if not idle.is_usable:
+                    idle.connection.close()
+                elif idle.connection.may_have_carried(request):
+                    passed_over.append(idle)
+                else:
+                    return idle.connection
+            return None
+        finally:
+            self._idle.extend(reversed(passed_over))
 
     def open_idle(self) -> Failure | None:
         """Open a connection for later requests."""
