--- a/libs/serving/ruddersaddle_serving/placements.py
+++ b/libs/serving/ruddersaddle_serving/placements.py
@@ -493,11 +493,17 @@
     def may_fetch(self, model: ModelId, tracker: Tracker) -> bool:
         """Return whether an engine may fetch parts of its weights.
 
-        One that came back with weights that had been replaced may not: where its entry was missing,
-        hosts take these parts for unused and free them.
+        While the entry of an engine with replaced weights is missing, hosts take the parts of these
+        weights for unused and free them. So it may fetch them only if this host knows that it has
+        had its entry all the time since they were the newest.
         """
-        replaced_at = self.publications.replaced_at(model, tracker.version_by_model.get(model, 0))
-        return replaced_at is None or self.upstreams.listed_since(tracker.id) <= replaced_at
+        version = tracker.version_by_model.get(model, 0)
+        named = self.publications.version_by_model.get(model, 0)
+        if self.upstreams.newest_weights(model) > max(version, named):
+            # Newer weights are in use, and this host hasn't heard yet when they were named.
+            return False
+        newest_at = self.publications.known_newest_at(model, version)
+        return newest_at is None or self.upstreams.entry_followed_since(tracker.id) <= newest_at
 
     def _has_allowed_weights(self, model: ModelId, tracker: Tracker) -> bool:
         """Return whether an engine's weights are current, or are outdated within the bound."""
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -154,6 +154,14 @@
         naming = self._first_after(model, version)
         return None if naming is None else naming.received_at
 
+    def known_newest_at(self, model: ModelId, version: int) -> float | None:
+        """Return when this host last knew that no newer weights were named; None if none are.
+
+        Negative infinity if they had been named before this host started.
+        """
+        naming = self._first_after(model, version)
+        return None if naming is None else naming.not_before
+
     def _first_after(self, model: ModelId, version: int) -> "Naming | None":
         namings = self.namings_by_model.get(model, ())
         return next((each for each in namings if each.version > version), None)
--- a/libs/serving/ruddersaddle_serving/replaced_parts.py
+++ b/libs/serving/ruddersaddle_serving/replaced_parts.py
@@ -4,7 +4,8 @@
 engine has newer weights, no part of the replaced ones is fetched any more, even if some hosts still
 have an outdated view, and fetches that are under way end within `FETCH_TIMEOUT_S`. An engine that
 comes back with replaced weights fetches nothing (`Placement.may_fetch`): it may be back at other
-hosts before the one that frees parts knows.
+hosts before the one that frees parts knows. Hosts whose list may have missed its absence don't let
+it fetch, either.
 """
 
 import logging
@@ -13,22 +14,31 @@
 from ruddersaddle_base.ids import ModelId
 
 from ruddersaddle_serving.cached_parts import CachedParts
-from ruddersaddle_serving.context_stores import FETCH_TIMEOUT_S, LISTING_TRUST_S, StoreView
+from ruddersaddle_serving.context_stores import FETCH_TIMEOUT_S, StoreView
 from ruddersaddle_serving.neighbours import Neighbours, rank_for_duty
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.tasks import pause, spawn_forever
 from ruddersaddle_serving.trackers import Trackers
-from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_lists import (
+    FOLLOWED_AGE_MAX_S,
+    UP_TO_DATE_S,
+    UpstreamList,
+)
 
 logger = logging.getLogger(__name__)
 
 CHECK_PAUSE_S = 0.5
 """Pause between checks; freeing is not urgent."""
-FREE_AFTER_S = LISTING_TRUST_S + FETCH_TIMEOUT_S + 0.6
+FREE_AFTER_S = max(
+    FOLLOWED_AGE_MAX_S + FETCH_TIMEOUT_S + 0.6,
+    FOLLOWED_AGE_MAX_S + UP_TO_DATE_S,
+)
 """How long all engines must have had newer weights before older parts are freed.
 
-`FETCH_TIMEOUT_S` would do for listed engines. `LISTING_TRUST_S` covers an engine whose entry has
-expired while some host still knows it, and 0.6 s covers requests in flight.
+`FETCH_TIMEOUT_S` would do for listed engines. `FOLLOWED_AGE_MAX_S` covers an engine whose entry has
+expired while some host still lists it, and 0.6 s covers requests in flight. The second sum has the
+entry missing for `UP_TO_DATE_S`, as this host's list may be `FOLLOWED_AGE_MAX_S` old: every host
+that has followed the list then knows that it was missing.
 """
 FREE_CALL_S = 0.5
 """How long a call may take to arrive; later the store refuses it."""
@@ -103,7 +113,8 @@
         With several regions, only engines of the own one fetch from the stores that this host
         follows.
         """
-        if not self.upstreams.is_up_to_date:
+        is_recent = self.upstreams.age_s <= FOLLOWED_AGE_MAX_S
+        if not is_recent or not self.upstreams.is_up_to_date:
             return 0
         is_own = self.cached_parts.regions.is_own
         entries = [each for each in self.upstreams.by_id.values() if is_own(each.hall)]
--- a/libs/serving/ruddersaddle_serving/tests/test_placements.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_placements.py
@@ -32,7 +32,7 @@
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import TRIAL_PAUSE_S, Tracker, Trackers
 from ruddersaddle_serving.upstream_entries import Heartbeat, UpstreamEntry
-from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_lists import FOLLOWED_AGE_MAX_S, UpstreamList
 from ruddersaddle_serving.upstream_quotas import JOIN_GRACE_S, UpstreamQuotas
 
 POOL = PoolId("p")
@@ -71,6 +71,7 @@
         )
         self.first, self.second = (self.add(name) for name in ("e-1", "e-2"))
         self.request = make_request(1000)
+        self.confirmations = 0
 
     def add(self, name: str) -> Tracker:
         entry = UpstreamEntry(
@@ -266,11 +267,11 @@
     def test_engine_that_is_back_with_replaced_weights_fetches_parts_that_are_being_freed(
         self,
     ) -> None:
+        self.follow(3.0)
         self.assertTrue(self.placement.may_fetch(MODEL, self.first))
-        self.now += 1.0
         self.publications.apply(ModelVersion(MODEL, 2))
         self.assertTrue(self.placement.may_fetch(MODEL, self.first))
-        self.now += 1.0
+        self.follow(1.0)
         self.upstreams.drop(self.first.id)
         self.upstreams.put(self.first.entry)
         self.assertFalse(self.placement.may_fetch(MODEL, self.first))
@@ -285,6 +286,59 @@
         self.first.record_version(MODEL, 2)
         self.assertTrue(self.placement.may_fetch(MODEL, self.first))
 
+    def follow(self, seconds: float) -> None:
+        """Confirm the lists each half second."""
+        for _ in range(int(seconds * 2)):
+            self.now += 0.5
+            self.confirmations += 1
+            self.publications.confirm(self.now, StorePosition(0, self.confirmations))
+            self.upstreams.confirm(self.now)
+
+    def test_host_that_may_have_missed_an_absence_has_replaced_weights_fetched(self) -> None:
+        """It was cut off when newer weights were named; its list kept the engine all the time."""
+        self.follow(3.0)
+        self.now += 8.0
+        self.publications.apply(ModelVersion(MODEL, 2))
+        self.follow(3.0)
+        self.assertFalse(self.placement.may_fetch(MODEL, self.first))
+        self.first.record_version(MODEL, 2)
+        self.assertTrue(self.placement.may_fetch(MODEL, self.first))
+
+    def test_host_whose_list_is_old_has_replaced_weights_fetched(self) -> None:
+        self.follow(3.0)
+        self.publications.apply(ModelVersion(MODEL, 2))
+        self.now += FOLLOWED_AGE_MAX_S
+        self.assertTrue(self.placement.may_fetch(MODEL, self.first))
+        self.now += 0.1
+        self.assertFalse(self.placement.may_fetch(MODEL, self.first))
+
+    def test_weights_in_use_elsewhere_show_that_others_are_replaced(self) -> None:
+        """A host that was cut off read the list of upstreams before the named weights."""
+        self.follow(3.0)
+        self.upstreams.put(msgspec.structs.replace(self.second.entry, version_by_model={MODEL: 2}))
+        self.assertFalse(self.placement.may_fetch(MODEL, self.first))
+        self.second.record_version(MODEL, 2)
+        self.assertTrue(self.placement.may_fetch(MODEL, self.second))
+
+    def test_later_instance_under_an_id_fetches_parts_of_replaced_weights(self) -> None:
+        born = msgspec.structs.replace(self.first.entry, born_ms=1)
+        self.upstreams.put(born)
+        self.follow(3.0)
+        self.publications.apply(ModelVersion(MODEL, 2))
+        self.now += 0.5
+        self.upstreams.put(msgspec.structs.replace(born, born_ms=2))
+        tracker = self.trackers.get_or_create(self.upstreams.by_id[born.id])
+        self.assertFalse(self.placement.may_fetch(MODEL, tracker))
+
+    def test_engine_that_is_back_with_the_current_weights_fetches_as_before(self) -> None:
+        self.follow(3.0)
+        self.publications.apply(ModelVersion(MODEL, 2))
+        self.upstreams.drop(self.first.id)
+        self.now += 8.0
+        self.upstreams.put(msgspec.structs.replace(self.first.entry, version_by_model={MODEL: 2}))
+        tracker = self.trackers.get_or_create(self.upstreams.by_id[self.first.id])
+        self.assertTrue(self.placement.may_fetch(MODEL, tracker))
+
     def test_bound_counts_from_the_first_newer_weights(self) -> None:
         """A second version published 4 s later must not extend the use of the oldest weights."""
         self.publications.confirm(self.now, StorePosition(0, 1))
--- a/libs/serving/ruddersaddle_serving/upstream_lists.py
+++ b/libs/serving/ruddersaddle_serving/upstream_lists.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import PoolId, RequestId, UpstreamId
+from ruddersaddle_base.ids import ModelId, PoolId, RequestId, UpstreamId
 
 from ruddersaddle_serving.cold_starts import ColdStarts
 from ruddersaddle_serving.ports import TOPIC_START, StorePosition
@@ -32,6 +32,8 @@
 """Number of these instances that are sent to another host, about 1 KB."""
 UP_TO_DATE_S = 3.0
 """Age up to which a list counts as up to date; hosts receive what others read within 1.9 s."""
+FOLLOWED_AGE_MAX_S = 2.0
+"""Age up to which a list shows that an upstream has had an entry without a gap."""
 
 
 class EntryHash(msgspec.Struct, frozen=True):
@@ -64,6 +66,11 @@
         self._lapse_at_by_id: dict[UpstreamId, float] = {}
         """When entries that may have lapsed in an outage are dropped; infinity until it ends."""
         self._listed_since_by_id: dict[UpstreamId, float] = {}
+        self.followed_since = float("inf")
+        """Since when the list has been confirmed at least each `UP_TO_DATE_S`. An entry that was
+        missing for longer in that time was missed here, too."""
+        self._newest_weights_by_model: dict[ModelId, int] = {}
+        self._newest_weights_revision: int | None = None
         self._unanswered_at: float | None = None
         """When the store last failed to answer this host; None once it has answered this host, or
         another one that sent its list."""
@@ -241,7 +248,8 @@
             self.cold.apply(entry.instance, entry.heartbeat)
             entry = msgspec.structs.replace(entry, heartbeat=None)
         entry = _with_known_version(entry, known)
-        if known is None or entry.id in self._lapse_at_by_id:
+        is_other = known is not None and known.instance != entry.instance
+        if known is None or is_other or entry.id in self._lapse_at_by_id:
             self._listed_since_by_id[entry.id] = clocks.now_s()
         self._lapse_at_by_id.pop(entry.id, None)
         self._gone.pop(entry.instance, None)
@@ -276,6 +284,8 @@
 
     def confirm(self, asked_at: float) -> None:
         """Confirm the list as of a request sent at `asked_at`; drop lapsed entries."""
+        if asked_at - self.confirmed_at > UP_TO_DATE_S:
+            self.followed_since = clocks.now_s()
         self.confirmed_at = max(self.confirmed_at, asked_at)
         if self._unanswered_at is not None and asked_at > self._unanswered_at:
             self._end_outage(asked_at)
@@ -328,9 +338,26 @@
             self.is_listed(instance) and self.by_id[instance.id].leaving
         )
 
-    def listed_since(self, upstream: UpstreamId) -> float:
-        """Return since when an upstream has had an entry without a gap; infinity without one."""
-        return self._listed_since_by_id.get(upstream, float("inf"))
+    def entry_followed_since(self, upstream: UpstreamId) -> float:
+        """Return since when this host knows that an upstream has had an entry without a gap.
+
+        Infinity if it doesn't know: the upstream isn't listed, or the list is not recent.
+        """
+        if self.age_s > FOLLOWED_AGE_MAX_S:
+            return float("inf")
+        listed_since = self._listed_since_by_id.get(upstream, float("inf"))
+        return max(listed_since, self.followed_since)
+
+    def newest_weights(self, model: ModelId) -> int:
+        """Return the newest weights of a model that any listed upstream has; 0 if none has any."""
+        if self._newest_weights_revision != self.revision:
+            self._newest_weights_revision = self.revision
+            self._newest_weights_by_model = {}
+            for entry in self.by_id.values():
+                for name, version in entry.version_by_model.items():
+                    known = self._newest_weights_by_model.get(name, 0)
+                    self._newest_weights_by_model[name] = max(known, version)
+        return self._newest_weights_by_model.get(model, 0)
 
     def is_listed(self, instance: UpstreamInstance) -> bool:
         """Return whether an instance has an entry; otherwise it left, or another replaced it."""
