--- a/libs/serving/ruddersaddle_serving/cached_parts.py
+++ b/libs/serving/ruddersaddle_serving/cached_parts.py
@@ -115,18 +115,15 @@
 
     def follow_once(self, store: StoreView) -> float:
         """Poll a store for changes; return the pause until the next poll."""
-        asked_at = clocks.now_s()
         revision = store.revision
-        failure = self._read(store)
+        failure = self._read(store, clocks.now_s())
         if failure is not None and failure.step is Step.SEND:
             # A reused connection broke; a running store accepts a new one.
-            asked_at = clocks.now_s()
-            failure = self._read(store)
+            failure = self._read(store, clocks.now_s())
         store.record_answer(failure)
         if failure is not None:
             self._handle_failure(store, failure)
             return RETRY_S
-        store.confirmed_at = asked_at
         return CHANGES_PAUSE_S if store.revision != revision else 0.0
 
     def _handle_failure(self, store: StoreView, failure: Failure) -> None:
@@ -136,32 +133,39 @@
         store.record_lost()
         self.broadcast_lost(store.spec.id)
 
-    def _read(self, store: StoreView) -> Failure | None:
+    def _read(self, store: StoreView, asked_at: float) -> Failure | None:
+        """Apply and confirm a store's changes, unless another host's update had them first."""
         if store.epoch is None:
-            return self._list(store)
+            return self._list(store, asked_at)
         # The first answer brings the engines' clock, which is needed to fetch: don't wait for it.
         wait_s = LONG_POLL_S if store.knows_clock else 0.0
         page = self.engines.store_changes(store.spec, store.next_event, wait_s)
         if isinstance(page, Failure):
             return page
+        if store.covers(page.epoch, page.next):
+            return None
         if page.epoch != store.epoch or page.gap:
-            return self._list(store)
+            return self._list(store, asked_at)
         for change in page.changes:
             store.apply(change)
         store.next_event = page.next
         store.record_clock(page.clock_ms)
+        store.confirmed_at = asked_at
         return None
 
-    def _list(self, store: StoreView) -> Failure | None:
+    def _list(self, store: StoreView, asked_at: float) -> Failure | None:
         self.counts["listings"] += 1
         listing = self.engines.store_listing(store.spec)
         if isinstance(listing, Failure):
             store.forget()
             return listing
+        if store.covers(listing.epoch, listing.next):
+            return None
         store.reset(listing.epoch, listing.next, bool(listing.complete))
         for part in listing.complete:
             store.apply(part)
         store.record_incomplete(listing.incomplete)
+        store.confirmed_at = asked_at
         return None
 
     def find_holders(self, salt: str, prompt: Prompt) -> list[StoreView | None]:
--- a/libs/serving/ruddersaddle_serving/context_stores.py
+++ b/libs/serving/ruddersaddle_serving/context_stores.py
@@ -127,6 +127,10 @@
         """Account for incompletely saved parts: they occupy memory and can't be fetched."""
         self.used_tokens += sum(_round_up_to_block(part.tokens) for part in parts)
 
+    def covers(self, epoch: int, next_event: int) -> bool:
+        """Return whether this view has all events before one of an epoch, and later ones."""
+        return epoch == self.epoch and next_event < self.next_event
+
     def changes_since(self, revision: int) -> tuple[StoreChange, ...] | None:
         """Return the changes since a revision, or None if they are no longer retained."""
         if revision == self.revision:
--- a/libs/serving/ruddersaddle_serving/part_updates.py
+++ b/libs/serving/ruddersaddle_serving/part_updates.py
@@ -116,5 +116,5 @@
 def _is_older(store: StoreView, update: StoreUpdate, confirmed_at: float) -> bool:
     """Return whether an update lacks events of the view; epochs are compared by their dates."""
     if update.epoch == store.epoch:
-        return update.next < store.next_event
+        return store.covers(update.epoch, update.next)
     return store.epoch is not None and confirmed_at <= store.confirmed_at
--- a/libs/serving/ruddersaddle_serving/tests/test_cached_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_cached_parts.py
@@ -14,7 +14,8 @@
     StoreView,
     is_older_salt,
 )
-from ruddersaddle_serving.ports import StoreChange, StoreChanges, Transfer
+from ruddersaddle_serving.part_updates import StoreUpdate, apply_store_update
+from ruddersaddle_serving.ports import StoreChange, StoreChanges, StoreListing, Transfer
 from ruddersaddle_serving.prompts import Part, PartId, Prompt
 from ruddersaddle_serving.routes import (
     ContextStore,
@@ -120,6 +121,31 @@
         lost = self.follow(self.failure_at(Step.SEND), StoreChanges(1, 0, False, (), 5_000))
         self.assertEqual((lost, self.plan().fetch_from), ([], (FAST.address, None, None)))
 
+    def test_late_answer_to_a_poll_puts_back_a_part_that_was_freed(self) -> None:
+        """Another host's update, with later events, arrived while the poll was waiting."""
+        store = self.cached_parts.by_id[FAST.id]
+        page = StoreChanges(1, 1, False, (StoreChange("m/1", SMALL.id, SMALL.tokens),), None)
+        listing = StoreListing(1, 1, page.changes, ())
+        removal = (StoreChange("m/1", SMALL.id, 0),)
+        poll_began_at = self.now
+        for read in ("store_changes", "store_listing"):
+            store.epoch = 1 if read == "store_changes" else None
+            store.next_event = 0
+
+            def overtake(
+                *call: object, answer: object = page if store.epoch else listing
+            ) -> object:
+                self.now += 0.3
+                update = StoreUpdate(FAST.id, 1, 2, 0, 0.1, 5_000.0, 0, True, removal)
+                self.assertTrue(apply_store_update(store, update, self.now))
+                return answer
+
+            getattr(self.cached_parts.engines, read).side_effect = overtake
+            with self.subTest(read=read):
+                self.cached_parts.follow_once(store)
+                self.assertEqual((store.tokens_by_part, store.next_event), ({}, 2))
+                self.assertGreater(store.confirmed_at, poll_began_at)
+
     def test_store_that_refuses_a_poll_is_still_fetched_from(self) -> None:
         self.put(FAST, SMALL)
         self.assertEqual(self.follow(self.failure_at(Step.READ)), [])
