--- a/libs/serving/ruddersaddle_serving/crash_records.py
+++ b/libs/serving/ruddersaddle_serving/crash_records.py
@@ -205,9 +205,11 @@
         return 0 if record is None else len(record.instances)
 
     def shared(self) -> tuple[CrashRecord, ...]:
-        """Return the records that are shared with all hosts."""
+        """Return the records that are shared with all hosts, refusals first."""
         records = self.by_fingerprint.values()
-        return tuple(each for each in records if len(each.instances) >= SHARED_MIN)
+        found = [each for each in records if len(each.instances) >= SHARED_MIN]
+        found.sort(key=lambda each: not each.is_refusal)
+        return tuple(found)
 
     def recently_cleared(self) -> tuple[Fingerprint, ...]:
         """Return the requests that were cleared within `CLEARED_MS`."""
--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import random
 from collections.abc import Iterable
 from enum import Enum
@@ -56,7 +57,8 @@
 PART_PREFIX = "part:"
 """Prefix of the store's keys of parts; other keys are fingerprints of requests."""
 CRASH_RECORDS_MAX = 512
-"""Most records sent in one message or kept in the store; each takes 114 to 145 bytes."""
+"""Most records sent in one message, refusals first, or kept in the store; each takes 114 to 145
+bytes."""
 
 PART_RECORDS_MAX = 64
 """Most records of parts sent in one state update, refusals first; each takes some 600 bytes."""
@@ -158,6 +160,22 @@
         """Seconds since the records were last confirmed."""
         return clocks.now_s() - self.confirmed_at
 
+    @property
+    def told_age_s(self) -> float:
+        """Age of the records as another host learns them by a state update.
+
+        Infinity if there are more refusals than one update holds: it confirms nothing then, so that
+        the other host reads the store itself.
+        """
+        records, parts = self.records, self.records.parts
+        if (
+            len(records.by_fingerprint) <= CRASH_RECORDS_MAX
+            and len(parts.by_part) <= PART_RECORDS_MAX
+        ):
+            return self.age_s
+        left_out = (*records.shared()[CRASH_RECORDS_MAX:], *parts.shared()[PART_RECORDS_MAX:])
+        return math.inf if any(each.is_refusal for each in left_out) else self.age_s
+
     # Between hosts
 
     def broadcast_crash(self, crash: Crash) -> None:
--- a/libs/serving/ruddersaddle_serving/tests/test_neighbours.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_neighbours.py
@@ -1,5 +1,6 @@
 """Tests of how a host gets the state of the readers."""
 
+import math
 import unittest
 from unittest import mock
 
@@ -7,17 +8,25 @@
 from eventlet.queue import LightQueue
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
-from ruddersaddle_base.ids import HallId, HostId
+from ruddersaddle_base.ids import HallId, HostId, UpstreamId
 
 from ruddersaddle_serving.cached_parts import CachedParts
-from ruddersaddle_serving.crash_records import CrashRecords
+from ruddersaddle_serving.crash_records import (
+    CRASHES_MAX,
+    SHARED_MIN,
+    CrashRecord,
+    CrashRecords,
+)
+from ruddersaddle_serving.crash_shares import CRASH_RECORDS_MAX
+from ruddersaddle_serving.fingerprints import Fingerprint
 from ruddersaddle_serving.hosts import HostRecord, Hosts
-from ruddersaddle_serving.neighbour_messages import NeighbourMessage
+from ruddersaddle_serving.neighbour_messages import NeighbourMessage, StateRequest
 from ruddersaddle_serving.neighbours import Neighbours
 from ruddersaddle_serving.ports import StorePosition
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.store_eras import StoreEras
 from ruddersaddle_serving.trackers import Trackers
+from ruddersaddle_serving.upstream_entries import UpstreamInstance
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
 HALLS = [HallId("a"), HallId("b"), HallId("c"), HallId("d")]
@@ -99,5 +108,40 @@
         self.assertEqual(self.refresh(set()).asked.qsize(), 1)
 
 
+class CrashRecordsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, self.host = (make_neighbours(each) for each in list(RECORDS)[:2])
+        self.reader.crashes.confirm(clocks.now_s())
+
+    def fill(self, refusals: int, suspects: int = 0) -> None:
+        """Have the reader know requests that crashed three upstreams each, or two."""
+        now_ms = clocks.unix_ms()
+        for number in range(suspects + refusals):
+            crashes = SHARED_MIN if number < suspects else CRASHES_MAX
+            instances = tuple(
+                UpstreamInstance(UpstreamId(f"e-{each}"), 1) for each in range(crashes)
+            )
+            record = CrashRecord(Fingerprint(f"f-{number}"), instances, now_ms)
+            self.reader.crashes.records.by_fingerprint[record.fingerprint] = record
+
+    def ask(self) -> int:
+        """Let the host ask the reader; return how many requests it refuses then."""
+        request = StateRequest(HostId("host-1"), self.host.hosts.own, 0, -1, -1, -1)
+        update = self.reader._handle(request)
+        self.host._apply_crashes(update, clocks.now_s())
+        return sum(each.is_refusal for each in self.host.crashes.records.by_fingerprint.values())
+
+    def test_first_part_of_the_refusals_confirms_that_there_are_no_others(self) -> None:
+        """The host didn't read the rest from the store, and let these requests crash upstreams."""
+        self.fill(refusals=CRASH_RECORDS_MAX + 1)
+        self.assertEqual(self.ask(), CRASH_RECORDS_MAX)
+        self.assertEqual(self.host.crashes.age_s, math.inf)
+
+    def test_refusals_behind_many_suspects_are_left_out(self) -> None:
+        self.fill(refusals=9, suspects=CRASH_RECORDS_MAX)
+        self.assertEqual(self.ask(), 9)
+        self.assertLess(self.host.crashes.age_s, 1.0)
+
+
 if __name__ == "__main__":
     unittest.main()
