--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -279,8 +279,12 @@
 
     def _dial(self, address: str) -> pynng.Bus0:
         socket = pynng.Bus0(send_buffer_size=QUEUE_MESSAGES)
-        socket.dial(f"tcp://{address}", block=False)
         self._socket_by_address[address] = socket
+        try:
+            socket.dial(f"tcp://{address}", block=False)
+        except pynng.NNGException as error:
+            # It stays without a connection, like one to a host that doesn't answer.
+            logger.warning("Peer address %r can't be connected to. %s", address, error)
         return socket
 
     def _await_connection(self, socket: pynng.Bus0) -> bool:
--- a/libs/serving/ruddersaddle_serving/tests/test_peers.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_peers.py
@@ -63,6 +63,12 @@
             self.asking.send(self.answering.address, "bad")
             self.assertEqual(self.ask("next"), "next")
 
+    def test_malformed_address_raises_in_the_task_that_sends(self) -> None:
+        for address in ("10.0.0.1", "10.0.0.1:99999", "", "\x00:1", "10.0.0.1:80/x"):
+            with self.subTest(address=address):
+                self.assertIsInstance(self.asking.ask(address, "next", 0.1), Failure)
+                self.asking.send(address, "next")
+
     def test_many_messages_keep_no_other_task_from_running(self) -> None:
         self.ask("first")
         for _ in range(4 * RECEIVES_PER_TURN):
