--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -26,8 +26,9 @@
     without_terms,
 )
 from ruddersaddle_serving.request_traces import RequestTrace
+from ruddersaddle_serving.reset_sockets import UpstreamConnection
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
-from ruddersaddle_serving.upstream_connections import Exchange
+from ruddersaddle_serving.upstream_connections import Exchange, UpstreamConnections
 
 NEAR, FAR, ABROAD = HallId("near"), HallId("far"), HallId("abroad")
 REGIONS = {NEAR: "home", FAR: "home", ABROAD: "abroad"}
@@ -111,6 +112,20 @@
         self.assertFalse(peers.is_suspect(only))
         self.assertEqual(self.choose(), only.host)
 
+    def test_request_offered_again_gets_another_connection(self) -> None:
+        """A late copy of a host's refusal would pass for its answer to the second offer."""
+        peer = self.make(near=2).choose(mock.Mock(), set())
+        idle = mock.patch.object(UpstreamConnection, "is_idle", True)
+        opened = mock.patch.object(
+            UpstreamConnections, "_open", lambda _: UpstreamConnection("10.0.0.1", 2)
+        )
+        with idle, opened:
+            first = self.peers.open_exchange(peer, RequestId("r-1")).connection
+            peer.connections.release(first, None)
+            again = self.peers.open_exchange(peer, RequestId("r-1")).connection
+            self.assertIsNot(again, first)
+            self.assertIs(self.peers.open_exchange(peer, RequestId("r-2")).connection, first)
+
     def test_host_found_beyond_the_first_ones_is_used_again(self) -> None:
         peers = self.make(near=20)
         for _ in range(PEERS_PER_HALL):
