--- a/libs/serving/ruddersaddle_serving/tests/test_authorizations.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_authorizations.py
@@ -5,6 +5,7 @@
 from enum import Enum
 from unittest import mock
 
+import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, RequestId, WorkspaceId
@@ -15,9 +16,10 @@
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.forwarders import Forwarder, Forwarding, RetryBudget
 from ruddersaddle_serving.placements import Choice
-from ruddersaddle_serving.ports import StorePosition
+from ruddersaddle_serving.ports import AnswerHead, StorePosition
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.relays import Relaying
 from ruddersaddle_serving.routes import (
     PublishedConfiguration,
     Route,
@@ -27,6 +29,7 @@
     Workspace,
 )
 from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_paths import ReachedBy
 
 KEY = "key"
 FIRST, SECOND = Workspace(WorkspaceId("first")), Workspace(WorkspaceId("second"))
@@ -61,11 +64,17 @@
     """A wait of a request at which the configuration changes."""
 
     BODY = "body"
+    RELAY = "relay"
+    """Another host, to which the request is offered, refuses it."""
     ROOM = "room"
     CONNECT = "connect"
     RETRY = "retry"
 
 
+FIRST_EVENT = b"id: 1\ndata: token\n\n"
+ANSWERED = AnswerHead(200, None, True, False, None, None, None, False, ())
+
+
 class AuthorizationsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.publications = Publications()
@@ -89,7 +98,11 @@
         )
         request.asked, request.version = ASKED, allowed.version
         placement = mock.Mock()
-        placement.trackers.paths.has_lost = placement.trackers.paths.is_isolated = False
+        paths = placement.trackers.paths
+        paths.has_lost, paths.is_isolated = Moment.RELAY in self.changes_at, False
+        reached_elsewhere = mock.Mock(reached_by=ReachedBy.OTHER_HOSTS, age_s=1.0, is_tested=False)
+        placement.path_beliefs.return_value = [reached_elsewhere]
+        placement.upstreams.by_id = {}
         placement.check_available.return_value = None
         placement.pick_pool = lambda route: route.targets[0].pool
         placement.choose = self.choose
@@ -97,6 +110,7 @@
         forwarder = Forwarder(
             placement, mock.Mock(), self.publications, RetryBudget(9.0), 5.0, mock.Mock(), watch
         )
+        forwarder.relay_peers = mock.Mock()
         return Forwarding(forwarder, request)
 
     def choose(self, request: CallerRequest, pool: PoolId, *more: object) -> Choice:
@@ -121,9 +135,50 @@
             mock.patch.object(Attempt, "connect", connect),
             mock.patch.object(Attempt, "open", open_attempt),
             mock.patch.object(Attempt, "is_broken", False),
+            mock.patch.object(Relaying, "begin", lambda relaying: self.reach(Moment.RELAY)),
         ):
             return forwarding.begin()
 
+    def resume(self, change: PublishedConfiguration) -> Failure:
+        """Break a stream after its first event, as the configuration changes.
+
+        All later attempts are rejected.
+        """
+        resumable = msgspec.structs.replace(make_route(), kind=RouteKind.STREAM, resumable=True)
+        self.publish(make_configuration(2, FIRST, resumable))
+        forwarding = self.make_forwarding()
+        broken = msgspec.structs.replace(BROKEN, ran=Ran.UNKNOWN)
+
+        def open_attempt(attempt: Attempt) -> AnswerHead | Failure:
+            self.sent_for.append(attempt.request.workspace.id)
+            if len(self.sent_for) > 1:
+                return BROKEN
+            exchange = attempt.exchange = mock.Mock(head=ANSWERED)
+            exchange.read_some.side_effect = [FIRST_EVENT, broken]
+            return ANSWERED
+
+        with (
+            mock.patch.object(Attempt, "connect", lambda attempt: None),
+            mock.patch.object(Attempt, "open", open_attempt),
+            mock.patch.object(Attempt, "is_broken", False),
+        ):
+            self.assertIs(forwarding.begin(), ANSWERED)
+            events = forwarding.events()
+            self.assertEqual(next(events), FIRST_EVENT)
+            self.publish(change)
+            (failure,) = events
+            return failure
+
+    def test_stream_is_resumed_with_a_key_that_was_taken_away(self) -> None:
+        failure = self.resume(make_configuration(3, None))
+        self.assertEqual(failure.code, Code.UNAUTHORIZED)
+        self.assertEqual(self.sent_for, [FIRST.id])
+
+    def test_stream_is_resumed_for_the_workspace_that_had_its_key(self) -> None:
+        self.resume(make_configuration(3, SECOND))
+        self.assertEqual(self.sent_for[0], FIRST.id)
+        self.assertEqual(set(self.sent_for[1:]), {SECOND.id})
+
     def test_request_runs_with_a_key_that_was_taken_away_while_it_waited(self) -> None:
         for moment in Moment:
             with self.subTest(moment=moment):
