--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -7,7 +7,6 @@
 from enum import Enum
 
 import eventlet
-import eventlet.wsgi
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import START, HostId, Incarnation, new_incarnation
@@ -24,6 +23,7 @@
 from ruddersaddle_upstreams.host_lists import HostList
 
 from ruddersaddle.answers import AnswerCache
+from ruddersaddle.caller_connections import LimitedApplication, serve
 from ruddersaddle.contexts import ContextCache
 from ruddersaddle.gateways import Gateway, HostControl
 from ruddersaddle.generations import Generator
@@ -161,7 +161,11 @@
         address = (self.settings.text("host.address"), self.settings.integer("host.port"))
         listener = eventlet.listen(address, backlog=LISTEN_BACKLOG, reuse_port=False)
         logger.info("Host %s listens on %s:%d.", self.incarnation, *address)
-        server = eventlet.spawn(self._serve_wsgi, listener)
+        application = LimitedApplication.from_settings(
+            self.recorder.wrap(self.gateway), self.settings
+        )
+        connections_max = self.settings.integer("requests.concurrent_max") * 2
+        server = eventlet.spawn(serve, listener, application, connections_max)
         while not self.stopping:
             eventlet.sleep(STOP_POLL_S)
         self._finish_requests()
@@ -170,17 +174,6 @@
         self.recorder.close()
         logger.info("Host %s has stopped.", self.incarnation)
 
-    def _serve_wsgi(self, listener: object) -> None:
-        eventlet.wsgi.server(
-            listener,
-            self.recorder.wrap(self.gateway),
-            log_output=False,
-            minimum_chunk_size=1,
-            socket_timeout=self.settings.number("requests.read_timeout_s"),
-            max_size=self.settings.integer("requests.concurrent_max") * 2,
-            debug=False,
-        )
-
     def _start_tasks(self) -> None:
         for appender in self.appender_by_stream.values():
             appender.start()
--- a/libs/serving/ruddersaddle_serving/caller_bodies.py
+++ b/libs/serving/ruddersaddle_serving/caller_bodies.py
@@ -16,9 +16,7 @@
     source = environ["eventlet.input"]
     try:
         if (source.content_length or 0) > bytes_max:
-            return _refuse(
-                Code.TOO_LARGE, f"{source.content_length} bytes exceed the limit of {bytes_max}"
-            )
+            return _refuse_size(bytes_max)
         _send_continue(source)
         if source.chunked_input:
             body = _read_chunks(source.rfile, bytes_max)
@@ -47,7 +45,7 @@
     length = source.content_length or 0
     body = source.read(length) if length else b""
     if len(body) < length:
-        return _refuse(Code.BAD_REQUEST, "the body is shorter than its Content-Length")
+        return _refuse(Code.BAD_REQUEST, f"the body ended after {len(body)} of {length} bytes")
     return body
 
 
@@ -63,7 +61,7 @@
             return b"".join(parts) if _skip_trailers(file) else _refuse_trailers()
         total += size
         if total > bytes_max:
-            return _refuse(Code.TOO_LARGE, f"body exceeds the limit of {bytes_max} bytes")
+            return _refuse_size(bytes_max)
         data = file.read(size)
         if len(data) < size or file.read(2) != b"\r\n":
             return _refuse(Code.BAD_REQUEST, "the length of a chunk differs from its size line")
@@ -84,5 +82,9 @@
     return _refuse(Code.BAD_REQUEST, "the trailers are too long or not terminated")
 
 
+def _refuse_size(bytes_max: int) -> Failure:
+    return _refuse(Code.TOO_LARGE, f"expected at most {bytes_max} bytes")
+
+
 def _refuse(code: Code, detail: str) -> Failure:
     return Failure(code, Step.PARSE, "caller", detail)
