--- a/libs/base/ruddersaddle_base/tests/malformed_heads.py
+++ b/libs/base/ruddersaddle_base/tests/malformed_heads.py
@@ -103,5 +103,7 @@
         "123456789\r\nhello\r\n0\r\n\r\n",
         "\r\nhello\r\n0\r\n\r\n",
         ";a=b\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello\r\n0\r\nX: y\n\r\n",
+        "5\r\nhello\r\n0\r\n\n",
     )
 ]
--- a/libs/serving/ruddersaddle_serving/caller_bodies.py
+++ b/libs/serving/ruddersaddle_serving/caller_bodies.py
@@ -73,7 +73,7 @@
         line = file.readline(LINE_BYTES_MAX)
         if line == b"\r\n":
             return True
-        if not line.endswith(b"\n"):
+        if not line.endswith(b"\r\n"):
             return False
     return False
 
