Test of a stream that its engine cuts clears the fault only after it has cut one

It cleared the fault (the engine ends at the 13th token) after a second of real time, whether or not a stream had come that far. The fault is now cleared when a stream was resumed, ten seconds later at most; what is checked is as it was.

--- a/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
@@ -1,5 +1,6 @@
 """Each caller gets the complete response to its own prompt, of one workspace and one version."""
 
+import contextlib
 import threading
 import time
 import unittest
@@ -70,11 +71,11 @@
         for name in self.engines():
             self.fleet.inject_fault(name, "die_at", 13)
         texts = [f"{LONG} cut {number}" for number in range(4)]
-        timer = threading.Timer(1.0, self.clear_die_at)
-        timer.start()
+        clearing = threading.Thread(target=self.clear_die_at, args=(before,))
+        clearing.start()
         with ThreadPoolExecutor(4) as pool:
             results = list(pool.map(self.prompt, texts))
-        timer.join()
+        clearing.join()
         for text, result in zip(texts, results, strict=True):
             if result.error is None:
                 self.assert_complete(result, text)
@@ -83,7 +84,11 @@
                 self.assertTrue(answer_text(text, VERSION, TOKENS).startswith(result.text))
         self.assertGreater(self.resumed(), before)
 
-    def clear_die_at(self) -> None:
+    def clear_die_at(self, resumed_before: int) -> None:
+        """Clear the fault a second after it was injected, and not before it has cut a stream."""
+        time.sleep(1.0)
+        with contextlib.suppress(TimeoutError):
+            wait_until(lambda: self.resumed() > resumed_before, "a stream is resumed", 10.0)
         for name in self.engines():
             self.fleet.clear_fault(name, "die_at")
 
