--- a/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_whole_answers.py
@@ -71,7 +71,7 @@
         for name in self.engines():
             self.fleet.inject_fault(name, "die_at", 13)
         texts = [f"{LONG} cut {number}" for number in range(4)]
-        clearing = threading.Thread(target=self.clear_die_at, args=(before,))
+        clearing = threading.Thread(target=self.clear_die_at_once_resumed, args=(before,))
         clearing.start()
         with ThreadPoolExecutor(4) as pool:
             results = list(pool.map(self.prompt, texts))
@@ -84,11 +84,14 @@
                 self.assertTrue(answer_text(text, VERSION, TOKENS).startswith(result.text))
         self.assertGreater(self.resumed(), before)
 
-    def clear_die_at(self, resumed_before: int) -> None:
+    def clear_die_at_once_resumed(self, resumed_before: int) -> None:
         """Clear the fault a second after it was injected, and not before it has cut a stream."""
         time.sleep(1.0)
         with contextlib.suppress(TimeoutError):
             wait_until(lambda: self.resumed() > resumed_before, "a stream is resumed", 10.0)
+        self.clear_die_at()
+
+    def clear_die_at(self) -> None:
         for name in self.engines():
             self.fleet.clear_fault(name, "die_at")
 
