One type of WSGI applications in the daemon

caller_connections wrote the alias of traces again; it imports that one now. No behaviour changes. Lint is clean; the tests of callers' connections, traces and sessions pass.

--- a/libs/daemon/ruddersaddle/caller_connections.py
+++ b/libs/daemon/ruddersaddle/caller_connections.py
@@ -8,7 +8,7 @@
 from ruddersaddle_serving.caller_protocols import CallerProtocol
 from ruddersaddle_serving.routes import CallerLimits
 
-Application = Callable[[dict[str, Any], Callable], Iterable[bytes]]
+from ruddersaddle.traces import Application
 
 
 class LimitedApplication:
