Simulated crashes cut their requests in the order of arrival

Cause: the simulation kept the requests of an engine in a set, ordered by memory addresses, so the order in which a crash cut them, and with it all that follows, differed by run.

--- a/libs/serving/ruddersaddle_serving/tests/crash_replays.py
+++ b/libs/serving/ruddersaddle_serving/tests/crash_replays.py
@@ -53,7 +53,8 @@
     def __init__(self, replay: "CrashReplay", entry: UpstreamEntry) -> None:
         entry = msgspec.structs.replace(entry, born_ms=0)
         super().__init__(replay, entry)
-        self.callers: set[CrashCaller] = set()
+        self.callers: dict[CrashCaller, None] = {}
+        """In the order of their arrival, so that each run of a seed is the same."""
         self.cold_until = 0.0
         self.arrivals: deque[float] = deque()
 
@@ -61,7 +62,7 @@
         if self.is_down or caller.born_ms != self.entry.born_ms:
             self.replay.after(REFUSED_S, caller.handle_refusal)
             return
-        self.callers.add(caller)
+        self.callers[caller] = None
         super().handle(caller)
         self._count_arrival()
 
@@ -84,7 +85,7 @@
         self.go_down()
         self.cached.clear()
         self.arrivals.clear()
-        broken, self.callers = self.callers, set()
+        broken, self.callers = self.callers, {}
         for caller in broken:
             caller.runs += 1
             self.replay.after(REFUSED_S, caller.handle_crash)
@@ -139,7 +140,7 @@
 
     def record_end(self) -> None:
         super().record_end()
-        self.replay.engine_by_id[self.upstream].callers.discard(self)
+        self.replay.engine_by_id[self.upstream].callers.pop(self, None)
 
     def _broadcast(self, progress: Progress, **fields: object) -> None:
         super()._broadcast(progress, born_ms=self.born_ms, **fields)
