Test of stores that hang while parts are freed: each call in turn

An engine returned with replaced weights only while the first of two stores hung. Now each call to one of three stores hangs in turn, and no further store may be called after it.

--- a/libs/serving/ruddersaddle_serving/tests/test_replaced_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_replaced_parts.py
@@ -100,23 +100,37 @@
 
     def test_parts_are_freed_at_the_next_store_after_an_engine_has_returned(self) -> None:
         """A call to a store that hangs took two seconds, in which an engine came back."""
-        other = msgspec.structs.replace(SPEC, id=StoreId("t"))
+        for hanging_call in range(1, 4):
+            with self.subTest(hanging_call=hanging_call):
+                self.setUp()
+                for name in ("t", "u"):
+                    self.add_store(name)
+                self.hang_at(hanging_call)
+                for tracker in (self.first, self.second):
+                    tracker.record_version(MODEL, 2)
+                self.run_for(FREE_AFTER_S + 3.0)
+                self.assertEqual(self.engines.free.call_count, hanging_call)
+
+    def add_store(self, name: str) -> None:
+        """Add a store with parts of the replaced weights, whose listing stays confirmed."""
+        other = msgspec.structs.replace(SPEC, id=StoreId(name))
         view = self.cached_parts.by_id[other.id] = StoreView(other)
         view.reset(1, 0)
         view.record_clock(5_000)
         view.apply(OLD_PART)
         view.confirmed_at = self.now + 60.0
+
+    def hang_at(self, number: int) -> None:
+        """Let a call to free parts time out while an engine returns with the old weights."""
         hung = Failure(Code.UPSTREAM_FAILED, Step.KEEP, SPEC.address, "timed out")
 
-        def hang(*call: object) -> Failure:
+        def free(*call: object) -> Failure | None:
+            if self.engines.free.call_count < number:
+                return None
             self.second.version_by_model[MODEL] = 1
             return hung
 
-        self.engines.free.side_effect = hang
-        for tracker in (self.first, self.second):
-            tracker.record_version(MODEL, 2)
-        self.run_for(FREE_AFTER_S + 3.0)
-        self.engines.free.assert_called_once()
+        self.engines.free.side_effect = free
 
     def test_wait_outlasts_trusted_listings_and_the_fetch_that_follows(self) -> None:
         self.assertGreater(FREE_AFTER_S, LISTING_TRUST_S + FETCH_TIMEOUT_S)
