--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -22,8 +22,9 @@
 """No stream begins at a version for this long after a host has first listed it, while there are
 others. A host whose list is so old that it knows only one version may still send it a stream that
 began at the other."""
-
-
+BEGUN_NOWHERE_S = SETTLE_S - UP_TO_DATE_S
+"""Time after a version was first listed here in which no host begins streams at it, as long as
+there are others: a host with a recent list lists a version `UP_TO_DATE_S` after others at most."""
 FIRST_LIST_S = 1.0
 """Time after the first list during which others may bring what it lacks."""
 
@@ -35,6 +36,12 @@
     """When it came last; negative infinity if it was in the first list that this host knew."""
     last_at: float = math.inf
     """Infinity while it is listed."""
+    is_return: bool = False
+    """Whether it had been listed before, so that streams may have begun at it then."""
+
+    def has_begun_by(self, newest_at: float) -> bool:
+        """Whether streams may have begun at it if it has to be listed for some time before."""
+        return self.is_return or self.first_at <= newest_at
 
 
 class PoolVersions:
@@ -77,7 +84,8 @@
             sights = self._sight_by_version.setdefault(pool, {})
             sight = sights.get(version)
             if sight is None or sight.last_at < math.inf:
-                sights[version] = Sight(-math.inf if is_first else now)
+                first_at = -math.inf if is_first else now
+                sights[version] = Sight(first_at, is_return=sight is not None)
         self._forget()
 
     def _notice_gap(self) -> None:
@@ -117,7 +125,25 @@
         that has not been up for as long, and while its list may lack upstreams that others know,
         or may have lacked some in that time.
         """
-        seen = self.seen_beside(pool) if self.seen(pool) else set()
+        return self._find_alone(self.seen_beside(pool) if self.seen(pool) else set())
+
+    def alone_until_now(self, pool: PoolId) -> Version | None:
+        """Return the version that was alone until others were listed a moment ago, or None.
+
+        Streams that nobody was told of began at it. Those that began at the others at once, as no
+        upstream of it could serve them, are known to their holders.
+        """
+        beside = self.route_pools.beside(pool) if self.seen(pool) else set()
+        return self._find_alone(set().union(*map(self._begun, beside)))
+
+    def _begun(self, pool: PoolId) -> set[Version]:
+        """Return the versions of a pool at which hosts have had time to begin streams."""
+        newest_at = clocks.now_s() - BEGUN_NOWHERE_S
+        sights = self._sight_by_version.get(pool, {})
+        return {each for each in self.seen(pool) if sights[each].has_begun_by(newest_at)}
+
+    def _find_alone(self, seen: set[Version]) -> Version | None:
+        """Return the only one of the versions seen if none can have been missed."""
         if seen == {msgspec.UNSET}:
             # Hosts of an earlier program version, which don't read it, send the list.
             return msgspec.UNSET
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -1,6 +1,7 @@
 """Finds the software version that began a stream which its caller takes up again."""
 
 from collections import Counter
+from collections.abc import Iterable
 from enum import Enum
 from typing import Any
 
@@ -9,7 +10,7 @@
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import PoolId, RequestId, SoftwareVersion
 
-from ruddersaddle_serving.pool_versions import PoolVersions
+from ruddersaddle_serving.pool_versions import PoolVersions, Version
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, VersionPin
 from ruddersaddle_serving.routes import RouteTable
 from ruddersaddle_serving.stream_exchanges import StreamExchange
@@ -45,6 +46,8 @@
     """One version alone has served for longer than streams last, as this host knows."""
     ALONE_ELSEWHERE = "alone_elsewhere"
     """The same, as a holder knows."""
+    ALONE_UNTIL_NOW = "alone_until_now"
+    """Another version has just been listed, and no holder knows the stream."""
     NOT_NAMED = "not_named"
     """The caller names no request, or no valid one."""
     UNKNOWN = "unknown"
@@ -117,12 +120,11 @@
         key = _key_of(request, request.head.resumes or RequestId(""))
         pools = tuple(each.pool for each in request.route.targets)
         record = self.exchange.find_known(key) if key.is_valid else None
-        versions = {self.versions.alone(pool) for pool in pools}
-        is_alone = len(versions) == 1 and None not in versions
-        if record is not None and (is_alone or record.version is None):
+        alone = _common(map(self.versions.alone, pools))
+        if record is not None and (alone is not None or record.version is None):
             return _from_record(record, pools, Finding.HERE)
-        if is_alone:
-            return TakeUp(Finding.ALONE, VersionPin(drawn, *versions))
+        if alone is not None:
+            return TakeUp(Finding.ALONE, VersionPin(drawn, alone))
         if not key.is_valid:
             return _refuse(Finding.NOT_NAMED)
         question = StreamQuestion(key, pools)
@@ -131,6 +133,8 @@
             replies = [StreamReply(record), *self.exchange.ask(question)]
             found = self._from_replies(replies, pools, drawn)
             return msgspec.structs.replace(found, finding=Finding.HERE) if found.pin else found
+        # Asking takes so long that streams may begin at another version meanwhile.
+        alone = _common(map(self.versions.alone_until_now, pools))
         replies = self.exchange.ask(question)
         found = self._from_replies(replies, pools, drawn)
         is_missing_some = len(replies) < len(self.exchange.other_holders(key))
@@ -138,6 +142,8 @@
             # A pause of this process, or a connection that was dead, looks the same. Others may
             # have answered that were not told of the stream.
             found = self._from_replies(self.exchange.ask(question), pools, drawn)
+        if found.finding is Finding.UNKNOWN and alone is not None:
+            return TakeUp(Finding.ALONE_UNTIL_NOW, VersionPin(drawn, alone))
         for _ in range(ASKED_AGAIN):
             if found.finding is not Finding.UNKNOWN or not self.versions.is_changing(pools):
                 break
@@ -188,11 +194,16 @@
     return StreamKey(None if workspace is None else workspace.id, first)
 
 
+def _common(versions: Iterable[Version | None]) -> Version | None:
+    """Return the version that some pools have in common, or None."""
+    found = set(versions)
+    return found.pop() if len(found) == 1 else None
+
+
 def _alone_in(reply: StreamReply, pools: tuple[PoolId, ...]) -> SoftwareVersion | None:
     """Return the version that has served alone in all of some pools, as a holder knows."""
     version_by_pool = {each.pool: each.version for each in reply.alone}
-    versions = {version_by_pool.get(pool) for pool in pools}
-    return versions.pop() if len(versions) == 1 else None
+    return _common(map(version_by_pool.get, pools))
 
 
 def _from_record(record: StreamRecord, pools: tuple[PoolId, ...], finding: Finding) -> TakeUp:
--- a/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_pool_versions.py
@@ -212,6 +212,26 @@
         self.pass_time(0.2)
         self.assertEqual(self.ids(entries), {"a", "b"})
 
+    def test_version_is_alone_until_streams_may_begin_at_another(self) -> None:
+        """Its streams were refused if their host was killed as the other was listed."""
+        self.list_entries(a="v1")
+        self.assertIsNone(self.versions.alone_until_now(POOL))
+        self.pass_time(MEMORY_S + 1)
+        self.list_entries(a="v1", b="v2")
+        self.assertIsNone(self.versions.alone(POOL))
+        self.assertEqual(self.versions.alone_until_now(POOL), "v1")
+        self.pass_time(SETTLE_S - UP_TO_DATE_S)
+        self.assertIsNone(self.versions.alone_until_now(POOL))
+
+    def test_version_is_not_alone_until_another_that_has_left_comes_again(self) -> None:
+        """Streams that began at the other before may still be taken up."""
+        self.list_entries(a="v1", b="v2")
+        self.pass_time(MEMORY_S + 1)
+        self.list_entries(a="v1")
+        self.pass_time(MEMORY_S - 1)
+        self.list_entries(a="v1", b="v2")
+        self.assertIsNone(self.versions.alone_until_now(POOL))
+
     def test_change_at_other_upstreams_leaves_a_version_settled(self) -> None:
         self.list_entries(a="v1", b="v2")
         self.pass_time(SETTLE_S + 0.1)
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -33,8 +33,10 @@
             ask=mock.Mock(side_effect=lambda question: self.replies),
         )
         self.is_changing = False
+        self.until_now: dict[PoolId, object] = {}
         versions = mock.Mock(
             alone=self.alone.get,
+            alone_until_now=lambda pool: self.until_now.get(pool),
             seen_beside=lambda pool: self.seen,
             is_changing=lambda pools: self.is_changing,
         )
@@ -92,6 +94,22 @@
             self.assertEqual((found.finding, found.pin), (Finding.ALONE, VersionPin(POOL, V1)))
         self.exchange.ask.assert_not_called()
 
+    def test_unknown_stream_began_at_the_version_that_was_alone_until_now(self) -> None:
+        """The host that ran it was killed as another version appeared, and had told nobody."""
+        self.until_now[POOL] = V1
+        self.replies = [StreamReply(None)]
+        found = self.find()
+        self.assertEqual(
+            (found.finding, found.pin), (Finding.ALONE_UNTIL_NOW, VersionPin(POOL, V1))
+        )
+        self.replies = [StreamReply(None), StreamReply(msgspec.structs.replace(RECORD, version=V2))]
+        self.assertEqual(self.find().pin, VersionPin(POOL, V2))
+        self.replies = []
+        self.assertIs(self.find().finding, Finding.UNREACHABLE)
+        self.replies = [StreamReply(None)]
+        self.until_now[OTHER] = V2
+        self.assertIs(self.find(pools=(POOL, OTHER)).finding, Finding.UNKNOWN)
+
     def test_pools_of_two_versions_make_none_alone(self) -> None:
         """A stream that began at one pool of a route went on at the other pool's version."""
         self.alone = {POOL: V1, OTHER: V2}
