--- a/libs/serving/ruddersaddle_serving/rollouts/tests/test_selections.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/tests/test_selections.py
@@ -70,6 +70,14 @@
         host.participant.book.stop(host.rollout, Stop("it fails", "a0"))
         self.assertIn("it fails", self.selection.check(self.request, entry))
 
+    def test_request_that_was_connecting_is_not_sent_to_an_old_upstream_that_was_left(self) -> None:
+        """The host had confirmed that it sends nothing more there."""
+        host = self.hosts[0]
+        old = next(each for each in self.entry_list if each.software_version == OLD)
+        self.assertIsNone(self.selection.check(self.request, old))
+        host.participant.close_old(CloseOld(host.rollout.id))
+        self.assertIsNotNone(self.selection.check(self.request, old))
+
     def test_host_that_left_the_old_upstreams_goes_back_after_a_stop(self) -> None:
         """All requests were refused until the confirmation expired."""
         host = self.hosts[0]
