Lookup of a stream's version names its two conclusions apart

Found when the change was read again: in StreamOrigins._find one name stood first for the version that is alone and then for the one that was alone until now; PoolVersions._begun took the sights of a pool before the call that may add it, which was right only because its caller had made that call before. Behaviour stays as it is. test_stream_origins and test_pool_versions (33), test_mutations and the test of a host that is killed as a second version appears pass; the whole script hasn't run on it.

--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -139,8 +139,9 @@
     def _begun(self, pool: PoolId) -> set[Version]:
         """Return the versions of a pool at which hosts have had time to begin streams."""
         newest_at = clocks.now_s() - BEGUN_NOWHERE_S
+        seen = self.seen(pool)
         sights = self._sight_by_version.get(pool, {})
-        return {each for each in self.seen(pool) if sights[each].has_begun_by(newest_at)}
+        return {each for each in seen if sights[each].has_begun_by(newest_at)}
 
     def _find_alone(self, seen: set[Version]) -> Version | None:
         """Return the only one of the versions seen if none can have been missed."""
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -134,7 +134,7 @@
             found = self._from_replies(replies, pools, drawn)
             return msgspec.structs.replace(found, finding=Finding.HERE) if found.pin else found
         # Asking takes so long that streams may begin at another version meanwhile.
-        alone = _common(map(self.versions.alone_until_now, pools))
+        alone_until_now = _common(map(self.versions.alone_until_now, pools))
         replies = self.exchange.ask(question)
         found = self._from_replies(replies, pools, drawn)
         is_missing_some = len(replies) < len(self.exchange.other_holders(key))
@@ -142,8 +142,8 @@
             # A pause of this process, or a connection that was dead, looks the same. Others may
             # have answered that were not told of the stream.
             found = self._from_replies(self.exchange.ask(question), pools, drawn)
-        if found.finding is Finding.UNKNOWN and alone is not None:
-            return TakeUp(Finding.ALONE_UNTIL_NOW, VersionPin(drawn, alone))
+        if found.finding is Finding.UNKNOWN and alone_until_now is not None:
+            return TakeUp(Finding.ALONE_UNTIL_NOW, VersionPin(drawn, alone_until_now))
         for _ in range(ASKED_AGAIN):
             if found.finding is not Finding.UNKNOWN or not self.versions.is_changing(pools):
                 break
