--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -12,6 +12,7 @@
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
 from ruddersaddle_serving.prompts import CallerRequest
+from ruddersaddle_serving.run_statements import RefusalBasis
 from ruddersaddle_serving.trackers import Notice, Progress, Reachability
 from ruddersaddle_serving.upstream_connections import Exchange
 from ruddersaddle_serving.upstream_paths import Acknowledgement
@@ -179,11 +180,21 @@
         if head.status == 421 and head.upstream not in (None, tracker.id):
             self._broadcast(Progress.REPLACED)
         code = Code.OTHER_VERSION if head.status == 421 else Code.OVERLOADED
-        detail = f"status {head.status}, answered by {head.upstream}"
+        delay_ms = (clocks.now_s() - self.sent_at) * 1000
+        detail = (
+            f"status {head.status}, answered by {head.upstream} after {delay_ms:.1f} ms, "
+            f"{self.refusal_basis}"
+        )
         return Failure(
             code, Step.SEND, tracker.id, detail, Ran.NOT_RUN, retry_after_s=REFUSAL_RETRY_AFTER_S
         )
 
+    @property
+    def refusal_basis(self) -> RefusalBasis:
+        """What a refusal by the upstream rests on."""
+        head = self.exchange.head
+        return RefusalBasis(head.status, head.statement, head.has_receipt, self.exchange.is_new)
+
     def _drain_refusal(self) -> None:
         """Read the refusal's body so that its connection can be reused."""
         if self.exchange.head.framing is Framing.INVALID:
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -34,6 +34,7 @@
 from ruddersaddle_serving.rollouts.attempt_outcomes import AttemptOutcome, AttemptOutcomes
 from ruddersaddle_serving.room_waits import RoomWaits
 from ruddersaddle_serving.routes import RouteKind
+from ruddersaddle_serving.run_statements import RefusalCounts
 from ruddersaddle_serving.stream_origins import StreamOrigins
 from ruddersaddle_serving.trackers import Notice
 from ruddersaddle_serving.upstream_connections import ANSWER_BYTES_MAX
@@ -102,6 +103,7 @@
         self.budget = budget
         self.key_age_max_s = key_age_max_s
         self.ends = AnswerEnds()
+        self.refusals = RefusalCounts()
         self.room_waits = RoomWaits()
         self.relay_peers: RelayPeers | None = None
         """Hosts that requests may be relayed to; None if there are no relays."""
@@ -445,6 +447,8 @@
             self.outcome.record_head(head)
         if isinstance(head, Failure):
             refused = head.ran is Ran.NOT_RUN
+            if refused:
+                self.forwarder.refusals.record(self.attempt.refusal_basis)
             self._end_attempt(None if refused else True, f"{upstream} {head.detail}")
         return head
 
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -32,6 +32,11 @@
     lines += format_counters(
         "answer_ends", "upstreams' answers by how they ended", host.forwarder.ends.counts()
     )
+    lines += format_labelled(
+        "upstream_refusals",
+        "refusals by upstreams, by what they rest on",
+        host.forwarder.refusals.rows(),
+    )
     by_size = host.front.sizes.rows()
     lines += format_labelled("requests_by_size", "prompts by size and end", by_size)
     lines += format_counters("dropped_writes", "dropped log lines and texts", count_dropped())
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -16,6 +16,7 @@
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Headers, PartId
 from ruddersaddle_serving.rollouts.orders import RolloutOrder, RolloutState
 from ruddersaddle_serving.routes import ContextStore, PublishedConfiguration
+from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.self_reports import EMPTY_REPORT, SelfReport
 from ruddersaddle_serving.store_eras import StoreEras, StorePosition
 from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamInstance
@@ -175,6 +176,7 @@
     """Headers that are forwarded to the caller unchanged."""
     report: SelfReport = EMPTY_REPORT
     framing: Framing = Framing.DELIMITED
+    statement: RunStatement = RunStatement.NONE
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -64,6 +64,7 @@
         """Return what the attempt makes of an answer's head."""
         exchange = self.attempt.exchange = mock.Mock(spec=Exchange)
         exchange.head = head
+        exchange.is_new = True
         exchange.send.return_value = None
         exchange.read_head.return_value = head
         exchange.read_all.return_value = b""
