--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -12,7 +12,7 @@
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, Delivery, Wire
 from ruddersaddle_serving.prompts import CallerRequest
-from ruddersaddle_serving.run_statements import RefusalBasis
+from ruddersaddle_serving.run_statements import RefusalBasis, RunStatement
 from ruddersaddle_serving.trackers import Notice, Progress, Reachability
 from ruddersaddle_serving.upstream_connections import Exchange
 from ruddersaddle_serving.upstream_paths import Acknowledgement
@@ -53,6 +53,8 @@
         self.exchange: Exchange | None = None
         self.is_invalid = False
         """Whether the answer violated the protocol."""
+        self.refusal: RefusalBasis | None = None
+        """What a refusal by the upstream rests on, if it has refused the request."""
         self.is_cut_short = False
         """Whether the answer ended in order, but its content shows that this was too early."""
         self.entry = choice.tracker.entry
@@ -106,6 +108,8 @@
             # It may be a surplus answer of an earlier request, so nothing that it says is used.
             return self._foreign(head)
         self.choice.tracker.record_reached()
+        if head.statement is RunStatement.CONTRADICTED:
+            return self._contradicted(head)
         if self._is_from_chosen(head):
             notice = self.choice.tracker.apply_self_report(
                 head.report, self.request.id, head.has_receipt
@@ -123,6 +127,17 @@
         )
         return self._invalid(detail)
 
+    def _contradicted(self, head: AnswerHead) -> Failure:
+        """Return the failure of an answer that contradicts itself; nothing that it says is used."""
+        detail = f"the answer contradicts itself: {self._basis_of(head)}"
+        logger.warning(
+            "Answer of %s not used: %s.",
+            self.choice.tracker.id,
+            detail,
+            extra={"request": self.request.id},
+        )
+        return self._invalid(detail)
+
     def _await_head(self) -> AnswerHead | Failure:
         paths = self.choice.tracker.path.paths
         paths.watch(self, self.sent_at)
@@ -155,7 +170,7 @@
 
     def _check(self, head: AnswerHead) -> AnswerHead | Failure:
         """Return the head, or why this answer must not reach the caller."""
-        if head.not_run:
+        if head.statement is RunStatement.NOT_RUN:
             return self._refusal(head)
         if head.framing is Framing.INVALID:
             return self._invalid("the length of the body is stated wrongly")
@@ -180,19 +195,17 @@
         if head.status == 421 and head.upstream not in (None, tracker.id):
             self._broadcast(Progress.REPLACED)
         code = Code.OTHER_VERSION if head.status == 421 else Code.OVERLOADED
+        self.refusal = self._basis_of(head)
         delay_ms = (clocks.now_s() - self.sent_at) * 1000
         detail = (
             f"status {head.status}, answered by {head.upstream} after {delay_ms:.1f} ms, "
-            f"{self.refusal_basis}"
+            f"{self.refusal}"
         )
         return Failure(
             code, Step.SEND, tracker.id, detail, Ran.NOT_RUN, retry_after_s=REFUSAL_RETRY_AFTER_S
         )
 
-    @property
-    def refusal_basis(self) -> RefusalBasis:
-        """What a refusal by the upstream rests on."""
-        head = self.exchange.head
+    def _basis_of(self, head: AnswerHead) -> RefusalBasis:
         return RefusalBasis(head.status, head.statement, head.has_receipt, self.exchange.is_new)
 
     def _drain_refusal(self) -> None:
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -447,8 +447,8 @@
             self.outcome.record_head(head)
         if isinstance(head, Failure):
             refused = head.ran is Ran.NOT_RUN
-            if refused:
-                self.forwarder.refusals.record(self.attempt.refusal_basis)
+            if self.attempt.refusal is not None:
+                self.forwarder.refusals.record(self.attempt.refusal)
             self._end_attempt(None if refused else True, f"{upstream} {head.detail}")
         return head
 
--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -165,8 +165,8 @@
     status: int
     request: RequestId | None
     has_receipt: bool
-    not_run: bool
-    """Whether the upstream states that it did not run the request."""
+    statement: RunStatement
+    """What the upstream states on whether it ran the request."""
     upstream: UpstreamId | None
     version: int | None
     keep_alive_s: float | None
@@ -176,7 +176,6 @@
     """Headers that are forwarded to the caller unchanged."""
     report: SelfReport = EMPTY_REPORT
     framing: Framing = Framing.DELIMITED
-    statement: RunStatement = RunStatement.NONE
 
 
 class BufferedAnswer(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/run_statements.py
+++ b/libs/serving/ruddersaddle_serving/run_statements.py
@@ -12,8 +12,9 @@
 
     NONE = "none"
     NOT_RUN = "not_run"
-    MALFORMED = "malformed"
-    """The statement is repeated, or has a value that the protocol doesn't define."""
+    CONTRADICTED = "contradicted"
+    """It states that its request has not run, but not in the way that the protocol defines, or
+    beside something that shows that it ran. Nothing can be concluded from such an answer."""
 
 
 class RefusalBasis(msgspec.Struct, frozen=True):
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -4,6 +4,7 @@
 from itertools import product
 from unittest import mock
 
+from msgspec.structs import replace
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, ModelId, PoolId, RequestId, UpstreamId
@@ -14,6 +15,7 @@
 from ruddersaddle_serving.ports import AnswerHead
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName
+from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.self_reports import SelfReport
 from ruddersaddle_serving.tests.engine_waits import wait_s
 from ruddersaddle_serving.trackers import Assignment, Notice, Tracker
@@ -72,15 +74,15 @@
 
     def test_rejection_of_another_request_passes_for_the_answer(self) -> None:
         """Nothing that an answer says is used unless it names this request, and no other."""
-        for status, request, not_run, framing in product(
+        for status, request, statement, framing in product(
             (200, 204, 301, 408, 413, 421, 429, 500, 503),
             (None, RequestId(""), RequestId("p"), RequestId("q, q"), RequestId("q, p")),
-            (False, True),
+            RunStatement,
             Framing,
         ):
-            with self.subTest(status=status, request=request, not_run=not_run, framing=framing):
+            with self.subTest(status=status, request=request, statement=statement, framing=framing):
                 self.setUp()
-                head = make_head(status, request, not_run, framing)
+                head = make_head(status, request, statement, framing)
                 failure = self.read(head)
                 self.assertEqual((failure.ran, failure.code), (Ran.UNKNOWN, Code.UPSTREAM_FAILED))
                 self.assertIn(repr(request), failure.detail)
@@ -89,18 +91,32 @@
                 self.assertEqual(self.tracker.version_by_model.get(MODEL, 0), 0)
 
     def test_rejection_of_this_request_is_a_true_refusal(self) -> None:
-        failure = self.read(make_head(503, RequestId("q"), True, Framing.DELIMITED))
+        head = make_head(503, RequestId("q"), RunStatement.NOT_RUN, Framing.DELIMITED)
+        failure = self.read(replace(head, has_receipt=False))
         self.assertEqual((failure.ran, failure.code), (Ran.NOT_RUN, Code.OVERLOADED))
 
+    def test_answer_that_contradicts_itself_makes_a_promise(self) -> None:
+        """Nothing that it says of its upstream is used either."""
+        for status, framing in product((200, 400, 421, 429, 500, 503), Framing):
+            with self.subTest(status=status, framing=framing):
+                self.setUp()
+                head = make_head(status, RequestId("q"), RunStatement.CONTRADICTED, framing)
+                failure = self.read(head)
+                self.assertEqual((failure.ran, failure.code), (Ran.UNKNOWN, Code.UPSTREAM_FAILED))
+                self.assertTrue(self.attempt.is_invalid)
+                self.assertEqual(self.tracker.reported.backoff_s, 0.0)
+                self.assertEqual(self.tracker.version_by_model.get(MODEL, 0), 0)
+                self.assertFalse(self.tracker.is_replaced)
+
 
 def make_head(
-    status: int, request: RequestId | None, not_run: bool, framing: Framing
+    status: int, request: RequestId | None, statement: RunStatement, framing: Framing
 ) -> AnswerHead:
     return AnswerHead(
         status=status,
         request=request,
         has_receipt=True,
-        not_run=not_run,
+        statement=statement,
         upstream=ENTRY.id,
         version=7,
         keep_alive_s=None,
--- a/libs/serving/ruddersaddle_serving/tests/test_authorizations.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_authorizations.py
@@ -28,6 +28,7 @@
     Target,
     Workspace,
 )
+from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.upstream_paths import ReachedBy
 
@@ -72,7 +73,7 @@
 
 
 FIRST_EVENT = b"id: 1\ndata: token\n\n"
-ANSWERED = AnswerHead(200, None, True, False, None, None, None, False, ())
+ANSWERED = AnswerHead(200, None, True, RunStatement.NONE, None, None, None, False, ())
 
 
 class AuthorizationsTest(unittest.TestCase):
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -25,6 +25,7 @@
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import Relaying
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
+from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.upstream_connections import Exchange
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
@@ -208,7 +209,7 @@
         exchange = attempt.exchange = Exchange(mock.Mock(address="e:1"), mock.Mock())
         exchange.raw = mock.Mock(read1=mock.Mock(side_effect=[*data, b""]))
         exchange.head = AnswerHead(
-            200, None, True, False, None, None, None, False, (), framing=framing
+            200, None, True, RunStatement.NONE, None, None, None, False, (), framing=framing
         )
         if isinstance(forwarding._await_first(exchange.head), AnswerHead):
             self.events = list(forwarding.events())
--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -27,6 +27,7 @@
 )
 from ruddersaddle_serving.request_traces import RequestTrace
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
+from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.upstream_connections import Exchange, UpstreamConnections
 
@@ -162,7 +163,16 @@
         peers.open_exchange.return_value = exchange
         sent = tuple((name.replace("_", "-"), value) for name, value in headers.items())
         head = AnswerHead(
-            200, RequestId("q"), True, False, None, None, None, False, sent, framing=framing
+            200,
+            RequestId("q"),
+            True,
+            RunStatement.NONE,
+            None,
+            None,
+            None,
+            False,
+            sent,
+            framing=framing,
         )
 
         def read_head(wire: object) -> AnswerHead:
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -16,6 +16,7 @@
 
 from ruddersaddle_serving import upstream_connections  # noqa: E402
 from ruddersaddle_serving.ports import AnswerHead  # noqa: E402
+from ruddersaddle_serving.run_statements import RunStatement  # noqa: E402
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS  # noqa: E402
 from ruddersaddle_serving.upstream_connections import (  # noqa: E402
     Exchange,
@@ -105,7 +106,7 @@
         self.assertIsNot(self.pool.open_exchange(next_id()).connection, released.connection)
 
 
-ANY_HEAD = AnswerHead(200, None, False, False, None, None, None, False, ())
+ANY_HEAD = AnswerHead(200, None, False, RunStatement.NONE, None, None, None, False, ())
 
 
 class AnswersTest(unittest.TestCase):
@@ -224,7 +225,7 @@
     def test_connection_of_an_answer_that_was_broken_off_is_not_reused(self) -> None:
         """A stream whose chunks end inside an event; its rest may follow on the connection."""
         self.keeps_open = True
-        head = AnswerHead(200, None, False, False, None, None, None, False, ())
+        head = AnswerHead(200, None, False, RunStatement.NONE, None, None, None, False, ())
         self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata",)
         for is_broken_off in (False, True):
             with self.subTest(is_broken_off=is_broken_off):
@@ -241,7 +242,7 @@
     def test_connection_remembers_a_bounded_number_of_ids(self) -> None:
         self.keeps_open = True
         self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",)
-        head = AnswerHead(200, None, False, False, None, None, None, False, ())
+        head = AnswerHead(200, None, False, RunStatement.NONE, None, None, None, False, ())
         exchange = self.pool.open_exchange(next_id())
         for _ in range(upstream_connections.REQUESTS_MAX - 1):
             exchange.connection.record_carried(next_id())
