--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -23,6 +23,7 @@
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import (
     FRAMING_HEADER,
+    NOT_RUN_STATUS,
     REFUSAL_HEADER,
     read_terms,
     refusal_of,
@@ -53,8 +54,6 @@
     Code.INTERNAL: 502,
 }
 """Status by failure code; all other codes get `NOT_RUN_STATUS`."""
-NOT_RUN_STATUS = 503
-"""Promises that the request has not run and never will."""
 LASTING_CODES = frozenset({Code.FITS_NO_ENGINE, Code.UNKNOWN_STREAM, Code.STREAM_VERSION_GONE})
 """Refusals that a retry would get as well; the detail says what a caller may do instead."""
 NOT_READY_RETRY_S = 0.5
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -3,12 +3,13 @@
 The receiving host authenticates, admits and places a request as if its caller had sent it there, so
 that its listener for relays gives nothing that the one for callers doesn't. It never relays a
 request again. What it refuses with `REFUSAL_HEADER` has not run and may go to another host; any
-other answer of it is the caller's.
+other answer of it is the caller's. Of an answer that contradicts itself nothing is used.
 """
 
+import logging
 import random
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from enum import Enum
 
 import msgspec
@@ -20,6 +21,7 @@
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, ordinary_end
+from ruddersaddle_serving.attempts import NOT_RUN_STATUSES
 from ruddersaddle_serving.event_streams import (
     EVENT_STREAM,
     ByteStream,
@@ -30,12 +32,18 @@
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer, Wire
 from ruddersaddle_serving.prompts import CallerRequest, Headers, RelayTerms
 from ruddersaddle_serving.request_traces import RequestTrace
+from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.upstream_connections import (
     ANSWER_BYTES_MAX,
     Exchange,
     UpstreamConnections,
 )
 
+logger = logging.getLogger(__name__)
+
+NOT_RUN_STATUS = 503
+"""The only status with which a host promises that a request has not run and never will."""
+
 SENDER_HEADER = "Relay-Sender"
 VERSION_HEADER = "Relay-Configuration"
 UPSTREAMS_HEADER = "Relay-Upstreams"
@@ -113,6 +121,32 @@
     return tuple(each for each in headers if each[0].lower() not in ANSWER_HEADERS)
 
 
+def find_contradiction(
+    head: AnswerHead, refusals: Sequence[str], framings: Sequence[str]
+) -> str | None:
+    """Return what in the head of a relayed answer contradicts the rest of it; None if nothing does.
+
+    A host promises that a request has not run by one status alone, on answers of its own, which
+    have no receipt. It passes on no upstream's statement that a request has not run.
+    """
+    is_signed = head.has_receipt
+    if head.statement is not RunStatement.NONE:
+        return f"status {head.status} with a statement of an upstream, {head.statement.value}"
+    if refusals and not _is_refusal(refusals):
+        return f"malformed refusals {refusals!r}"
+    if refusals and (head.status != NOT_RUN_STATUS or is_signed or framings):
+        return f"refusal {refusals[0]!r} of an answer to a run, status {head.status}"
+    if head.status in NOT_RUN_STATUSES and (head.status != NOT_RUN_STATUS or is_signed):
+        return f"status {head.status} of an answer to a run"
+    if framings not in ([], [Framing.CONNECTION.value]):
+        return f"malformed framings {framings!r}"
+    return None
+
+
+def _is_refusal(values: Sequence[str]) -> bool:
+    return len(values) == 1 and values[0] in {each.value for each in RelayRefusal}
+
+
 def _as_framed_by_upstream(head: AnswerHead) -> AnswerHead:
     """Return the head of a relayed answer with the framing that the upstream's answer had."""
     if FRAMING_HEADER.lower() not in {name.lower() for name, _ in head.headers}:
@@ -325,11 +359,15 @@
             return self._fail(
                 Failure(Code.UPSTREAM_FAILED, Step.PEER, peer.host, detail, Ran.UNKNOWN)
             )
-        refusal = exchange.raw.headers.get(REFUSAL_HEADER)
-        if refusal is not None:
-            return self._apply_refusal(refusal)
         if head.framing is not Framing.DELIMITED:
             return self._break(exchange.break_off("the relayed answer has no framing"))
+        refusals = exchange.raw.headers.getlist(REFUSAL_HEADER)
+        framings = exchange.raw.headers.getlist(FRAMING_HEADER)
+        contradiction = find_contradiction(head, refusals, framings)
+        if contradiction is not None:
+            return self._contradicted(contradiction)
+        if refusals:
+            return self._apply_refusal(RelayRefusal(refusals[0]))
         head = _as_framed_by_upstream(head)
         self._framing = head.framing
         self.trace.relayed_to = peer.host
@@ -359,16 +397,24 @@
         self.trace.attempts.append(f"relayed to {self._peer.host}: status {head.status}")
         return BufferedAnswer(head.status, head.headers, body, head.framing)
 
-    def _apply_refusal(self, refusal: str) -> Failure:
+    def _apply_refusal(self, refusal: RelayRefusal) -> Failure:
         self._exchange.read_all(ANSWER_BYTES_MAX)
         self.peers.counts["refused"] += 1
-        if refusal == RelayRefusal.NO_PATH.value:
+        if refusal is RelayRefusal.NO_PATH:
             self._peer.record_refusal(NO_PATH_PAUSE_S)
-        elif refusal == RelayRefusal.STOPPING.value:
+        elif refusal is RelayRefusal.STOPPING:
             self._peer.record_refusal(STOPPING_PAUSE_S)
-        detail = f"relayed to {self._peer.host}: refused, {refusal}"
+        detail = f"relayed to {self._peer.host}: refused, {refusal.value}"
         self.trace.attempts.append(detail)
-        return Failure(Code.NO_UPSTREAM, Step.PEER, self._peer.host, detail)
+        return Failure(Code.NO_UPSTREAM, Step.PEER, self._peer.host, detail, Ran.NOT_RUN)
+
+    def _contradicted(self, contradiction: str) -> Failure:
+        """Return the failure of an answer that contradicts itself; nothing that it says is used."""
+        host = self._peer.host
+        detail = f"the answer contradicts itself: {contradiction}"
+        fields = {"request": self.request.id}
+        logger.warning("Answer of %s not used: %s.", host, detail, extra=fields)
+        return self._fail(Failure(Code.UPSTREAM_FAILED, Step.PEER, host, detail, Ran.UNKNOWN))
 
     def _fail(self, failure: Failure) -> Failure:
         self.peers.counts["failed"] += 1
--- a/libs/serving/ruddersaddle_serving/tests/test_relays.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_relays.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from itertools import product
 from unittest import mock
 
 from ruddersaddle_base.answer_framings import Framing
@@ -20,6 +21,7 @@
     Relaying,
     RelayPeers,
     RelayRefusal,
+    find_contradiction,
     read_terms,
     refusal_of,
     without_answer_headers,
@@ -223,6 +225,46 @@
         self.assertEqual(len(events), 2)
 
 
+class ContradictionsTest(unittest.TestCase):
+    """Heads of relayed answers; hosts refuse with one status, and only what has no receipt."""
+
+    statuses = (200, 201, 400, 404, 408, 413, 421, 429, 500, 502, 503, 504)
+    framings = ([], ["connection"], [""], ["delimited"], ["connection", "connection"])
+    refusals = (
+        [],
+        *([each.value] for each in RelayRefusal),
+        *([""], ["unknown"], ["NO PATH"], ["no path", "no path"], ["no path, no path"]),
+    )
+
+    def test_refusal_is_taken_beside_something_that_contradicts_it(self) -> None:
+        accepted = []
+        for status, has_receipt, statement, refusals, framings in product(
+            self.statuses, (False, True), RunStatement, self.refusals, self.framings
+        ):
+            head = make_head(status, has_receipt, statement)
+            if find_contradiction(head, refusals, framings) is None and refusals:
+                accepted.append((status, has_receipt, statement, refusals, framings))
+        expected = [(503, False, RunStatement.NONE, [each.value], []) for each in RelayRefusal]
+        self.assertEqual(accepted, expected)
+
+    def test_promise_of_an_answer_that_no_host_sends_is_passed_on(self) -> None:
+        accepted = set()
+        for status, has_receipt, statement, framings in product(
+            self.statuses, (False, True), RunStatement, self.framings
+        ):
+            head = make_head(status, has_receipt, statement)
+            if find_contradiction(head, [], framings) is None:
+                self.assertIs(statement, RunStatement.NONE)
+                self.assertIn(framings, ([], ["connection"]))
+                accepted.add((status, has_receipt))
+        others = set(self.statuses) - {408, 421, 429, 503}
+        self.assertEqual(accepted, {(503, False), *product(others, (False, True))})
+
+
+def make_head(status: int, has_receipt: bool, statement: RunStatement) -> AnswerHead:
+    return AnswerHead(status, RequestId("q"), has_receipt, statement, None, None, None, False, ())
+
+
 class TermsTest(unittest.TestCase):
     def test_terms_are_read_and_taken_out(self) -> None:
         headers = (("Accept", "any"), *TERMS)
