--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -53,7 +53,9 @@
     Code.UPSTREAM_FAILED: 502,
     Code.INTERNAL: 502,
 }
-"""Status by failure code; all other codes get `NOT_RUN_STATUS`."""
+"""Status by failure code; all other codes get `NOT_RUN_STATUS`, if the request has not run."""
+UNKNOWN_STATUS = 502
+"""Says nothing on whether the request has run."""
 LASTING_CODES = frozenset({Code.FITS_NO_ENGINE, Code.UNKNOWN_STREAM, Code.STREAM_VERSION_GONE})
 """Refusals that a retry would get as well; the detail says what a caller may do instead."""
 NOT_READY_RETRY_S = 0.5
@@ -337,7 +339,8 @@
         self.start(f"{status} {responses.get(status, 'Unknown')}", headers)
 
     def _deadline_passed(self) -> Failure:
-        return Failure(Code.DEADLINE, Step.READ, "upstream", "the request's deadline has passed")
+        detail = "the request's deadline has passed"
+        return Failure(Code.DEADLINE, Step.READ, "upstream", detail, Ran.UNKNOWN)
 
     def _caller_left(self) -> Failure:
         """Return the failure for a caller that has closed its connection.
@@ -352,7 +355,7 @@
         return Failure(Code.UPSTREAM_FAILED, Step.READ, "caller", detail, Ran.UNKNOWN)
 
     def _refuse(self, failure: Failure) -> list[bytes]:
-        status = STATUS_BY_CODE.get(failure.code, NOT_RUN_STATUS)
+        status = _status_of(failure)
         body = msgspec.json.encode({"error": failure.code.value, "detail": failure.detail})
         headers = [("Content-Type", "application/json"), _length_header(body)]
         request = None if self.head is None else self.head.id
@@ -527,6 +530,13 @@
     return "Content-Length", str(len(body))
 
 
+def _status_of(failure: Failure) -> int:
+    """Return the status for a failure; only one that states "not run" gets `NOT_RUN_STATUS`."""
+    status = STATUS_BY_CODE.get(failure.code, NOT_RUN_STATUS)
+    is_promise = status == NOT_RUN_STATUS
+    return UNKNOWN_STATUS if is_promise and failure.ran is not Ran.NOT_RUN else status
+
+
 def _is_lasting(failure: Failure) -> bool:
     """Return whether a retry would be refused as well, so that no Retry-After is sent."""
     if failure.code is Code.NO_ALLOWED_REGION:
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -86,6 +86,8 @@
 
 def refusal_of(failure: Failure) -> RelayRefusal | None:
     """Return why another host may accept a request that failed here; None if none would."""
+    if failure.ran is not Ran.NOT_RUN:
+        return None
     match failure:
         case Failure(code=Code.STOPPING):
             return RelayRefusal.STOPPING
@@ -95,7 +97,7 @@
             return RelayRefusal.OLDER_CONFIGURATION
         case Failure(code=Code.STALE_CONFIGURATION):
             return RelayRefusal.STALE_CONFIGURATION
-        case Failure(code=Code.NO_UPSTREAM, step=Step.CONNECT, ran=Ran.NOT_RUN):
+        case Failure(code=Code.NO_UPSTREAM, step=Step.CONNECT):
             return RelayRefusal.NO_PATH
     return None
 
