--- a/libs/serving/ruddersaddle_serving/cached_parts.py
+++ b/libs/serving/ruddersaddle_serving/cached_parts.py
@@ -14,7 +14,7 @@
 
 import eventlet
 from ruddersaddle_base import clocks
-from ruddersaddle_base.failures import Failure, Step
+from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, ModelId, StoreId, WorkspaceId
 from ruddersaddle_routing.rendezvous import rank_names
 
@@ -139,9 +139,12 @@
             return self._list(store, asked_at)
         # The first answer brings the engines' clock, which is needed to fetch: don't wait for it.
         wait_s = LONG_POLL_S if store.knows_clock else 0.0
-        page = self.engines.store_changes(store.spec, store.next_event, wait_s)
+        epoch, since = store.epoch, store.next_event
+        page = self.engines.store_changes(store.spec, since, wait_s)
         if isinstance(page, Failure):
             return page
+        if page.epoch == epoch and page.next < since:
+            return _backwards(store, since, page.next)
         if store.covers(page.epoch, page.next):
             return None
         if page.epoch != store.epoch or page.gap:
@@ -155,10 +158,13 @@
 
     def _list(self, store: StoreView, asked_at: float) -> Failure | None:
         self.counts["listings"] += 1
+        epoch, since = store.epoch, store.next_event
         listing = self.engines.store_listing(store.spec)
         if isinstance(listing, Failure):
             store.forget()
             return listing
+        if listing.epoch == epoch and listing.next < since:
+            return _backwards(store, since, listing.next)
         if store.covers(listing.epoch, listing.next):
             return None
         store.reset(listing.epoch, listing.next, bool(listing.complete))
@@ -284,6 +290,12 @@
     return salt if workspace is None else f"{salt}/{workspace}"
 
 
+def _backwards(store: StoreView, since: int, next_event: int) -> Failure:
+    """Return the failure of an answer whose events lie before those of an earlier answer."""
+    detail = f"the next event is {next_event}, it was {since} in the same epoch"
+    return Failure(Code.CORRUPT, Step.READ, store.spec.address, detail, Ran.UNKNOWN)
+
+
 def _find_holder(stores: list[StoreView], salt: str, part: Part) -> StoreView | None:
     for store in stores:
         if store.tokens_by_part.get((salt, part.id), 0) >= part.tokens:
--- a/libs/serving/ruddersaddle_serving/tests/test_cached_parts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_cached_parts.py
@@ -121,6 +121,26 @@
         lost = self.follow(self.failure_at(Step.SEND), StoreChanges(1, 0, False, (), 5_000))
         self.assertEqual((lost, self.plan().fetch_from), ([], (FAST.address, None, None)))
 
+    def test_events_that_go_backwards_in_one_epoch_confirm_nothing(self) -> None:
+        """Such a store was asked again at once, without end."""
+        self.put(FAST, SMALL)
+        store = self.cached_parts.by_id[FAST.id]
+        store.next_event = 5
+        engines = self.cached_parts.engines
+        listing = StoreListing(1, 3, (StoreChange("m/2", PartId("x"), 100),), ())
+        engines.store_listing.return_value = listing
+        for gap in (False, True):
+            self.now += 0.1
+            engines.store_changes.side_effect = [StoreChanges(1, 4, gap, (), 5_400)]
+            self.assertGreater(self.cached_parts.follow_once(store), 0.0)
+        engines.store_listing.assert_not_called()
+        self.now += 0.1
+        engines.store_changes.side_effect = [StoreChanges(1, 5, True, (), 5_400)]
+        self.assertGreater(self.cached_parts.follow_once(store), 0.0)
+        self.assertEqual(store.next_event, 5)
+        self.assertNotIn(("m/2", PartId("x")), store.tokens_by_part)
+        self.assertLess(store.confirmed_at, self.now - 0.2)
+
     def test_late_answer_to_a_poll_puts_back_a_part_that_was_freed(self) -> None:
         """Another host's update, with later events, arrived while the poll was waiting."""
         store = self.cached_parts.by_id[FAST.id]
