--- a/libs/upstreams/ruddersaddle_upstreams/engines.py
+++ b/libs/upstreams/ruddersaddle_upstreams/engines.py
@@ -164,22 +164,29 @@
         if opened.status == OK:
             return TokenStream(opened, request)
         if opened.status == CONFLICT:
-            return self._read_version(opened)
+            return self._read_version(opened, request.version)
         opened.close()
-        code = Code.OVERLOADED if opened.status == UNAVAILABLE else Code.UPSTREAM_FAILED
         detail = f"status {opened.status}"
-        return Failure(code, Step.SEND, self.address, detail, Ran.NOT_RUN)
+        if opened.status == UNAVAILABLE:
+            return Failure(Code.OVERLOADED, Step.SEND, self.address, detail, Ran.NOT_RUN)
+        return Failure(Code.UPSTREAM_FAILED, Step.SEND, self.address, detail, Ran.UNKNOWN)
 
-    def _read_version(self, opened: OpenReply) -> Failure:
-        """Return the failure for other loaded weights; its detail is their version."""
+    def _read_version(self, opened: OpenReply, requested: str) -> Failure:
+        """Return the failure for other loaded weights; its detail is their version.
+
+        Any other conflict says nothing on whether the engine ran the request.
+        """
         data = opened.read_some()
         opened.close()
         if isinstance(data, Failure):
             return data
         found = decode_json(data, OtherVersion, Step.SEND, self.address)
         if isinstance(found, Failure):
-            return found
-        return Failure(Code.OTHER_VERSION, Step.SEND, self.address, found.version)
+            return found.with_ran(Ran.UNKNOWN)
+        if found.version == requested:
+            detail = f"status {CONFLICT} names the requested version"
+            return Failure(Code.UPSTREAM_FAILED, Step.SEND, self.address, detail, Ran.UNKNOWN)
+        return Failure(Code.OTHER_VERSION, Step.SEND, self.address, found.version, Ran.NOT_RUN)
 
     def load(self) -> LoadReport | Failure:
         """Return the engine's load, as of its last report."""
