--- a/libs/daemon/ruddersaddle/replies.py
+++ b/libs/daemon/ruddersaddle/replies.py
@@ -2,7 +2,7 @@
 
 import msgspec
 from ruddersaddle_base.codecs import decode_json
-from ruddersaddle_base.failures import Failure, Step
+from ruddersaddle_base.failures import Failure, Ran, Step
 from ruddersaddle_upstreams.engines import EVENT_END
 
 DATA_PREFIX = b"data: "
@@ -96,7 +96,7 @@
     """Return the complete answer that a stream's events add up to."""
     events = read_events(data)
     if isinstance(events, Failure):
-        return events
+        return events.with_ran(Ran.RAN)
     usage = Usage()
     reason = None
     texts = []
