--- a/libs/daemon/ruddersaddle/generations.py
+++ b/libs/daemon/ruddersaddle/generations.py
@@ -132,13 +132,18 @@
         return context_salt(workspace, body.model, version, body.adapter)
 
     def begin(self) -> Failure | None:
-        """Open a stream on the best engine; try others if the failure and the budget allow."""
+        """Open a stream on the best engine; try others if the failure and the budget allow.
+
+        The failure says "not run" only if no attempt may have run.
+        """
         failure = self._no_engine_failure()
+        may_have_run = False
         while self.attempts < ATTEMPTS_MAX and time.monotonic() < self._deadline:
             opened = self._open_best()
             if not isinstance(opened, Failure):
                 return None
-            failure = opened
+            may_have_run = may_have_run or opened.ran is not Ran.NOT_RUN
+            failure = opened.with_ran(Ran.UNKNOWN) if may_have_run else opened
             if not self._may_retry(opened):
                 return failure
         return failure
--- a/libs/daemon/ruddersaddle/service_calls.py
+++ b/libs/daemon/ruddersaddle/service_calls.py
@@ -32,7 +32,10 @@
         return self._dispatch(call, repeatable=False)
 
     def dispatch(self, call: ServiceCall) -> Answer:
-        """Run a repeatable call, with retries within the pool's retry budget."""
+        """Run a repeatable call, with retries within the pool's retry budget.
+
+        Its failure says "not run" only if no attempt may have run.
+        """
         return self._dispatch(call, repeatable=True)
 
     def _dispatch(self, call: ServiceCall, repeatable: bool) -> Answer:
@@ -42,6 +45,7 @@
         view.budget.record_first()
         answer: Answer = _no_open_upstream(call.pool)
         attempted: set[str] = set()
+        may_have_run = False
         while True:
             load = self._select_load(view, attempted)
             if load is None:
@@ -50,6 +54,9 @@
                 return answer
             attempted.add(load.address)
             answer = self._call(load, call)
+            may_have_run = may_have_run or _may_have_run(answer)
+            if may_have_run and isinstance(answer, Failure):
+                answer = answer.with_ran(Ran.UNKNOWN)
             if not _may_retry(answer, repeatable):
                 return answer
 
@@ -74,6 +81,10 @@
         return answer
 
 
+def _may_have_run(answer: Answer) -> bool:
+    return isinstance(answer, Reply) or answer.ran is not Ran.NOT_RUN
+
+
 def _may_retry(answer: Answer, repeatable: bool) -> bool:
     if isinstance(answer, Reply):
         return repeatable and answer.status > SERVER_ERROR
