--- a/libs/serving/ruddersaddle_serving/reset_sockets.py
+++ b/libs/serving/ruddersaddle_serving/reset_sockets.py
@@ -11,6 +11,7 @@
 from array import array
 from typing import Any
 
+import eventlet
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import trampoline
 from ruddersaddle_base.ids import RequestId
@@ -18,20 +19,37 @@
 from urllib3.connection import HTTPConnection
 
 MS_PER_S = 1000
+READS_MAX = 2
+"""Reads without a wait until other tasks may run. One is of up to 64 KB, or of 8 KB of lines, whose
+handling may take some ms."""
 COUNT = struct.Struct("i")
 
 
 class ResetAwareSocket(GreenSocket):
-    """A green socket whose reads raise `ConnectionResetError`."""
+    """A green socket whose reads raise `ConnectionResetError`, and let other tasks run.
+
+    A task whose reads never wait would stop all other tasks and all timers, its own as well, for as
+    long as bytes arrive faster than it reads them.
+    """
+
+    _reads = 0
+    """Reads since the task last let others run."""
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Read into a buffer, waiting until something has arrived."""
+        if self._reads >= READS_MAX:
+            self._reads = 0
+            eventlet.sleep(0)
         while True:
             try:
-                return self.fd.recv_into(buffer, nbytes, flags)
+                size = self.fd.recv_into(buffer, nbytes, flags)
             except BlockingIOError:
                 timeout_s = self.gettimeout()
                 trampoline(self.fd, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+                self._reads = 0
+            else:
+                self._reads += 1
+                return size
 
 
 class UpstreamConnection(HTTPConnection):
