--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -25,6 +25,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise the caller that its request has not run and never will."""
 UNAVAILABLE = 503
+REFUSAL_BYTES_MAX = 65536
+REFUSAL_TIMEOUT_S = 0.02
+"""Longest wait for a refusal's body, which saves a new connection, while another upstream could run
+the request already."""
 LOGGED_ID_CHARS = 80
 """Characters of a request's id that an answer names, in the log."""
 REFUSAL_RETRY_AFTER_S = 0.2
@@ -210,11 +214,14 @@
 
     def _drain_refusal(self) -> None:
         """Read the refusal's body so that its connection can be reused."""
-        if self.exchange.head.framing is Framing.INVALID:
-            return
-        data = self.exchange.read_all(65536)
-        if isinstance(data, Failure):
-            logger.debug("Body of a refusal was not read completely. %s", data.detail)
+        failure = self.exchange.drain(REFUSAL_BYTES_MAX, REFUSAL_TIMEOUT_S)
+        if failure is not None:
+            logger.debug(
+                "Connection to %s closed, as the body of a refusal was not read to its end: %s.",
+                self.choice.tracker.id,
+                failure.detail,
+                extra={"request": self.request.id},
+            )
 
     def _invalid(self, detail: str) -> Failure:
         self.is_invalid = True
@@ -254,7 +261,8 @@
             return
         self._finished = True
         self.choice.tracker.in_flight -= 1
-        is_alive = self.is_cut_short and not self.is_broken
+        has_answered = self.is_cut_short or self.refusal is not None
+        is_alive = has_answered and not self.is_broken
         if self.exchange is not None and (self.exchange.has_ended or is_alive):
             self._reachability = Reachability.RESPONDED
         if self._reachability is not Reachability.RESPONDED and self.lacks_path:
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -69,7 +69,7 @@
         exchange.is_new = True
         exchange.send.return_value = None
         exchange.read_head.return_value = head
-        exchange.read_all.return_value = b""
+        exchange.drain.return_value = None
         return self.attempt.open()
 
     def test_rejection_of_another_request_passes_for_the_answer(self) -> None:
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -10,6 +10,7 @@
 import unittest  # noqa: E402
 from unittest import mock  # noqa: E402
 
+from ruddersaddle_base import clocks  # noqa: E402
 from ruddersaddle_base.answer_framings import Framing  # noqa: E402
 from ruddersaddle_base.failures import Failure  # noqa: E402
 from ruddersaddle_base.ids import RequestId  # noqa: E402
@@ -23,6 +24,8 @@
     UpstreamConnections,
 )
 
+DRAIN_S = 0.05
+
 _numbers = itertools.count(1)
 
 
@@ -239,6 +242,31 @@
                 self.assertEqual(self.pool.has_idle, not is_broken_off)
                 self.pool.close()
 
+    def test_body_that_is_drained_takes_longer_than_allowed(self) -> None:
+        """Only what ends within the bounds leaves a connection that can be reused."""
+        self.keeps_open = True
+        head = AnswerHead(200, None, False, RunStatement.NONE, None, None, None, False, ())
+        length = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"
+        cases = (
+            ((length, b"x" * 50, b"x" * 50), 100, True),
+            ((length, b"x" * 50, b"x" * 50), 99, False),
+            ((length, b"x" * 50), 100, False),
+            ((b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 50), 100, False),
+        )
+        for parts, bytes_max, is_kept in cases:
+            with self.subTest(parts=parts, bytes_max=bytes_max):
+                self.parts = parts
+                exchange = self.pool.open_exchange(next_id())
+                exchange.send("GET", "/", b"", {}, 1.0)
+                exchange.read_head(mock.Mock(read_answer=lambda status, headers: head))
+                began = clocks.now_s()
+                failure = exchange.drain(bytes_max, DRAIN_S)
+                self.assertLess(clocks.now_s() - began, 10 * DRAIN_S)
+                self.assertEqual((failure is None, exchange.is_broken), (is_kept, False))
+                exchange.finish()
+                self.assertEqual(self.pool.has_idle, is_kept)
+                self.pool.close()
+
     def test_connection_remembers_a_bounded_number_of_ids(self) -> None:
         self.keeps_open = True
         self.parts = (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",)
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -20,6 +20,7 @@
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from ruddersaddle_serving.deferred_timeouts import DeferredTimeout
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS, UNACKNOWLEDGED_MS
@@ -179,9 +180,23 @@
                 return b"".join(parts)
             size += len(data)
             if size > bytes_max:
-                return self._fail(Step.READ, ValueError("the answer exceeds the size limit"))
+                return self._fail(Step.READ, ValueError(f"more than {bytes_max} bytes"))
             parts.append(data)
 
+    def drain(self, bytes_max: int, timeout_s: float) -> Failure | None:
+        """Read the rest of a body that isn't used, so that the connection can be reused.
+
+        Return why it was not read to its end; `finish` then closes the connection.
+        """
+        if self.head.framing is not Framing.DELIMITED:
+            return self._fail(Step.READ, ValueError("its end can't be known"))
+        body: bytes | Failure | None = None
+        with DeferredTimeout(timeout_s, False):
+            body = self.read_all(bytes_max)
+        if body is None:
+            return self._fail(Step.READ, ValueError(f"no end within {timeout_s} s"))
+        return body if isinstance(body, Failure) else None
+
     def finish(self) -> None:
         """Release the connection for reuse if its answer was read completely, else close it."""
         if not self.has_ended or not self._is_reusable():
