--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -21,7 +21,11 @@
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, ordinary_end
-from ruddersaddle_serving.attempts import NOT_RUN_STATUSES
+from ruddersaddle_serving.attempts import (
+    NOT_RUN_STATUSES,
+    REFUSAL_BYTES_MAX,
+    REFUSAL_TIMEOUT_S,
+)
 from ruddersaddle_serving.event_streams import (
     EVENT_STREAM,
     ByteStream,
@@ -400,7 +404,13 @@
         return BufferedAnswer(head.status, head.headers, body, head.framing)
 
     def _apply_refusal(self, refusal: RelayRefusal) -> Failure:
-        self._exchange.read_all(ANSWER_BYTES_MAX)
+        failure = self._exchange.drain(REFUSAL_BYTES_MAX, REFUSAL_TIMEOUT_S)
+        if failure is not None:
+            logger.debug(
+                "Connection to host %s closed, as the body of a refusal was not read: %s.",
+                self._peer.host,
+                failure.detail,
+            )
         self.peers.counts["refused"] += 1
         if refusal is RelayRefusal.NO_PATH:
             self._peer.record_refusal(NO_PATH_PAUSE_S)
