--- a/libs/base/ruddersaddle_base/strict_answers.py
+++ b/libs/base/ruddersaddle_base/strict_answers.py
@@ -2,27 +2,55 @@
 
 The library takes the end of the connection for the end of a head, and what came of a cut line with
 a chunk's size for the size: of `0a`, the `0` alone, which is the size of the last chunk. Such
-answers passed for complete.
+answers passed for complete. It also reads any number of interim answers and of trailers, and skips
+none of the interim answers but 100.
 """
 
-from http.client import HTTPResponse, LineTooLong, RemoteDisconnected
+from http.client import (
+    HTTPException,
+    HTTPResponse,
+    RemoteDisconnected,
+    parse_headers,
+)
 from typing import BinaryIO
 
 LINE_BYTES_MAX = 65536
 """Longest line with a chunk's size and extensions; the library's own limit."""
+INTERIM_HEADS_MAX = 100
+"""Most interim answers before the final one."""
+HEAD_BYTES_MAX = 262144
+"""Longest head, or trailers; the library bounds only their lines."""
+HEAD_LINES_MAX = 101
+"""Most lines of a head with its first and the blank one; the library's own limit."""
+TRAILERS_MAX = 100
+SWITCHING_PROTOCOLS = 101
 HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 
 
+class EndlessAnswerError(HTTPException):
+    """A part of an answer exceeds its bound; the connection itself is alive."""
+
+
 class HeadReader:
-    """Reads the lines of a head for the library; each must be complete."""
+    """Reads the lines of heads for the library; each must be complete."""
 
     def __init__(self, file: BinaryIO) -> None:
         self.file = file
         self.close = file.close
+        self.begin_head()
+
+    def begin_head(self) -> None:
+        """Count the bytes and lines of the next head."""
+        self.size = 0
+        self.lines = 0
 
     def readline(self, limit: int) -> bytes:
         """Return a line of up to `limit` bytes; raise `RemoteDisconnected` if it is cut."""
         line = self.file.readline(limit)
+        self.size += len(line)
+        self.lines += 1
+        if len(line) == limit or self.size > HEAD_BYTES_MAX or self.lines > HEAD_LINES_MAX:
+            raise EndlessAnswerError(f"a head of {self.lines} or more lines, {self.size} bytes")
         if len(line) < limit and not line.endswith(b"\n"):
             raise RemoteDisconnected("the connection ended inside the head")
         return line
@@ -44,6 +72,28 @@
             if self.fp is not None:
                 self.fp = file
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return the version, status and reason of the final answer."""
+        for _ in range(INTERIM_HEADS_MAX + 1):
+            self.fp.begin_head()
+            version, status, reason = super()._read_status()
+            if status >= 200 or status == SWITCHING_PROTOCOLS:
+                return version, status, reason
+            parse_headers(self.fp)
+        raise EndlessAnswerError(f"more than {INTERIM_HEADS_MAX} interim answers")
+
+    def _read_and_discard_trailer(self) -> None:
+        """Skip the trailers, which may be cut: the body before them is complete."""
+        size = 0
+        for _ in range(TRAILERS_MAX + 1):
+            line = self.fp.readline(LINE_BYTES_MAX + 1)
+            size += len(line)
+            if line in (b"\r\n", b"\n", b""):
+                return
+            if size > HEAD_BYTES_MAX:
+                raise EndlessAnswerError(f"trailers of more than {HEAD_BYTES_MAX} bytes")
+        raise EndlessAnswerError(f"more than {TRAILERS_MAX} trailers")
+
     def _read_next_chunk_size(self) -> int:
         """Return the size of the next chunk in bytes.
 
@@ -51,7 +101,7 @@
         """
         line = self.fp.readline(LINE_BYTES_MAX + 1)
         if len(line) > LINE_BYTES_MAX:
-            raise LineTooLong("chunk size")
+            raise EndlessAnswerError(f"a chunk's size in more than {LINE_BYTES_MAX} bytes")
         digits = line.partition(b";")[0].strip(b" \t\r\n")
         if not line.endswith(b"\n") or not digits or not HEX_DIGITS.issuperset(digits):
             self._close_conn()
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -14,6 +14,7 @@
 from ruddersaddle_base.answer_framings import Framing  # noqa: E402
 from ruddersaddle_base.failures import Failure  # noqa: E402
 from ruddersaddle_base.ids import RequestId  # noqa: E402
+from ruddersaddle_base.strict_answers import INTERIM_HEADS_MAX, TRAILERS_MAX  # noqa: E402
 
 from ruddersaddle_serving import upstream_connections  # noqa: E402
 from ruddersaddle_serving.ports import AnswerHead  # noqa: E402
@@ -242,6 +243,65 @@
                 self.assertEqual(self.pool.has_idle, not is_broken_off)
                 self.pool.close()
 
+    def read_status(self, answer: bytes) -> tuple[int | Failure, bytes | Failure | None, bool]:
+        """Return an answer's status, its body, and whether its connection counts as lost."""
+        self.parts = (answer,)
+        exchange = self.pool.open_exchange(next_id())
+        exchange.send("GET", "/", b"", {}, 1.0)
+        head = exchange.read_head(mock.Mock(read_answer=lambda status, headers: ANY_HEAD))
+        body = None if isinstance(head, Failure) else exchange.read_all(65536)
+        exchange.finish()
+        self.pool.close()
+        status = head if isinstance(head, Failure) else exchange.raw.status
+        return status, body, exchange.is_broken
+
+    def test_interim_answer_is_taken_for_the_final_one(self) -> None:
+        final = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndata"
+        for status in (100, 102, 103, 199):
+            interim = b"HTTP/1.1 %d Go on\r\nLink: </a>\r\n\r\n" % status
+            for count in (1, 2, INTERIM_HEADS_MAX):
+                with self.subTest(status=status, count=count):
+                    found = self.read_status(interim * count + final)
+                    self.assertEqual(found, (200, b"data", False))
+            found, _, is_broken = self.read_status(interim * (INTERIM_HEADS_MAX + 1) + final)
+            self.assertIsInstance(found, Failure)
+            self.assertFalse(is_broken)
+        found = self.read_status(b"HTTP/1.1 101 Other\r\n\r\n" + final)
+        self.assertEqual(found[0], 101)
+
+    def test_trailers_without_end_are_read(self) -> None:
+        """Those within the bounds are skipped, and may be cut, as the body is complete."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndata\r\n0\r\n"
+        lines = b"X-A: b\r\n" * TRAILERS_MAX
+        for trailers in (b"\r\n", lines + b"\r\n", lines[:-3], b""):
+            with self.subTest(trailers=trailers):
+                self.assertEqual(self.read_status(head + trailers), (200, b"data", False))
+        long_line = b"X-A: " + b"b" * 65000 + b"\r\n"
+        for trailers in (lines + b"X-A: b\r\n\r\n", long_line * 5 + b"\r\n"):
+            status, body, is_broken = self.read_status(head + trailers)
+            self.assertEqual((status, is_broken), (200, False))
+            self.assertIsInstance(body, Failure)
+
+    def test_head_of_any_length_is_read(self) -> None:
+        line = b"X-A: " + b"b" * 65000 + b"\r\n"
+        for count, is_read in ((3, True), (5, False)):
+            found = self.read_status(b"HTTP/1.1 204 No Content\r\n" + line * count + b"\r\n")
+            self.assertEqual((found[0] == 204, found[2]), (is_read, False))
+
+    def test_part_without_end_counts_as_a_lost_connection(self) -> None:
+        """Requests whose answers had too long a head were suspected of crashing upstreams."""
+        ok = b"HTTP/1.1 200 OK\r\n"
+        for answer in (
+            b"HTTP/1.1 200 " + b"x" * 70000,
+            ok + b"X-A: b\r\n" * 101,
+            ok + b"X-A: " + b"b" * 70000,
+            ok + b"Transfer-Encoding: chunked\r\n\r\n" + b"0" * 70000,
+        ):
+            with self.subTest(answer=answer[:40]):
+                status, body, is_broken = self.read_status(answer)
+                self.assertTrue(isinstance(status, Failure) or isinstance(body, Failure))
+                self.assertFalse(is_broken)
+
     def test_body_that_is_drained_takes_longer_than_allowed(self) -> None:
         """Only what ends within the bounds leaves a connection that can be reused."""
         self.keeps_open = True
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -6,6 +6,7 @@
 for the answer to a second one on the same connection.
 """
 
+import logging
 import socket
 from collections.abc import Mapping
 from http.client import HTTPException
@@ -15,6 +16,7 @@
 from ruddersaddle_base.answer_framings import Framing, framing_of
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import RequestId
+from ruddersaddle_base.strict_answers import EndlessAnswerError
 from urllib3.exceptions import HTTPError, InvalidHeader, ProtocolError
 from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 from urllib3.response import BaseHTTPResponse
@@ -26,6 +28,8 @@
 from ruddersaddle_serving.socket_liveness import LIVENESS_OPTIONS, UNACKNOWLEDGED_MS
 from ruddersaddle_serving.upstream_paths import Acknowledgement
 
+logger = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT_S = 0.35
 """Upstreams accept a connection within a few milliseconds; the timeout is much longer so that a
 host that is not scheduled for a moment doesn't blame the upstream for its own pause. 0.15 s served
@@ -87,7 +91,7 @@
         self.is_broken = False
         """Whether the connection ended before the answer was complete, other than by a timeout."""
         self.has_invalid_head = False
-        """Whether the head of the answer contradicts itself, so that the library refused it."""
+        """Whether the head of the answer contradicts itself or is too long."""
         self._method = ""
         self._is_long = False
         self._send_error: Exception | None = None
@@ -138,7 +142,7 @@
         try:
             self.raw = self.connection.getresponse()
         except ERRORS as error:
-            self.has_invalid_head = isinstance(error, InvalidHeader)
+            self.has_invalid_head = isinstance(error, InvalidHeader) or _is_endless(error)
             return self._fail(Step.READ, self._send_error or error)
         framing = framing_of(self._method, self.raw.status, self.raw.headers)
         if self._send_error is not None and framing is not Framing.DELIMITED:
@@ -233,10 +237,12 @@
         return Acknowledgement.COMPLETE
 
     def _fail(self, step: Step, error: Exception) -> Failure:
-        self.is_broken = isinstance(error, CONNECTION_LOST_ERRORS) and not isinstance(
-            error, TIMEOUTS
-        )
+        is_endless = _is_endless(error)
+        is_lost = isinstance(error, CONNECTION_LOST_ERRORS) and not isinstance(error, TIMEOUTS)
+        self.is_broken = is_lost and not is_endless
         detail = f"{type(error).__name__}: {error}"
+        if is_endless:
+            logger.warning("Answer of %s not used: %s.", self.pool.address, detail)
         return Failure(Code.UPSTREAM_FAILED, step, self.pool.address, detail, Ran.UNKNOWN)
 
 
@@ -336,3 +342,9 @@
 
 def _names(headers: Mapping[str, str]) -> set[str]:
     return {name.lower() for name in headers}
+
+
+def _is_endless(error: Exception) -> bool:
+    """Return whether a part of an answer exceeds its bound; the library wraps what it raises."""
+    causes = (error, *error.args) if isinstance(error, ProtocolError) else (error,)
+    return any(isinstance(each, EndlessAnswerError) for each in causes)
