--- a/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
@@ -3,10 +3,13 @@
 import contextlib
 import socket
 import threading
+import time
 import unittest
+from unittest import mock
 
-from ruddersaddle_base.failures import Failure
+from ruddersaddle_base.failures import Failure, Ran
 
+from ruddersaddle_upstreams import connections
 from ruddersaddle_upstreams.connections import Connections, Reply
 
 CHUNKED = b"Transfer-Encoding: chunked"
@@ -97,5 +100,75 @@
                 self.assertIsInstance(self.call_for(answer), Failure)
 
 
+HEAD = b"HTTP/1.1 200 OK\r\n"
+SLOW_S = 0.05
+WHOLE_S = 0.6
+BYTES_MAX = 100_000
+
+
+class EndlessAnswersTest(unittest.TestCase):
+    """An upstream that sends `begin`, then `more` again and again, with or without pauses."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.addCleanup(self.listener.shutdown, socket.SHUT_RDWR)
+        self.is_over = threading.Event()
+        self.addCleanup(self.is_over.set)
+        self.was_closed = threading.Event()
+
+    def serve(self, begin: bytes, more: bytes, pause_s: float) -> None:
+        connection, _ = self.listener.accept()
+        with connection:
+            connection.recv(65536)
+            try:
+                connection.sendall(begin)
+                while not self.is_over.wait(pause_s):
+                    connection.sendall(more)
+            except OSError:
+                self.was_closed.set()
+
+    def test_answers_without_end_are_failures_within_a_time_and_a_size(self) -> None:
+        """The time-out was that of each read, and all that came was kept."""
+        for begin, more in (
+            (b"", b"x"),
+            (HEAD, b"X-More: some\r\n"),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            (HEAD + b"Content-Length: 999999999\r\n\r\n", b"x" * 4000),
+            (HEAD + CHUNKED + b"\r\n\r\n", b"fa0\r\n" + b"x" * 4000 + b"\r\n"),
+            (HEAD + CHUNKED + b"\r\n\r\n", b"0"),
+            (HEAD + CHUNKED + b"\r\n\r\n1\r\nx\r\n", b";"),
+            (HEAD + CHUNKED + b"\r\n\r\n0\r\n", b"X-More: some\r\n"),
+            (HEAD + b"\r\n", b"x"),
+        ):
+            for pause_s in (0.0, SLOW_S):
+                with self.subTest(begin=begin, more=more[:20], pause_s=pause_s):
+                    self.check(begin, more, pause_s)
+
+    def check(self, begin: bytes, more: bytes, pause_s: float) -> None:
+        self.was_closed.clear()
+        server = threading.Thread(target=self.serve, args=(begin, more, pause_s), daemon=True)
+        server.start()
+        address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        client = Connections(address, 1.0, 1.0, whole_s=WHOLE_S)
+        began_at = time.monotonic()
+        reply = client.call("POST", "/", bytes_max=BYTES_MAX)
+        elapsed_s = time.monotonic() - began_at
+        self.assertIsInstance(reply, Failure)
+        self.assertIs(reply.ran, Ran.UNKNOWN)
+        self.assertLess(elapsed_s, WHOLE_S + 0.4)
+        self.assertTrue(self.was_closed.wait(3.0))
+        server.join()
+
+    def test_other_tasks_run_while_an_answer_comes_as_fast_as_it_is_read(self) -> None:
+        """A green socket yields only if nothing has arrived: the whole program stood still."""
+        pauses: list[float] = []
+        with mock.patch.object(connections.time, "sleep", pauses.append):
+            begin = HEAD + b"Content-Length: 999999999\r\n\r\n"
+            with mock.patch.object(connections, "READ_BYTES", 1000):
+                self.check(begin, b"x" * 60_000, 0.0)
+        self.assertIn(0, pauses)
+
+
 if __name__ == "__main__":
     unittest.main()
