--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -236,6 +236,11 @@
         self.is_invalid = self.is_invalid or not self.exchange.is_broken
         return failure
 
+    def refuse_rest(self, detail: str) -> Failure:
+        """Return the failure of an answer that goes on beyond a bound."""
+        self.is_invalid = True
+        return self.exchange.refuse_rest(detail)
+
     @property
     def is_broken(self) -> bool:
         """Whether the connection ended before the answer was complete."""
--- a/libs/serving/ruddersaddle_serving/event_streams.py
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -11,6 +11,8 @@
 """The ends of a line and of the blank line after it, as far as all line ends have them in common:
 CRLF after LF or CRLF begins with the second mark, after CR with the third."""
 MARK_BYTES = 2
+EVENT_BYTES_MAX = 24 * 1024 * 1024
+"""Most bytes that are buffered until an event is complete; events of 20 MB have to pass."""
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 ID_FIELD = b"id:"
 COMMENT = b":"
@@ -27,6 +29,7 @@
     """Stands in for `EventSplitter` in answers that aren't event streams: all bytes pass."""
 
     is_inside_event = False
+    has_endless_event = False
     last_id = None
 
     def __init__(self) -> None:
@@ -71,6 +74,11 @@
             return True
         return any(line and not line.startswith(COMMENT) for line in rest.splitlines())
 
+    @property
+    def has_endless_event(self) -> bool:
+        """Whether more is buffered than an event may have."""
+        return len(self._buffer) > EVENT_BYTES_MAX
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes, possibly none."""
         # Only new bytes are searched for the end of an event: searching the whole buffer for each
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -16,6 +16,7 @@
 from ruddersaddle_serving.authorizations import authorize
 from ruddersaddle_serving.crash_watches import BrokenRun, CrashWatch
 from ruddersaddle_serving.event_streams import (
+    EVENT_BYTES_MAX,
     EVENT_STREAM,
     ByteStream,
     EventSplitter,
@@ -566,6 +567,8 @@
             events = self.splitter.feed(data) if data else self.splitter.flush()
             if events or not data:
                 return events
+            if self.splitter.has_endless_event:
+                return self.attempt.refuse_rest(f"an event of more than {EVENT_BYTES_MAX} bytes")
 
     def _find_early_end(self) -> str | None:
         """Return what shows that the attempt's stream has ended too early; None if nothing does."""
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -172,6 +172,11 @@
         self.is_broken = self.head.framing is Framing.CONNECTION
         return Failure(Code.UPSTREAM_FAILED, Step.READ, self.pool.address, detail, Ran.UNKNOWN)
 
+    def refuse_rest(self, detail: str) -> Failure:
+        """Return the failure of an answer that goes on beyond a bound; its connection is alive."""
+        self.has_ended = False
+        return self._fail(Step.READ, EndlessAnswerError(detail))
+
     def read_all(self, bytes_max: int) -> bytes | Failure:
         """Return the complete body."""
         parts: list[bytes] = []
@@ -184,7 +189,7 @@
                 return b"".join(parts)
             size += len(data)
             if size > bytes_max:
-                return self._fail(Step.READ, ValueError(f"more than {bytes_max} bytes"))
+                return self.refuse_rest(f"a body of more than {bytes_max} bytes")
             parts.append(data)
 
     def drain(self, bytes_max: int, timeout_s: float) -> Failure | None:
