Suites: tests of endless answers run alone

They check that sound requests beside an endless answer are served within their route's target of 0.4 s. test_endless_answers failed in three runs at loads of 30 to 34 (0.46 to 2.96 s) and passed below; a machine whose processors are all taken can't keep that target for any request. Bounds and checks stay as they are.

--- a/libs/standins/ruddersaddle_standins/suites.py
+++ b/libs/standins/ruddersaddle_standins/suites.py
@@ -17,7 +17,13 @@
 KNOWN_RED_MAX = 3
 CONCURRENT_MODULES = 3
 """Modules that run concurrently; each may start a fleet of a dozen processes."""
-MEASURING_MODULES = frozenset({"ruddersaddle_platform.tests.test_order_givers"})
+MEASURING_MODULES = frozenset(
+    {
+        "ruddersaddle_platform.tests.test_endless_answers",
+        "ruddersaddle_platform.tests.test_endless_calls_of_hosts",
+        "ruddersaddle_platform.tests.test_order_givers",
+    }
+)
 """Modules that run alone: they measure how soon the processes that they start respond."""
 INTERMITTENT = "fails at times"
 """Words in the line of a known red test that may pass."""
