--- a/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
+++ b/libs/upstreams/ruddersaddle_upstreams/tests/test_connections.py
@@ -104,6 +104,8 @@
 SLOW_S = 0.05
 WHOLE_S = 0.6
 BYTES_MAX = 100_000
+ENDLESS_S = 3.0
+"""After this an answer ends after all, so that the test does if it was waited for."""
 
 
 class EndlessAnswersTest(unittest.TestCase):
@@ -123,7 +125,8 @@
             connection.recv(65536)
             try:
                 connection.sendall(begin)
-                while not self.is_over.wait(pause_s):
+                until = time.monotonic() + ENDLESS_S
+                while time.monotonic() < until and not self.is_over.wait(pause_s):
                     connection.sendall(more)
             except OSError:
                 self.was_closed.set()
@@ -160,6 +163,15 @@
         self.assertTrue(self.was_closed.wait(3.0))
         server.join()
 
+    def test_answer_is_read_up_to_its_limit(self) -> None:
+        for size, is_read in ((BYTES_MAX, True), (BYTES_MAX + 1, False)):
+            begin = HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size
+            server = threading.Thread(target=self.serve, args=(begin, b"", 0.01), daemon=True)
+            server.start()
+            address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+            reply = Connections(address, 1.0, 1.0).call("GET", "/", bytes_max=BYTES_MAX)
+            self.assertEqual(isinstance(reply, Reply), is_read)
+
     def test_other_tasks_run_while_an_answer_comes_as_fast_as_it_is_read(self) -> None:
         """A green socket yields only if nothing has arrived: the whole program stood still."""
         pauses: list[float] = []
