--- a/libs/serving/ruddersaddle_serving/event_streams.py
+++ b/libs/serving/ruddersaddle_serving/event_streams.py
@@ -30,6 +30,7 @@
 
     is_inside_event = False
     has_endless_event = False
+    buffered_bytes = 0
     last_id = None
 
     def __init__(self) -> None:
@@ -74,10 +75,15 @@
             return True
         return any(line and not line.startswith(COMMENT) for line in rest.splitlines())
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the event that isn't complete yet."""
+        return len(self._buffer)
+
     @property
     def has_endless_event(self) -> bool:
         """Whether more is buffered than an event may have."""
-        return len(self._buffer) > EVENT_BYTES_MAX
+        return self.buffered_bytes > EVENT_BYTES_MAX
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that `data` completes, possibly none."""
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -569,6 +569,10 @@
                 return events
             if self.splitter.has_endless_event:
                 return self.attempt.refuse_rest(f"an event of more than {EVENT_BYTES_MAX} bytes")
+            failure = exchange.record_buffered(self.splitter.buffered_bytes)
+            if failure is not None:
+                self.attempt.is_invalid = True
+                return failure
 
     def _find_early_end(self) -> str | None:
         """Return what shows that the attempt's stream has ended too early; None if nothing does."""
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -27,6 +27,7 @@
     REFUSAL_TIMEOUT_S,
 )
 from ruddersaddle_serving.event_streams import (
+    EVENT_BYTES_MAX,
     EVENT_STREAM,
     ByteStream,
     EventSplitter,
@@ -450,12 +451,22 @@
                 yield self._break(data)
                 return
             events = self.splitter.feed(data) if data else self.splitter.flush()
+            excess = self._find_excess()
+            if excess is not None:
+                yield self._break(excess)
+                return
             if events:
                 yield events
             if not data:
                 self.trace.attempts.append(f"relayed to {self._peer.host}: {self._end()}")
                 return
 
+    def _find_excess(self) -> Failure | None:
+        """Return the failure of a stream whose events are too large to be buffered."""
+        if self.splitter.has_endless_event:
+            return self._exchange.refuse_rest(f"an event of more than {EVENT_BYTES_MAX} bytes")
+        return self._exchange.record_buffered(self.splitter.buffered_bytes)
+
     def _end(self) -> str:
         """Return what is known of a stream that ended between events."""
         is_complete = ordinary_end(self._framing) is AnswerEnd.COMPLETE
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -22,6 +22,7 @@
 from urllib3.response import BaseHTTPResponse
 from urllib3.util import SKIP_HEADER
 
+from ruddersaddle_serving.buffer_shares import BufferShare
 from ruddersaddle_serving.deferred_timeouts import DeferredTimeout
 from ruddersaddle_serving.ports import AnswerHead, Wire
 from ruddersaddle_serving.reset_sockets import UpstreamConnection
@@ -94,6 +95,7 @@
         """Whether the head of the answer contradicts itself or is too long."""
         self._method = ""
         self._is_long = False
+        self._share = BufferShare()
         self._send_error: Exception | None = None
         """The error that ended sending early."""
 
@@ -190,8 +192,17 @@
             size += len(data)
             if size > bytes_max:
                 return self.refuse_rest(f"a body of more than {bytes_max} bytes")
+            failure = self.record_buffered(size)
+            if failure is not None:
+                return failure
             parts.append(data)
 
+    def record_buffered(self, size: int) -> Failure | None:
+        """Record how much of the answer is buffered; fail if all answers take too much memory."""
+        if self._share.resize(size):
+            return None
+        return self.refuse_rest(f"{size} bytes to buffer, beside those of other answers")
+
     def drain(self, bytes_max: int, timeout_s: float) -> Failure | None:
         """Read the rest of a body that isn't used, so that the connection can be reused.
 
@@ -208,6 +219,7 @@
 
     def finish(self) -> None:
         """Release the connection for reuse if its answer was read completely, else close it."""
+        self._share.release()
         if not self.has_ended or not self._is_reusable():
             self.connection.close()
             return
