Mutations run the platform's code of the same tree

Mutations whose tests are in platform/ ran those of the installed package, and a test that couldn't be loaded counted as one that noticed the mutation. Both source trees are copied, and a test has to be loaded to detect anything; a new test asks for a module that doesn't exist (it "detected" before).

--- a/libs/standins/ruddersaddle_standins/mutations.py
+++ b/libs/standins/ruddersaddle_standins/mutations.py
@@ -21,6 +21,11 @@
 
 MUTATIONS_FILE = "mutations.ini"
 TIMEOUT_S = 240.0
+PLATFORM = "platform"
+SOURCE_TREES = ("libs", PLATFORM)
+"""Folders that are copied; a test of one that isn't would run the installed code."""
+NOT_LOADED = re.compile(r"^ERROR: .*unittest\.loader\._FailedTest", re.MULTILINE)
+"""A test that couldn't be loaded shows nothing."""
 ERROR_LINE = re.compile(r"^(?:AssertionError|TimeoutError|\w*Error).*", re.MULTILINE)
 
 
@@ -56,9 +61,10 @@
 def run_mutation(root: Path, mutation: Mutation) -> Outcome:
     """Run the test of a mutation on a copy of the source tree without its mechanism."""
     with tempfile.TemporaryDirectory(prefix="ruddersaddle-mutation-") as folder:
-        copy = Path(folder) / "libs"
-        shutil.copytree(root / "libs", copy, ignore=shutil.ignore_patterns("__pycache__"))
-        target = copy / mutation.file
+        copy = Path(folder)
+        for tree in SOURCE_TREES:
+            shutil.copytree(root / tree, copy / tree, ignore=shutil.ignore_patterns("__pycache__"))
+        target = copy / "libs" / mutation.file
         text = target.read_text()
         old = strip_bars(mutation.old)
         if text.count(old) != 1:
@@ -70,7 +76,8 @@
 
 
 def _run_test(copy: Path, mutation: Mutation) -> Outcome:
-    paths = os.pathsep.join(str(copy / name) for name in LIBRARIES)
+    folders = [*(copy / "libs" / name for name in LIBRARIES), copy / PLATFORM]
+    paths = os.pathsep.join(map(str, folders))
     environment = {**os.environ, "PYTHONPATH": paths}
     command = [sys.executable, "-m", "unittest", "-f", mutation.test]
     started_at = time.monotonic()
@@ -80,7 +87,8 @@
     error_lines = ERROR_LINE.findall(done.stderr)
     error_line = error_lines[-1] if error_lines else ""
     elapsed = time.monotonic() - started_at
-    return Outcome(mutation.name, mutation.promise, done.returncode != 0, error_line, elapsed)
+    is_detected = done.returncode != 0 and not NOT_LOADED.search(done.stderr)
+    return Outcome(mutation.name, mutation.promise, is_detected, error_line, elapsed)
 
 
 def strip_bars(text: str) -> str:
--- a/libs/standins/ruddersaddle_standins/tests/test_mutations.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_mutations.py
@@ -3,7 +3,9 @@
 import unittest
 from pathlib import Path
 
-from ruddersaddle_standins.mutations import read_mutations, strip_bars
+from msgspec.structs import replace
+
+from ruddersaddle_standins.mutations import read_mutations, run_mutation, strip_bars
 
 LIBRARIES = Path(__file__).parents[3]
 
@@ -15,6 +17,11 @@
                 text = (LIBRARIES / mutation.file).read_text()
                 self.assertEqual(text.count(strip_bars(mutation.old)), 1)
 
+    def test_test_that_cannot_be_loaded_detects_a_mutation(self) -> None:
+        first = read_mutations()[0]
+        missing = replace(first, test="ruddersaddle_standins.tests.test_that_is_missing")
+        self.assertFalse(run_mutation(LIBRARIES.parent, missing).is_detected)
+
 
 if __name__ == "__main__":
     unittest.main()
