--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -565,14 +565,14 @@
             if cut_short is not None:
                 return self.attempt.break_off(cut_short)
             events = self.splitter.feed(data) if data else self.splitter.flush()
+            buffered = self.splitter.buffered_bytes
+            has_room = exchange.has_room_for(buffered)
             if events or not data:
                 return events
             if self.splitter.has_endless_event:
                 return self.attempt.refuse_rest(f"an event of more than {EVENT_BYTES_MAX} bytes")
-            failure = exchange.record_buffered(self.splitter.buffered_bytes)
-            if failure is not None:
-                self.attempt.is_invalid = True
-                return failure
+            if not has_room:
+                return self.attempt.refuse_rest(f"{buffered} bytes of an event, beside others")
 
     def _find_early_end(self) -> str | None:
         """Return what shows that the attempt's stream has ended too early; None if nothing does."""
--- a/libs/serving/ruddersaddle_serving/relays.py
+++ b/libs/serving/ruddersaddle_serving/relays.py
@@ -452,11 +452,11 @@
                 return
             events = self.splitter.feed(data) if data else self.splitter.flush()
             excess = self._find_excess()
+            if events:
+                yield events
             if excess is not None:
                 yield self._break(excess)
                 return
-            if events:
-                yield events
             if not data:
                 self.trace.attempts.append(f"relayed to {self._peer.host}: {self._end()}")
                 return
@@ -465,7 +465,10 @@
         """Return the failure of a stream whose events are too large to be buffered."""
         if self.splitter.has_endless_event:
             return self._exchange.refuse_rest(f"an event of more than {EVENT_BYTES_MAX} bytes")
-        return self._exchange.record_buffered(self.splitter.buffered_bytes)
+        buffered = self.splitter.buffered_bytes
+        if self._exchange.has_room_for(buffered):
+            return None
+        return self._exchange.refuse_rest(f"{buffered} bytes of an event, beside others")
 
     def _end(self) -> str:
         """Return what is known of a stream that ended between events."""
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -11,6 +11,7 @@
 from ruddersaddle_routing.retries import RetryBudget
 
 from ruddersaddle_serving.attempts import Attempt
+from ruddersaddle_serving.buffer_shares import BufferShare
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
 from ruddersaddle_serving.forwarders import (
@@ -225,6 +226,13 @@
         counts = forwarding.forwarder.ends.counts()
         return {kind: count for kind, count in counts.items() if count}
 
+    def test_event_that_is_complete_takes_memory_until_its_stream_ends(self) -> None:
+        """Two streams with one large event each left calls no room for their answers."""
+        with mock.patch.object(BufferShare, "resize", autospec=True, return_value=True) as resize:
+            self.end_stream(Framing.DELIMITED, b"data: " + bytes(1000), b"\n\n", EVENT)
+        sizes = [call.args[1] for call in resize.call_args_list]
+        self.assertEqual(sizes[:3], [1006, 0, 0])
+
     def test_complete_stream_clears_its_request(self) -> None:
         forwarding = self.end_stream(Framing.DELIMITED, EVENT)
         self.assertEqual(self.events, [EVENT])
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -192,16 +192,13 @@
             size += len(data)
             if size > bytes_max:
                 return self.refuse_rest(f"a body of more than {bytes_max} bytes")
-            failure = self.record_buffered(size)
-            if failure is not None:
-                return failure
+            if not self.has_room_for(size):
+                return self.refuse_rest(f"{size} bytes to buffer, beside those of other answers")
             parts.append(data)
 
-    def record_buffered(self, size: int) -> Failure | None:
-        """Record how much of the answer is buffered; fail if all answers take too much memory."""
-        if self._share.resize(size):
-            return None
-        return self.refuse_rest(f"{size} bytes to buffer, beside those of other answers")
+    def has_room_for(self, size: int) -> bool:
+        """Record that so much of the answer is buffered, if all answers leave room for it."""
+        return self._share.resize(size)
 
     def drain(self, bytes_max: int, timeout_s: float) -> Failure | None:
         """Read the rest of a body that isn't used, so that the connection can be reused.
