--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -114,13 +114,16 @@
         self.choice.tracker.record_reached()
         if head.statement is RunStatement.CONTRADICTED:
             return self._contradicted(head)
+        fault = self._find_fault(head)
+        if fault is not None:
+            return self._invalid(fault)
         if self._is_from_chosen(head):
             notice = self.choice.tracker.apply_self_report(
                 head.report, self.request.id, head.has_receipt
             )
             if notice is not None:
                 self.broadcast_notice(notice)
-        return self._check(head)
+        return self._refusal(head) if head.statement is RunStatement.NOT_RUN else head
 
     def _foreign(self, head: AnswerHead) -> Failure:
         """Return the failure of an answer that doesn't name this request alone."""
@@ -172,21 +175,21 @@
             return head.upstream == self.choice.tracker.id
         return head.upstream in (None, self.choice.tracker.id)
 
-    def _check(self, head: AnswerHead) -> AnswerHead | Failure:
-        """Return the head, or why this answer must not reach the caller."""
+    def _find_fault(self, head: AnswerHead) -> str | None:
+        """Return why nothing of an answer may be used; None for refusals and for sound answers."""
         if head.statement is RunStatement.NOT_RUN:
-            return self._refusal(head)
+            return None
         if head.framing is Framing.INVALID:
-            return self._invalid("the length of the body is stated wrongly")
+            return "the length of the body is stated wrongly"
         if head.encoded:
-            return self._invalid("the body has a Content-Encoding, which was not requested")
+            return "the body has a Content-Encoding, which was not requested"
         if head.status in NOT_RUN_STATUSES:
-            return self._invalid(f"status {head.status} without a statement that it did not run")
+            return f"status {head.status} without a statement that it did not run"
         if 200 <= head.status < 300 and not head.has_receipt:
-            return self._invalid("a success status without a receipt")
+            return "a success status without a receipt"
         if head.status < 200 or 300 <= head.status < 400:
-            return self._invalid(f"unexpected status {head.status}")
-        return head
+            return f"unexpected status {head.status}"
+        return None
 
     def _refusal(self, head: AnswerHead) -> Failure:
         self._drain_refusal()
@@ -194,7 +197,8 @@
         if head.status == UNAVAILABLE:
             tracker.record_rejection()
         prompt = self.request.head.prompt
-        if head.version is not None and prompt is not None:
+        is_own = head.upstream in (None, tracker.id)
+        if is_own and head.version is not None and prompt is not None:
             tracker.record_version(prompt.model, head.version)
         if head.status == 421 and head.upstream not in (None, tracker.id):
             self._broadcast(Progress.REPLACED)
--- a/libs/serving/ruddersaddle_serving/tests/test_attempts.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_attempts.py
@@ -13,7 +13,7 @@
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead
-from ruddersaddle_serving.prompts import CallerHead, CallerRequest
+from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Prompt
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName
 from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.self_reports import SelfReport
@@ -95,6 +95,17 @@
         failure = self.read(replace(head, has_receipt=False))
         self.assertEqual((failure.ran, failure.code), (Ran.NOT_RUN, Code.OVERLOADED))
 
+    def test_weights_of_another_process_are_taken_for_those_of_the_upstream(self) -> None:
+        for upstream, version in ((UpstreamId("other"), 0), (ENTRY.id, 7), (None, 7)):
+            with self.subTest(upstream=upstream):
+                self.setUp()
+                prompt = Prompt(MODEL, (), 10, 1)
+                caller_head = CallerHead(RequestId("q"), None, None, prompt, None, ())
+                self.attempt.request.head = caller_head
+                head = make_head(503, RequestId("q"), RunStatement.NOT_RUN, Framing.DELIMITED)
+                self.read(replace(head, has_receipt=False, upstream=upstream))
+                self.assertEqual(self.tracker.version_by_model.get(MODEL, 0), version)
+
     def test_answer_that_contradicts_itself_makes_a_promise(self) -> None:
         """Nothing that it says of its upstream is used either."""
         for status, framing in product((200, 400, 421, 429, 500, 503), Framing):
