--- a/libs/base/ruddersaddle_base/strict_answers.py
+++ b/libs/base/ruddersaddle_base/strict_answers.py
@@ -24,11 +24,21 @@
 """Most lines of a head with its first and the blank one; the library's own limit."""
 TRAILERS_MAX = 100
 SWITCHING_PROTOCOLS = 101
+CONTROLS = frozenset({*range(0x20), 0x7F}) - {ord("\t")}
+"""Bytes that no field has; the library takes some of them for ends of lines."""
 HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
 
 
-class EndlessAnswerError(HTTPException):
-    """A part of an answer exceeds its bound; the connection itself is alive."""
+class UnusableAnswerError(HTTPException):
+    """An answer violates the protocol; the connection itself is alive."""
+
+
+class EndlessAnswerError(UnusableAnswerError):
+    """A part of an answer exceeds its bound."""
+
+
+class MalformedHeadError(UnusableAnswerError):
+    """A line of a head is no field; the library drops it and all lines that follow."""
 
 
 class HeadReader:
@@ -53,6 +63,8 @@
             raise EndlessAnswerError(f"a head of {self.lines} or more lines, {self.size} bytes")
         if len(line) < limit and not line.endswith(b"\n"):
             raise RemoteDisconnected("the connection ended inside the head")
+        if CONTROLS.intersection(line.rstrip(b"\r\n")):
+            raise MalformedHeadError("a control character in a line of the head")
         return line
 
 
@@ -71,6 +83,8 @@
         finally:
             if self.fp is not None:
                 self.fp = file
+        if self.headers.defects:
+            raise MalformedHeadError(f"a line of the head is no field: {self.headers.defects[0]!r}")
 
     def _read_status(self) -> tuple[str, int, str]:
         """Return the version, status and reason of the final answer."""
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -16,7 +16,7 @@
 from ruddersaddle_base.answer_framings import Framing, framing_of
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import RequestId
-from ruddersaddle_base.strict_answers import EndlessAnswerError
+from ruddersaddle_base.strict_answers import EndlessAnswerError, UnusableAnswerError
 from urllib3.exceptions import HTTPError, InvalidHeader, ProtocolError
 from urllib3.exceptions import TimeoutError as LibraryTimeoutError
 from urllib3.response import BaseHTTPResponse
@@ -144,7 +144,7 @@
         try:
             self.raw = self.connection.getresponse()
         except ERRORS as error:
-            self.has_invalid_head = isinstance(error, InvalidHeader) or _is_endless(error)
+            self.has_invalid_head = isinstance(error, InvalidHeader) or _is_unusable(error)
             return self._fail(Step.READ, self._send_error or error)
         framing = framing_of(self._method, self.raw.status, self.raw.headers)
         if self._send_error is not None and framing is not Framing.DELIMITED:
@@ -251,11 +251,11 @@
         return Acknowledgement.COMPLETE
 
     def _fail(self, step: Step, error: Exception) -> Failure:
-        is_endless = _is_endless(error)
+        is_unusable = _is_unusable(error)
         is_lost = isinstance(error, CONNECTION_LOST_ERRORS) and not isinstance(error, TIMEOUTS)
-        self.is_broken = is_lost and not is_endless
+        self.is_broken = is_lost and not is_unusable
         detail = f"{type(error).__name__}: {error}"
-        if is_endless:
+        if is_unusable:
             logger.warning("Answer of %s not used: %s.", self.pool.address, detail)
         return Failure(Code.UPSTREAM_FAILED, step, self.pool.address, detail, Ran.UNKNOWN)
 
@@ -358,7 +358,7 @@
     return {name.lower() for name in headers}
 
 
-def _is_endless(error: Exception) -> bool:
-    """Return whether a part of an answer exceeds its bound; the library wraps what it raises."""
+def _is_unusable(error: Exception) -> bool:
+    """Return whether an answer violates the protocol; the library wraps what it raises."""
     causes = (error, *error.args) if isinstance(error, ProtocolError) else (error,)
-    return any(isinstance(each, EndlessAnswerError) for each in causes)
+    return any(isinstance(each, UnusableAnswerError) for each in causes)
