--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -204,11 +204,7 @@
             self._broadcast(Progress.REPLACED)
         code = Code.OTHER_VERSION if head.status == 421 else Code.OVERLOADED
         self.refusal = self._basis_of(head)
-        delay_ms = (clocks.now_s() - self.sent_at) * 1000
-        detail = (
-            f"status {head.status}, answered by {head.upstream} after {delay_ms:.1f} ms, "
-            f"{self.refusal}"
-        )
+        detail = f"answered by {head.upstream}: {self.refusal}"
         return Failure(
             code, Step.SEND, tracker.id, detail, Ran.NOT_RUN, retry_after_s=REFUSAL_RETRY_AFTER_S
         )
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -450,6 +450,7 @@
             refused = head.ran is Ran.NOT_RUN
             if self.attempt.refusal is not None:
                 self.forwarder.refusals.record(self.attempt.refusal)
+                self.trace.refused_after_s = clocks.now_s() - self.attempt.sent_at
             self._end_attempt(None if refused else True, f"{upstream} {head.detail}")
         return head
 
--- a/libs/serving/ruddersaddle_serving/request_traces.py
+++ b/libs/serving/ruddersaddle_serving/request_traces.py
@@ -26,6 +26,8 @@
         self.fetched_parts = 0
         self.saved_parts = 0
         self.first_s: float | None = None
+        self.refused_after_s: float | None = None
+        """Time from the last sending that an upstream refused to its answer."""
         self.relayed_to: HostId | None = None
         """Host that a relayed request was answered by."""
         self.relay_reason: str | None = None
