--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -177,7 +177,7 @@
         relayed = self._relay_if_reached_elsewhere()
         if relayed is not None:
             return self._as_unknown(relayed) if _may_have_run(relayed) else relayed
-        self.forwarder.budget.record_first()
+        self.forwarder.budget.record_first(self.pool)
         if self.forwarder.outcomes is not None:
             self.forwarder.outcomes.record_request(self.pool, self.request.route)
         while True:
@@ -682,7 +682,12 @@
             return False
         if self.request.remaining_s < REMAINING_MIN_S:
             return False
-        return self.forwarder.budget.try_spend()
+        budget = self.forwarder.budget
+        is_allowed = budget.try_spend(self.pool)
+        self.trace.retries.append(
+            f"{'allowed' if is_allowed else 'denied'} at {self.pool}, {budget.balance:.1f} left"
+        )
+        return is_allowed
 
     def _record_data(self, data: bytes | Failure) -> None:
         """Record what arrived for the outcome by software version."""
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -469,6 +469,8 @@
         fields["fetched_parts"] = trace.fetched_parts
         fields["saved_parts"] = trace.saved_parts
         fields["tries"] = trace.attempts
+        if trace.retries:
+            fields["retries"] = trace.retries
         if trace.refused_after_s is not None:
             fields["refused_after_ms"] = round(trace.refused_after_s * 1000, 1)
         if trace.relay_reason is not None:
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -22,7 +22,6 @@
 
 def format_host_page(host: "EntryHost") -> str:
     """Return the metrics page of a host."""
-    budget = {"spent": host.retry_budget.spent, "denied": host.retry_budget.denied}
     lines = format_gauges(_gauges(host))
     lines += format_counters("answers", "answers by status", host.front.counts)
     lines += format_counters("heads_refused", "refused heads by reason", host.front.head_faults)
@@ -40,7 +39,12 @@
     by_size = host.front.sizes.rows()
     lines += format_labelled("requests_by_size", "prompts by size and end", by_size)
     lines += format_counters("dropped_writes", "dropped log lines and texts", count_dropped())
-    lines += format_counters("retries", "retries by outcome", budget)
+    lines += format_labelled("retries", "retries by pool and outcome", _retries(host))
+    lines += format_labelled(
+        "first_attempts",
+        "requests that credited the retry budget, by pool",
+        [({"pool": pool}, count) for pool, count in host.retry_budget.first_by_pool.items()],
+    )
     relays = host.forwarder.relay_peers.counts
     lines += format_counters("relays", "offers to other hosts by outcome", relays)
     take_ups = host.forwarder.origins.counts()
@@ -73,6 +77,17 @@
     return "\n".join(lines) + "\n"
 
 
+def _retries(host: "EntryHost") -> list[tuple[dict[str, str], float]]:
+    """Return how often a retry at each pool was allowed and denied."""
+    budget = host.retry_budget
+    by_kind = {"spent": budget.spent_by_pool, "denied": budget.denied_by_pool}
+    return [
+        ({"pool": pool, "kind": kind}, by_pool[pool])
+        for kind, by_pool in by_kind.items()
+        for pool in sorted(budget.first_by_pool | by_pool)
+    ]
+
+
 def _gauges(host: "EntryHost") -> tuple[tuple[str, str, float], ...]:
     """Return name, description and value of each gauge."""
     records = host.crash_records
--- a/libs/serving/ruddersaddle_serving/request_traces.py
+++ b/libs/serving/ruddersaddle_serving/request_traces.py
@@ -16,6 +16,8 @@
 
     def __init__(self) -> None:
         self.attempts: list[str] = []
+        self.retries: list[str] = []
+        """Whether the retry budget allowed each retry that was asked for, and what it had left."""
         self.upstream = ""
         self.version: int | None = None
         self.wait_s = 0.0
