--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -90,6 +90,7 @@
     Default("bounds", "lease_ms", "3000", float, "ms between the orders of two lease holders", 500),
     Default("bounds", "retry_share", "0.2", float, "retries as a share of requests, all hosts"),
     Default("bounds", "retry_slack", "50", float, "retries beyond that share, all hosts", 0),
+    Default("bounds", "retry_window_s", "10", float, "seconds in which retries are counted", 1),
     Default(
         "rollouts",
         "exposure_share",
--- a/libs/daemon/ruddersaddle/service_calls.py
+++ b/libs/daemon/ruddersaddle/service_calls.py
@@ -42,7 +42,7 @@
         view = self.pools.by_id.get(call.pool)
         if view is None:
             return _no_open_upstream(call.pool)
-        view.budget.record_first(call.pool)
+        view.budget.record_first()
         answer: Answer = _no_open_upstream(call.pool)
         attempted: set[str] = set()
         may_have_run = False
@@ -50,7 +50,7 @@
             load = self._select_load(view, attempted)
             if load is None:
                 return answer
-            if attempted and not view.budget.try_spend(call.pool):
+            if attempted and not view.budget.try_spend():
                 return answer
             attempted.add(load.address)
             answer = self._call(load, call)
--- a/libs/routing/ruddersaddle_routing/retries.py
+++ b/libs/routing/ruddersaddle_routing/retries.py
@@ -1,11 +1,8 @@
 """Retry budgets and circuit breakers, which keep failures from multiplying load."""
 
 import time
-from collections import Counter
 from enum import Enum
 
-from ruddersaddle_base.ids import PoolId
-
 BUDGET_MAX = 10.0
 """Maximum number of unspent retries that a budget accumulates."""
 
@@ -17,23 +14,20 @@
         self.share = share
         self.balance_max = BUDGET_MAX
         self.balance = BUDGET_MAX
-        self.first_by_pool: Counter[PoolId] = Counter()
-        """First attempts that credited the budget."""
-        self.spent_by_pool: Counter[PoolId] = Counter()
-        self.denied_by_pool: Counter[PoolId] = Counter()
+        self.spent = 0
+        self.denied = 0
 
-    def record_first(self, pool: PoolId) -> None:
+    def record_first(self) -> None:
         """Credit the budget for a first attempt."""
-        self.first_by_pool[pool] += 1
         self.balance = min(self.balance_max, self.balance + self.share)
 
-    def try_spend(self, pool: PoolId) -> bool:
+    def try_spend(self) -> bool:
         """Spend one retry; return False if the budget has none."""
         if self.balance < 1.0:
-            self.denied_by_pool[pool] += 1
+            self.denied += 1
             return False
         self.balance -= 1.0
-        self.spent_by_pool[pool] += 1
+        self.spent += 1
         return True
 
 
--- a/libs/routing/ruddersaddle_routing/tests/test_queues.py
+++ b/libs/routing/ruddersaddle_routing/tests/test_queues.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 import eventlet
-from ruddersaddle_base.ids import PoolId, WorkspaceId
+from ruddersaddle_base.ids import WorkspaceId
 
 from ruddersaddle_routing.limits import AdaptiveLimit
 from ruddersaddle_routing.queues import FairQueue
@@ -13,7 +13,6 @@
 
 FLOOD = WorkspaceId("flood")
 QUIET = WorkspaceId("quiet")
-POOL = PoolId("plain")
 LONG_S = 30.0
 
 
@@ -115,11 +114,11 @@
 
     def test_retries_are_a_share_of_first_attempts(self):
         budget = RetryBudget(0.1)
-        taken = sum(budget.try_spend(POOL) for _ in range(100))
+        taken = sum(budget.try_spend() for _ in range(100))
         self.assertEqual(taken, BUDGET_MAX)
         for _ in range(30):
-            budget.record_first(POOL)
-        self.assertEqual(sum(budget.try_spend(POOL) for _ in range(100)), 3)
+            budget.record_first()
+        self.assertEqual(sum(budget.try_spend() for _ in range(100)), 3)
 
 
 if __name__ == "__main__":
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -15,7 +15,7 @@
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import HallId, HostId, Incarnation, UpstreamId, new_incarnation
 from ruddersaddle_base.settings import Settings
-from ruddersaddle_routing.retries import RetryBudget
+from ruddersaddle_routing.retry_budgets import RetryBound, RetryBudgets
 
 from ruddersaddle_serving.cached_parts import CachedParts
 from ruddersaddle_serving.caller_listeners import ResilientListener, connection_limit
@@ -91,9 +91,6 @@
 DRAIN_POLL_S = 0.05
 STOP_CHECK_S = 0.25
 """Interval of checks for a planned stop; readiness ends at once, with the signal itself."""
-RETRY_BUDGET_SHARE = 0.75
-"""Share of the installation's retry bound that all hosts together use: the bound counts all
-requests, while each host sees a different share of them."""
 
 
 @dataclass(frozen=True)
@@ -134,7 +131,7 @@
         self.hosts = self._make_hosts(settings)
         self.quotas = UpstreamQuotas(self.hosts, self.publications, self.upstreams)
         self.cached_parts = CachedParts(engines, self.hosts.regions)
-        self.retry_budget = RetryBudget(settings.number("bounds.retry_share") * RETRY_BUDGET_SHARE)
+        self.retry_budgets = RetryBudgets(RetryBound.from_settings(settings))
         self.residency = Residency(RegionMap.from_settings(settings), self.publications)
         self.cached_parts.rule = self.residency
         self.stream_times = StreamTimes()
@@ -145,6 +142,7 @@
             self.residency.apply_table,
             self.trackers.apply_table,
             self.cached_parts.apply_table,
+            lambda table: self.retry_budgets.keep_only(table.pool_by_id),
         ]
         self.crash_records = CrashRecords()
         self.crash_watch = CrashWatch(
@@ -185,7 +183,7 @@
         self.forwarder.placement.version_bound_s = self.weights_s
         self.rollouts.weights_s = self.weights_s
         self.rollouts.lease.lease_s = settings.number("bounds.lease_ms") / MS_PER_S
-        self.retry_budget.share = settings.number("bounds.retry_share") * RETRY_BUDGET_SHARE
+        self.retry_budgets.bound = RetryBound.from_settings(settings)
         self.crash_records.parts.admit(settings.text("crashes.admitted_parts"))
         if self.service_rollouts is not None:
             self.service_rollouts.plans.limits = ExposureLimits.from_settings(settings)
@@ -233,7 +231,7 @@
             placement,
             wire,
             self.publications,
-            self.retry_budget,
+            self.retry_budgets,
             self.key_age_max_s,
             self._broadcast_notice,
             self.crash_watch,
@@ -378,8 +376,7 @@
             self.trackers.keep_only(set(self.upstreams.by_id))
             self.trackers.close_expired()
             self.forwarder.relay_peers.close_expired()
-            slack = self.settings.number("bounds.retry_slack") * RETRY_BUDGET_SHARE
-            self.retry_budget.balance_max = max(1.0, slack / self.neighbours.hosts.count)
+            self.retry_budgets.hosts = self.hosts.count if self.quotas.may_split else None
             slept_at = clocks.now_s()
             self.stall_monitor.check(slept_at, pause(MAINTENANCE_INTERVAL_S))
 
--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -9,7 +9,7 @@
 from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, SoftwareVersion, UpstreamId
-from ruddersaddle_routing.retries import RetryBudget
+from ruddersaddle_routing.retry_budgets import RetryBudgets
 
 from ruddersaddle_serving.answer_ends import AnswerEnd, AnswerEnds, ordinary_end
 from ruddersaddle_serving.attempts import NOT_RUN_STATUSES, Attempt
@@ -91,7 +91,7 @@
         placement: Placement,
         wire: Wire,
         publications: Publications,
-        budget: RetryBudget,
+        retry_budgets: RetryBudgets,
         key_age_max_s: float,
         broadcast_notice: Callable[[Notice], None],
         crash_watch: CrashWatch,
@@ -101,7 +101,7 @@
         self.placement = placement
         self.wire = wire
         self.publications = publications
-        self.budget = budget
+        self.retry_budgets = retry_budgets
         self.key_age_max_s = key_age_max_s
         self.ends = AnswerEnds()
         self.refusals = RefusalCounts()
@@ -159,6 +159,8 @@
         self.pool: PoolId | None = None
         self._excluded: set[UpstreamId] = set()
         self._sent_count = 0
+        self._charged_pool: PoolId | None = None
+        """Pool whose retry budget was charged for a retry that is not sent yet."""
         self._may_have_run = False
         self._first_events = b""
         self._began_at: float | None = None
@@ -177,7 +179,6 @@
         relayed = self._relay_if_reached_elsewhere()
         if relayed is not None:
             return self._as_unknown(relayed) if _may_have_run(relayed) else relayed
-        self.forwarder.budget.record_first(self.pool)
         if self.forwarder.outcomes is not None:
             self.forwarder.outcomes.record_request(self.pool, self.request.route)
         while True:
@@ -253,6 +254,8 @@
             return None
         if self.request.remaining_s < REMAINING_MIN_S:
             return None
+        if self._sent_count and self._charge() is not None:
+            return None
         self.trace.relay_reason = reason
         terms = RelayTerms(peers.hosts.own_id, self.forwarder.publications.version, upstreams_max)
         self.relaying = Relaying(peers, self.request, terms, self.trace)
@@ -260,6 +263,8 @@
         if isinstance(result, BufferedAnswer) and self._sent_count:
             result = self._as_refusal(result) if result.status in NOT_RUN_STATUSES else result
         self._has_relayed = result is not None
+        if self._has_relayed:
+            self._charged_pool = None
         if result is None or isinstance(result, Failure):
             # A later attempt of this host reads its own answer.
             self.relaying.finish()
@@ -427,12 +432,16 @@
 
     def _send(self) -> AnswerHead | Failure:
         refusal = (
-            self._renew() or self.forwarder.check_key_age(self.request) or self._check_crashes()
+            self._renew()
+            or self.forwarder.check_key_age(self.request)
+            or self._check_crashes()
+            or self._charge()
         )
         if refusal is not None:
             self._end_attempt(None, f"not sent: {refusal.detail}")
             return refusal
         self._sent_count += 1
+        self._charged_pool = None
         self._began_at, self._has_cleared_parts = None, False
         tracker = self.attempt.choice.tracker
         upstream = tracker.id
@@ -682,12 +691,40 @@
             return False
         if self.request.remaining_s < REMAINING_MIN_S:
             return False
-        budget = self.forwarder.budget
-        is_allowed = budget.try_spend(self.pool)
-        self.trace.retries.append(
-            f"{'allowed' if is_allowed else 'denied'} at {self.pool}, {budget.balance:.1f} left"
+        if self.forwarder.retry_budgets.has_retry(self.pool):
+            return True
+        self._record_retry("denied")
+        return False
+
+    def _charge(self) -> Failure | None:
+        """Charge the retry budget, unless nothing was sent yet; return why it may not be sent.
+
+        It is charged at the send: a configuration may have moved the request to another pool since
+        it was decided to retry it.
+        """
+        budgets = self.forwarder.retry_budgets
+        if self._sent_count == 0:
+            if self.request.is_first_send:
+                budgets.record_request(self.pool)
+            return None
+        if self._charged_pool == self.pool:
+            return None
+        is_allowed = budgets.try_spend(self.pool)
+        self._record_retry("sent" if is_allowed else "denied")
+        if is_allowed:
+            self._charged_pool = self.pool
+            return None
+        return Failure(
+            Code.NO_UPSTREAM,
+            Step.SEND,
+            str(self.pool),
+            "the retry budget is used up",
+            retry_after_s=RETRY_SOON_S,
         )
-        return is_allowed
+
+    def _record_retry(self, outcome: str) -> None:
+        left = self.forwarder.retry_budgets.balance(self.pool)
+        self.trace.retries.append(f"{outcome} at {self.pool}, {left:.1f} left")
 
     def _record_data(self, data: bytes | Failure) -> None:
         """Record what arrived for the outcome by software version."""
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -42,8 +42,8 @@
     lines += format_labelled("retries", "retries by pool and outcome", _retries(host))
     lines += format_labelled(
         "first_attempts",
-        "requests that credited the retry budget, by pool",
-        [({"pool": pool}, count) for pool, count in host.retry_budget.first_by_pool.items()],
+        "requests that earned credit for retries, by pool",
+        [({"pool": pool}, count) for pool, count in host.retry_budgets.requests_by_pool.items()],
     )
     relays = host.forwarder.relay_peers.counts
     lines += format_counters("relays", "offers to other hosts by outcome", relays)
@@ -79,12 +79,12 @@
 
 def _retries(host: "EntryHost") -> list[tuple[dict[str, str], float]]:
     """Return how often a retry at each pool was allowed and denied."""
-    budget = host.retry_budget
-    by_kind = {"spent": budget.spent_by_pool, "denied": budget.denied_by_pool}
+    budgets = host.retry_budgets
+    by_kind = {"spent": budgets.spent_by_pool, "denied": budgets.denied_by_pool}
     return [
         ({"pool": pool, "kind": kind}, by_pool[pool])
         for kind, by_pool in by_kind.items()
-        for pool in sorted(budget.first_by_pool | by_pool)
+        for pool in sorted(budgets.requests_by_pool | by_pool)
     ]
 
 
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -160,6 +160,11 @@
         """Whether admission judges it as having median size; drawn once per caller's attempt."""
         return random.random() < JUDGED_AS_MEDIAN_SHARE
 
+    @property
+    def is_first_send(self) -> bool:
+        """Whether no other host has sent it to an upstream before."""
+        return self.terms is None or self.terms.upstreams_max >= self.route.upstreams_max
+
     @property
     def upstreams_max(self) -> int:
         """Most upstreams that it may be sent to."""
--- a/libs/serving/ruddersaddle_serving/request_traces.py
+++ b/libs/serving/ruddersaddle_serving/request_traces.py
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         self.attempts: list[str] = []
         self.retries: list[str] = []
-        """Whether the retry budget allowed each retry that was asked for, and what it had left."""
+        """Retries that were sent or denied, with what the budget had left."""
         self.upstream = ""
         self.version: int | None = None
         self.wait_s = 0.0
--- a/libs/serving/ruddersaddle_serving/tests/test_authorizations.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_authorizations.py
@@ -14,7 +14,7 @@
 from ruddersaddle_serving.authorizations import Authorization, RequestTarget, authorize
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
-from ruddersaddle_serving.forwarders import Forwarder, Forwarding, RetryBudget
+from ruddersaddle_serving.forwarders import Forwarder, Forwarding
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, StorePosition
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest
@@ -109,7 +109,13 @@
         placement.choose = self.choose
         watch = CrashWatch(mock.Mock(), UpstreamList(), CrashRecords(), mock.Mock(), mock.Mock())
         forwarder = Forwarder(
-            placement, mock.Mock(), self.publications, RetryBudget(9.0), 5.0, mock.Mock(), watch
+            placement,
+            mock.Mock(),
+            self.publications,
+            mock.Mock(balance=lambda pool: 9.0),
+            5.0,
+            mock.Mock(),
+            watch,
         )
         forwarder.relay_peers = mock.Mock()
         return Forwarding(forwarder, request)
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -8,7 +8,7 @@
 from ruddersaddle_base.answer_framings import Framing
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import PoolId, RequestId
-from ruddersaddle_routing.retries import RetryBudget
+from ruddersaddle_routing.retry_budgets import RetryBound, RetryBudgets
 
 from ruddersaddle_serving.attempts import Attempt
 from ruddersaddle_serving.buffer_shares import BufferShare
@@ -22,7 +22,7 @@
 )
 from ruddersaddle_serving.placements import Choice
 from ruddersaddle_serving.ports import AnswerHead, BufferedAnswer
-from ruddersaddle_serving.prompts import CallerHead, CallerRequest
+from ruddersaddle_serving.prompts import CallerHead, CallerRequest, RelayTerms
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.relays import Relaying
 from ruddersaddle_serving.routes import Route, RouteKind, RouteName, Target
@@ -32,6 +32,7 @@
 
 TARGET_S = 1.0
 POOL = PoolId("p")
+REQUESTS_PER_RETRY = 6
 EVENT, PARTIAL_EVENT = b"id: 1\ndata: a\n\n", b"id: 2\nda"
 ROUTE = Route(RouteName("r"), "h", "/", RouteKind.STREAM, 9.0, TARGET_S, (Target(POOL),))
 
@@ -57,7 +58,7 @@
             self.placement,
             mock.Mock(),
             Publications(),
-            RetryBudget(0.1),
+            mock.Mock(balance=lambda pool: 9.0),
             5.0,
             mock.Mock(),
             CrashWatch(mock.Mock(), UpstreamList(), CrashRecords(), mock.Mock(), mock.Mock()),
@@ -170,6 +171,49 @@
             self.assertIsNone(forwarding.relaying)
             self.assertIsNone(forwarding._relay("lost"), "a request is relayed once")
 
+    def with_credit(self, forwarding: Forwarding, pool: PoolId, retries: int) -> RetryBudgets:
+        """Give a forwarding's host real budgets, with credit for retries at one pool."""
+        budgets = RetryBudgets(RetryBound(0.2, 52.0, 10.0))
+        budgets.hosts = 1
+        for _ in range(retries * REQUESTS_PER_RETRY):
+            budgets.record_request(pool)
+        forwarding.forwarder.retry_budgets = budgets
+        return budgets
+
+    def test_retry_is_charged_to_the_pool_that_it_is_sent_to(self) -> None:
+        forwarding = self.make_forwarding()
+        budgets = self.with_credit(forwarding, POOL, 2)
+        forwarding.pool, forwarding._sent_count = POOL, 1
+        self.assertIsNone(forwarding._charge())
+        self.assertEqual(budgets.spent_by_pool[POOL], 1)
+        forwarding.pool = PoolId("other")
+        refusal = forwarding._charge()
+        self.assertEqual((refusal.code, refusal.ran), (Code.NO_UPSTREAM, Ran.NOT_RUN))
+        self.assertGreater(refusal.retry_after_s, 0)
+        self.assertIn("denied at other", forwarding.trace.retries[-1])
+
+    def test_retry_that_no_host_accepts_is_charged_once(self) -> None:
+        forwarding = self.make_forwarding()
+        budgets = self.with_credit(forwarding, POOL, 2)
+        forwarding.pool, forwarding._sent_count = POOL, 1
+        forwarding.request.route = msgspec.structs.replace(ROUTE, upstreams_max=4)
+        forwarding.forwarder.relay_peers = mock.Mock()
+        with mock.patch.object(Relaying, "begin", return_value=None):
+            forwarding._relay("lost")
+        forwarding._charge()
+        self.assertEqual(budgets.spent_by_pool[POOL], 1)
+
+    def test_relayed_request_that_was_sent_before_earns_no_credit(self) -> None:
+        route = msgspec.structs.replace(ROUTE, upstreams_max=3)
+        for upstreams_left, earned in ((3, 1), (2, 0)):
+            forwarding = self.make_forwarding()
+            budgets = self.with_credit(forwarding, POOL, 0)
+            forwarding.pool = POOL
+            forwarding.request.route = route
+            forwarding.request.terms = RelayTerms("host-2", 1, upstreams_left)
+            forwarding._charge()
+            self.assertEqual(budgets.requests_by_pool[POOL], earned)
+
     def test_request_without_attempts_left_is_not_relayed(self) -> None:
         self.assertIsNone(self.relay(2, 200))
 
--- a/libs/serving/ruddersaddle_serving/tests/test_suspensions.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_suspensions.py
@@ -15,7 +15,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code
 from ruddersaddle_base.ids import HostId, Incarnation, ModelId, RequestId, WorkspaceId
-from ruddersaddle_routing.retries import RetryBudget
+from ruddersaddle_routing.retry_budgets import RetryBound, RetryBudgets
 
 import ruddersaddle_serving
 from ruddersaddle_serving.fence_leases import FenceLease
@@ -69,7 +69,7 @@
             mock.Mock(),
             mock.Mock(),
             self.publications,
-            RetryBudget(0.1),
+            RetryBudgets(RetryBound(0.1, 50.0, 10.0)),
             4.7,
             mock.Mock(),
             mock.Mock(),
--- a/libs/serving/ruddersaddle_serving/upstream_quotas.py
+++ b/libs/serving/ruddersaddle_serving/upstream_quotas.py
@@ -85,6 +85,11 @@
         """Digest of the host list and revision of the upstream list that these were computed
         from."""
 
+    @property
+    def may_split(self) -> bool:
+        """Whether this host has known the list of hosts for long enough to take its parts."""
+        return clocks.now_s() >= self.hosts.known_at + JOIN_GRACE_S
+
     def cold_until(self, tracker: Tracker) -> float:
         """Return until when an upstream is cold, on the boot-time clock.
 
@@ -167,7 +172,7 @@
 
     def _own_slots(self, tracker: Tracker) -> int:
         """Return how many slots of an upstream this host may use at any time."""
-        if clocks.now_s() < self.hosts.known_at + JOIN_GRACE_S:
+        if not self.may_split:
             return 0
         source = (self.hosts.digest, self.upstreams.revision)
         if self._slots_source != source:
@@ -207,7 +212,7 @@
         return None if table is None else table.pool_by_id.get(tracker.entry.pool)
 
     def _own_quota(self, tracker: Tracker, per_s: float) -> Quota:
-        if clocks.now_s() < self.hosts.known_at + JOIN_GRACE_S:
+        if not self.may_split:
             return NO_QUOTA
         return compute_quota(per_s, self._rank(tracker.entry.instance), self.hosts.own_id)
 
