--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_quotas.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_quotas.py
@@ -146,6 +146,24 @@
         self.now += JOIN_GRACE_S
         self.assertEqual(fleet.send(), 18)
 
+    def test_host_that_starts_anew_waits_for_the_whole_window_of_a_slow_upstream(self) -> None:
+        """A host that was killed right after a request sent the next one too early."""
+        per_s = 0.25
+        for restarts_after_s in (0.0, 0.5):
+            with self.subTest(restarts_after_s=restarts_after_s):
+                sent_at = []
+                for _ in range(2):
+                    fleet = Fleet(per_s, {"host-0": ["host-0"]})
+                    fleet.turn_cold(10.0 / per_s)
+                    until = self.now + 2.0 / per_s
+                    while self.now < until:
+                        if fleet.send():
+                            sent_at.append(self.now)
+                            break
+                        self.now += 0.05
+                    self.now += restarts_after_s
+                self.assertGreaterEqual(sent_at[1] - sent_at[0], 1.0 / per_s)
+
     def test_one_host_alone_keeps_a_large_bound(self) -> None:
         fleet = Fleet(400.0, {"host-0": ["host-0"]})
         self.now += JOIN_GRACE_S
--- a/libs/serving/ruddersaddle_serving/upstream_quotas.py
+++ b/libs/serving/ruddersaddle_serving/upstream_quotas.py
@@ -212,9 +212,10 @@
         return None if table is None else table.pool_by_id.get(tracker.entry.pool)
 
     def _own_quota(self, tracker: Tracker, per_s: float) -> Quota:
-        if not self.may_split:
-            return NO_QUOTA
-        return compute_quota(per_s, self._rank(tracker.entry.instance), self.hosts.own_id)
+        quota = compute_quota(per_s, self._rank(tracker.entry.instance), self.hosts.own_id)
+        # What a former process of this host has sent counts as well.
+        grace_s = max(JOIN_GRACE_S, quota.window_s)
+        return quota if clocks.now_s() >= self.hosts.known_at + grace_s else NO_QUOTA
 
     def _rank(self, instance: UpstreamInstance) -> list[str]:
         if self._ranked_digest != self.hosts.digest:
