--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -191,6 +191,11 @@
                     self._as_unknown(result) if self._may_have_run else self._with_backoff(result)
                 )
 
+    @property
+    def was_sent(self) -> bool:
+        """Whether this host has sent it to an upstream, also if that has refused it."""
+        return self._sent_count > 0
+
     def _pick_pool(self) -> Failure | None:
         self.pool = self.forwarder.placement.pick_pool(self.request.route)
         if self.pool is None:
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -362,7 +362,7 @@
         may_retry = status == NOT_RUN_STATUS and not _is_lasting(failure)
         retry_after_s = failure.retry_after_s if may_retry else None
         headers += self.front.wire.write_refusal(request, retry_after_s)
-        relay_refusal = None if self.terms is None else refusal_of(failure)
+        relay_refusal = refusal_of(failure) if self._may_be_relayed_again() else None
         if relay_refusal is not None:
             headers.append((REFUSAL_HEADER, relay_refusal.value))
         if failure.code is Code.TOO_LARGE or failure.step is Step.PARSE:
@@ -373,6 +373,14 @@
         # A body after the head of an answer to HEAD would be taken for the next answer.
         return [] if self.environ["REQUEST_METHOD"] == "HEAD" else [body]
 
+    def _may_be_relayed_again(self) -> bool:
+        """Return whether a relayed request may go to another host: it was sent nowhere from here.
+
+        That host would count neither its attempts nor its retries.
+        """
+        was_sent = self.forwarding is not None and self.forwarding.was_sent
+        return self.terms is not None and not was_sent
+
     # Ending the request
 
     def _end(self, outcome: str) -> None:
