--- a/libs/serving/ruddersaddle_serving/pool_versions.py
+++ b/libs/serving/ruddersaddle_serving/pool_versions.py
@@ -133,8 +133,11 @@
         Streams that nobody was told of began at it. Those that began at the others at once, as no
         upstream of it could serve them, are known to their holders.
         """
-        beside = self.route_pools.beside(pool) if self.seen(pool) else set()
-        return self._find_alone(set().union(*map(self._begun, beside)))
+        return self._find_alone(self.begun_beside(pool) if self.seen(pool) else set())
+
+    def begun_beside(self, pool: PoolId) -> set[Version]:
+        """Return the versions at which hosts have had time to begin streams of a pool's routes."""
+        return set().union(*map(self._begun, self.route_pools.beside(pool)))
 
     def _begun(self, pool: PoolId) -> set[Version]:
         """Return the versions of a pool at which hosts have had time to begin streams."""
--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -20,7 +20,7 @@
 
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.peers import Peers
-from ruddersaddle_serving.pool_versions import PoolVersions
+from ruddersaddle_serving.pool_versions import PoolVersions, Version
 from ruddersaddle_serving.stream_records import (
     RECORDS_MAX,
     AloneVersion,
@@ -405,11 +405,12 @@
             logger.warning("%d records of another host are not held: too many, or too long.", count)
 
     def _reply(self, question: StreamQuestion) -> StreamReply:
-        found = ((pool, self.versions.alone(pool)) for pool in question.pools[:POOLS_MAX])
-        alone = tuple(
-            AloneVersion(pool, version) for pool, version in found if isinstance(version, str)
+        pools = question.pools[:POOLS_MAX]
+        return StreamReply(
+            self.find_known(question.key),
+            _named((pool, self.versions.alone(pool)) for pool in pools),
+            _named((pool, self.versions.alone_until_now(pool)) for pool in pools),
         )
-        return StreamReply(self.find_known(question.key), alone)
 
     def _records_for(self, address: str) -> Iterable[StreamRecord]:
         for record in in_turns(self.held.all()):
@@ -472,3 +473,8 @@
         if number % RECORDS_PER_TURN == 0 or clocks.now_s() - began_at > TURN_S:
             eventlet.sleep(0)
             began_at = clocks.now_s()
+
+
+def _named(versions: Iterable[tuple[PoolId, Version | None]]) -> tuple[AloneVersion, ...]:
+    """Return the versions that have a name, by pool."""
+    return tuple(AloneVersion(pool, each) for pool, each in versions if isinstance(each, str))
--- a/libs/serving/ruddersaddle_serving/stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/stream_origins.py
@@ -15,6 +15,7 @@
 from ruddersaddle_serving.routes import RouteTable
 from ruddersaddle_serving.stream_exchanges import StreamExchange
 from ruddersaddle_serving.stream_records import (
+    AloneVersion,
     StreamKey,
     StreamQuestion,
     StreamRecord,
@@ -135,13 +136,17 @@
             return msgspec.structs.replace(found, finding=Finding.HERE) if found.pin else found
         # Asking takes so long that streams may begin at another version meanwhile.
         alone_until_now = _common(map(self.versions.alone_until_now, pools))
+        begun = set().union(*map(self.versions.begun_beside, pools))
         replies = self.exchange.ask(question)
         found = self._from_replies(replies, pools, drawn)
         is_missing_some = len(replies) < len(self.exchange.other_holders(key))
         if found.finding in (Finding.UNREACHABLE, Finding.UNKNOWN) and is_missing_some:
             # A pause of this process, or a connection that was dead, looks the same. Others may
             # have answered that were not told of the stream.
-            found = self._from_replies(self.exchange.ask(question), pools, drawn)
+            replies = self.exchange.ask(question)
+            found = self._from_replies(replies, pools, drawn)
+        if alone_until_now is None:
+            alone_until_now = _alone_until_now_in(replies, pools, begun)
         if found.finding is Finding.UNKNOWN and alone_until_now is not None:
             return TakeUp(Finding.ALONE_UNTIL_NOW, VersionPin(drawn, alone_until_now))
         for _ in range(ASKED_AGAIN):
@@ -159,7 +164,9 @@
             return _refuse(Finding.AMBIGUOUS)
         if records:
             return _from_record(records[0], pools, Finding.HOLDER)
-        versions = {each for reply in replies if (each := _alone_in(reply, pools)) is not None}
+        versions = {
+            each for reply in replies if (each := _alone_in(reply.alone, pools)) is not None
+        }
         if len(versions) == 1 and all(self._agrees(pool, *versions) for pool in pools):
             return TakeUp(Finding.ALONE_ELSEWHERE, VersionPin(drawn, *versions))
         return _refuse(Finding.UNKNOWN if replies else Finding.UNREACHABLE)
@@ -200,12 +207,24 @@
     return found.pop() if len(found) == 1 else None
 
 
-def _alone_in(reply: StreamReply, pools: tuple[PoolId, ...]) -> SoftwareVersion | None:
+def _alone_in(alone: tuple[AloneVersion, ...], pools: tuple[PoolId, ...]) -> SoftwareVersion | None:
     """Return the version that has served alone in all of some pools, as a holder knows."""
-    version_by_pool = {each.pool: each.version for each in reply.alone}
+    version_by_pool = {each.pool: each.version for each in alone}
     return _common(map(version_by_pool.get, pools))
 
 
+def _alone_until_now_in(
+    replies: list[StreamReply], pools: tuple[PoolId, ...], begun: set[Version]
+) -> SoftwareVersion | None:
+    """Return the version that holders say was alone until now, or None.
+
+    It is for hosts that haven't been up for long enough to know it. `begun` are the versions at
+    which streams may have begun, as far as this host knows.
+    """
+    named = {_alone_in(reply.alone_until_now, pools) for reply in replies} - {None}
+    return named.pop() if len(named) == 1 and begun <= named else None
+
+
 def _from_record(record: StreamRecord, pools: tuple[PoolId, ...], finding: Finding) -> TakeUp:
     if record.version is None:
         return _refuse(Finding.AMBIGUOUS)
--- a/libs/serving/ruddersaddle_serving/stream_records.py
+++ b/libs/serving/ruddersaddle_serving/stream_records.py
@@ -86,6 +86,8 @@
 
     record: StreamRecord | None
     alone: tuple[AloneVersion, ...] = ()
+    alone_until_now: tuple[AloneVersion, ...] = ()
+    """Versions that were alone until others were listed a moment ago."""
 
 
 class HeldRequest(msgspec.Struct, frozen=True, tag="ask_held"):
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_exchanges.py
@@ -54,6 +54,7 @@
         self.down: set[str] = set()
         self.alone: dict[str, str | None] = {}
         """Version that a host takes for alone."""
+        self.alone_until_now: dict[str, str | None] = {}
         self.records = {
             HostId(f"host-{number}"): HostRecord(f"address-{number}", HallId(f"h{number % 2}"))
             for number in range(self.count)
@@ -70,7 +71,9 @@
         peers = mock.Mock(ask=lambda address, message, _: self.ask(address, message))
         versions = mock.Mock(
             alone=lambda pool: self.alone.get(record.address),
+            alone_until_now=lambda pool: self.alone_until_now.get(record.address),
             seen=lambda pool: {"v1", "v2"},
+            begun_beside=lambda pool: {"v1", "v2"},
             is_changing=lambda pools: False,
             upstreams=mock.Mock(complete=True),
         )
@@ -715,3 +718,7 @@
         replies = self.exchange_by_address["address-0"].ask(StreamQuestion(key, (POOL,)))
         alone = [each.version for reply in replies for each in reply.alone]
         self.assertEqual(alone, ["v1"])
+        self.alone, self.alone_until_now = {}, {holder: "v1"}
+        replies = self.exchange_by_address["address-0"].ask(StreamQuestion(key, (POOL,)))
+        alone = [each.version for reply in replies for each in reply.alone_until_now]
+        self.assertEqual(alone, ["v1"])
--- a/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_stream_origins.py
@@ -24,6 +24,7 @@
         super().setUp()
         self.alone: dict[PoolId, object] = {}
         self.seen = {V1, V2}
+        self.begun = {V1, V2}
         self.known: StreamRecord | None = None
         self.replies: list[StreamReply] = []
         self.holders: list[str] = []
@@ -38,6 +39,7 @@
             alone=self.alone.get,
             alone_until_now=lambda pool: self.until_now.get(pool),
             seen_beside=lambda pool: self.seen,
+            begun_beside=lambda pool: self.begun,
             is_changing=lambda pools: self.is_changing,
         )
         self.origins = StreamOrigins(versions, self.exchange)
@@ -110,6 +112,22 @@
         self.until_now[OTHER] = V2
         self.assertIs(self.find(pools=(POOL, OTHER)).finding, Finding.UNKNOWN)
 
+    def test_host_that_has_just_started_believes_what_was_alone_until_now(self) -> None:
+        """Streams were refused at such hosts if theirs was killed as another version appeared."""
+        until_now = (AloneVersion(POOL, V1),)
+        self.replies = [StreamReply(None), StreamReply(None, alone_until_now=until_now)]
+        self.assertIs(self.find().finding, Finding.UNKNOWN, "streams may have begun at both")
+        self.begun = {V1}
+        found = self.find()
+        self.assertEqual(
+            (found.finding, found.pin), (Finding.ALONE_UNTIL_NOW, VersionPin(POOL, V1))
+        )
+        other = StreamReply(None, alone_until_now=(AloneVersion(POOL, V2),))
+        self.replies.append(other)
+        self.assertIs(self.find().finding, Finding.UNKNOWN)
+        self.replies[-1] = StreamReply(msgspec.structs.replace(RECORD, version=V2))
+        self.assertEqual(self.find().pin, VersionPin(POOL, V2))
+
     def test_pools_of_two_versions_make_none_alone(self) -> None:
         """A stream that began at one pool of a route went on at the other pool's version."""
         self.alone = {POOL: V1, OTHER: V2}
