--- a/libs/routing/ruddersaddle_routing/retry_budgets.py
+++ b/libs/routing/ruddersaddle_routing/retry_budgets.py
@@ -6,6 +6,7 @@
 earn by time within it. A host that starts has no credit, so that starts add nothing.
 """
 
+import math
 from collections import Counter, deque
 from collections.abc import Collection
 from dataclasses import dataclass
@@ -23,6 +24,8 @@
 TIMED_SHARE = 0.4
 """Part of the slack that all hosts together earn in one window; the rest covers lists of hosts that
 differ for a moment."""
+MERGED_S = 0.1
+"""Amounts that were earned within this time are kept as one, as if earned with the first."""
 RETRY_COST = 1.0
 ROUNDING = 1e-9
 """Sums of amounts may lie this far under their exact value."""
@@ -127,8 +130,14 @@
         return True
 
     def _add(self, amount: float) -> None:
-        if amount > 0:
-            self._amounts.append((clocks.now_s(), amount))
+        if amount <= 0:
+            return
+        earned_at, newest = self._amounts[-1] if self._amounts else (-math.inf, 0.0)
+        now = clocks.now_s()
+        if now < earned_at + MERGED_S:
+            self._amounts[-1] = earned_at, newest + amount
+        else:
+            self._amounts.append((now, amount))
 
     def _take(self, amount: float) -> None:
         """Remove the oldest credit."""
