--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -728,8 +728,10 @@
         )
 
     def _record_retry(self, outcome: str) -> None:
-        left = self.forwarder.retry_budgets.balance(self.pool)
-        self.trace.retries.append(f"{outcome} at {self.pool}, {left:.1f} left")
+        budgets = self.forwarder.retry_budgets
+        left = budgets.balance(self.pool)
+        divided = "undivided" if budgets.hosts is None else f"of {budgets.hosts} hosts"
+        self.trace.retries.append(f"{outcome} at {self.pool}, {left:.1f} left, {divided}")
 
     def _record_data(self, data: bytes | Failure) -> None:
         """Record what arrived for the outcome by software version."""
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -139,6 +139,11 @@
         ("upstream_connections_opened", "connections opened", opened),
         ("ready", "1 if the load balancer should send callers", host.is_ready()),
         ("hosts_known", "hosts, this one included", host.neighbours.hosts.count),
+        (
+            "retry_slack_hosts",
+            "hosts by which the slack of retry budgets is divided; 0 while unknown",
+            host.retry_budgets.hosts or 0,
+        ),
         ("peer_sent_bytes", "bytes sent to peers", host.neighbours.peers.sent_bytes),
         ("upstreams_silent", "unresponsive upstreams", _count_unresponsive(host)),
         ("upstream_probes", "probes of unresponsive upstreams", host.probes.count),
