--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -24,6 +24,7 @@
 from ruddersaddle_serving.connection_gates import ConnectionGate
 from ruddersaddle_serving.crash_records import CrashRecords
 from ruddersaddle_serving.crash_watches import CrashWatch
+from ruddersaddle_serving.deferred_timeouts import DeferredTimeout
 from ruddersaddle_serving.fence_leases import FenceLease
 from ruddersaddle_serving.forwarders import Forwarder
 from ruddersaddle_serving.fronts import Front
@@ -39,7 +40,7 @@
 from ruddersaddle_serving.peers import limit_threads
 from ruddersaddle_serving.placements import Placement
 from ruddersaddle_serving.pool_versions import PoolVersions
-from ruddersaddle_serving.ports import Engines, MetadataStore, Wire
+from ruddersaddle_serving.ports import TOPIC_START, Engines, MetadataStore, Wire
 from ruddersaddle_serving.probes import Probes
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.regions.choosers import LocalFirstChooser
@@ -89,6 +90,11 @@
 """A host exits this long before the platform would kill it, which is `requests.grace_s` after the
 signal."""
 DRAIN_POLL_S = 0.05
+REMOVAL_TIMEOUT_S = 0.3
+"""Longest wait for the store at the end of a planned stop, within `GRACE_MARGIN_S`."""
+REJOIN_S = 20.0
+"""Time after the end of a planned stop until all hosts know the host again, if it has started anew:
+that of a start, and of the longest pause between two reads of the list."""
 STOP_CHECK_S = 0.25
 """Interval of checks for a planned stop; readiness ends at once, with the signal itself."""
 
@@ -213,7 +219,8 @@
         )
         seeds = settings.text("listen.seeds").split(",")
         host = HostId(settings.text("host.id"))
-        return Hosts(host, record, seeds, RegionMap.from_settings(settings))
+        memory_s = settings.number("requests.grace_s") + REJOIN_S
+        return Hosts(host, record, seeds, RegionMap.from_settings(settings), memory_s)
 
     def _build_request_path(self, wire: Wire) -> None:
         settings = self.settings
@@ -376,10 +383,18 @@
             self.trackers.keep_only(set(self.upstreams.by_id))
             self.trackers.close_expired()
             self.forwarder.relay_peers.close_expired()
-            self.retry_budgets.hosts = self.hosts.count if self.quotas.may_split else None
+            self.retry_budgets.hosts = self._count_slack_hosts()
             slept_at = clocks.now_s()
             self.stall_monitor.check(slept_at, pause(MAINTENANCE_INTERVAL_S))
 
+    def _count_slack_hosts(self) -> int | None:
+        """Return by how many hosts the slack of retries is divided; None if it isn't known.
+
+        A list that no host has read from the store may lack all that this one can't reach.
+        """
+        is_known = self.quotas.may_split and self.hosts.position != TOPIC_START
+        return self.hosts.sending_count if is_known else None
+
     # Readiness, metrics
 
     def is_ready(self) -> bool:
@@ -418,7 +433,7 @@
         """Accept connections until the load balancer has noticed, then finish open requests."""
         fields = {"active": self.front.active, **self.signals.fields()}
         logger.info("Planned stop begins.", extra=fields)
-        eventlet.spawn(self.neighbours.host_list.leave)
+        leaving = eventlet.spawn(self.neighbours.host_list.announce_leave)
         self._sleep_until(self.signals.first_at + ACCEPT_AFTER_STOP_S)
         # One round of the event loop accepts what arrived while the process got no CPU time.
         eventlet.sleep(0)
@@ -432,6 +447,9 @@
         # bytes of a stream, do not count as active.
         while self._is_serving(served) and clocks.now_s() < latest:
             eventlet.sleep(DRAIN_POLL_S)
+        with DeferredTimeout(REMOVAL_TIMEOUT_S, False):
+            leaving.wait()
+            self.neighbours.host_list.remove_own()
         fields = interrupted_fields(self.front.active_requests())
         level = logging.WARNING if fields["cut"] else logging.INFO
         fields["signals"] = self.signals.count
--- a/libs/serving/ruddersaddle_serving/host_lists.py
+++ b/libs/serving/ruddersaddle_serving/host_lists.py
@@ -1,6 +1,7 @@
 """Maintains the list of hosts: registers this host, reads the list as a reader, and repairs it."""
 
 import logging
+import math
 import random
 from collections.abc import Callable
 
@@ -31,6 +32,9 @@
 STARTUP_S = 15.0
 """Time after the start during which a host that finds no other on the list rereads it about every
 `POLL_S`."""
+CONFIRMATION_S = 2.5
+"""A reader reads the list again this long after it first did, before it takes its part of what all
+hosts share: the first list may lack hosts that were just starting."""
 RESTORE_STAGGER_S = 1.0
 """Delay from one reader to the next before they rewrite lost hosts after a restore of the store;
 one call is enough."""
@@ -74,7 +78,12 @@
             # When all hosts start together, the first to read the list find no other on it yet.
             is_settled = self.hosts.by_id or clocks.now_s() > settled_at
             pause_s = READ_PAUSE_S if is_settled else POLL_S
-            self._pause(pause_s * (0.75 + 0.5 * random.random()))
+            self._pause(min(pause_s * (0.75 + 0.5 * random.random()), self._confirmation_in_s()))
+
+    def _confirmation_in_s(self) -> float:
+        """Return in how many seconds a list that was read at the start must be read again."""
+        remaining_s = self.hosts.known_at + CONFIRMATION_S - clocks.now_s()
+        return remaining_s if remaining_s > 0 else math.inf
 
     def _pause(self, seconds: float) -> None:
         """Wait until the list must be read again.
@@ -127,11 +136,19 @@
         """Record the position of a requesting host's list; a newer list is read soon."""
         self.is_outdated = self.is_outdated or position > self.hosts.position
 
-    def leave(self) -> None:
-        """Remove this host from the list at its planned stop."""
-        failure = self.store.put(Topic.HOSTS, self.hosts.own_id, None)
+    def announce_leave(self) -> None:
+        """Write that this host's planned stop has begun."""
+        self.hosts.record_own_leave()
+        self._put_own(msgspec.json.encode(self.hosts.own), "marked as leaving")
+
+    def remove_own(self) -> None:
+        """Remove this host from the list at the end of its planned stop."""
+        self._put_own(None, "removed from the list")
+
+    def _put_own(self, value: bytes | None, outcome: str) -> None:
+        failure = self.store.put(Topic.HOSTS, self.hosts.own_id, value)
         if failure is not None:
-            logger.info("Host could not be removed from the list. %s", failure.detail)
+            logger.info("Host could not be %s. %s", outcome, failure.detail)
 
 
 def _decode_hosts(records: tuple[Record, ...]) -> dict[HostId, HostRecord]:
--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -17,6 +17,7 @@
 from ruddersaddle_base.ids import HallId, HostId, RegionId
 from ruddersaddle_routing.rendezvous import rank_names
 
+from ruddersaddle_serving.departures import Departures
 from ruddersaddle_serving.ports import TOPIC_START, StorePosition
 from ruddersaddle_serving.regions.maps import RegionMap
 
@@ -28,6 +29,8 @@
 """How long a host that did not answer counts as unresponsive. The time doubles with each further
 failure, as the record of a host that is gone for good stays on the list."""
 UNRESPONSIVE_MAX_S = 64.0
+DEPARTURE_MEMORY_S = 30.0
+"""Default time for which a host that has left the list counts as one that may send requests."""
 READERS_KEY = "readers"
 """Key of the rendezvous hash that ranks hosts as readers."""
 
@@ -40,6 +43,9 @@
     link_mbps: float = 0.0
     relay: str = ""
     """Address at which it accepts relayed requests; empty if it doesn't."""
+    is_leaving: bool = False
+    """Whether its planned stop has begun: it gets no duties and no relayed requests, but its own
+    requests go on."""
 
 
 class Hosts:
@@ -55,11 +61,15 @@
         own: HostRecord,
         seeds: list[str],
         regions: RegionMap | None = None,
+        departure_memory_s: float = DEPARTURE_MEMORY_S,
     ) -> None:
         self.own_id = own_id
         self.own = own
         self.regions = RegionMap(own.hall, {}) if regions is None else regions
         self.by_id: dict[HostId, HostRecord] = {}
+        self.leaving_by_id: dict[HostId, HostRecord] = {}
+        """Other hosts whose planned stop has begun and, as far as is known, has not ended."""
+        self.departures = Departures(departure_memory_s)
         self.known_at = float("inf")
         """Time at which this host first read or received a list, by the boot-time clock."""
         self.position = TOPIC_START
@@ -97,8 +107,15 @@
         self.position = position
         self.known_at = min(self.known_at, clocks.now_s())
         others = {host: record for host, record in records.items() if host != self.own_id}
-        changed = others != self.by_id
-        self.by_id = others
+        listed = {host: record for host, record in others.items() if not record.is_leaving}
+        self.leaving_by_id = {host: each for host, each in others.items() if each.is_leaving}
+        return self._apply_listed(listed)
+
+    def _apply_listed(self, listed: dict[HostId, HostRecord]) -> bool:
+        """Apply which other hosts are listed; return whether that differs from what was known."""
+        self.departures.apply(listed, {*self.leaving_by_id, *(set(self.by_id) - set(listed))})
+        changed = listed != self.by_id
+        self.by_id = listed
         if changed:
             self._invalidate_caches()
         return changed
@@ -116,9 +133,21 @@
 
     def add(self, host: HostId, record: HostRecord) -> None:
         """Add the record of a host that has sent a request to this one."""
-        if host != self.own_id and self.by_id.get(host) != record:
-            self.by_id[host] = record
-            self._invalidate_caches()
+        is_known = host not in self.leaving_by_id and self.by_id.get(host) == record
+        if host == self.own_id or is_known:
+            return
+        listed = {each: known for each, known in self.by_id.items() if each != host}
+        if record.is_leaving:
+            self.leaving_by_id[host] = record
+        else:
+            self.leaving_by_id.pop(host, None)
+            listed[host] = record
+        if listed != self.by_id:
+            self._apply_listed(listed)
+
+    def record_own_leave(self) -> None:
+        """Record that this host's planned stop has begun."""
+        self.own = msgspec.structs.replace(self.own, is_leaving=True)
 
     def all_by_id(self) -> dict[HostId, HostRecord]:
         """Return the records of all hosts, this one included."""
@@ -205,6 +234,12 @@
         """Approximate number of hosts, this one included."""
         return 1 + len(self.others())
 
+    @property
+    def sending_count(self) -> int:
+        """Number of hosts that may send requests, this one included: those on the list, and those
+        that have left it a short while ago."""
+        return self.count + self.departures.count()
+
     @property
     def region_count(self) -> int:
         """Approximate number of hosts of this region, this one included."""
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -122,7 +122,7 @@
         self.link_probes = LinkProbes(hosts, self.peers, self.links)
         self._crashes_revision_by_address: dict[str, int] = {}
         self._asked_at = float("-inf")
-        self._last_broadcast = (0, 0)
+        self._last_broadcast = (TOPIC_START, 0, TOPIC_START)
         self.load_message_at = 0.0
         """When the last message about an engine's load of weights was handled."""
 
@@ -219,7 +219,7 @@
 
         A reader that the store rejects thus receives a change from another within milliseconds.
         """
-        current = (self.publications.end, self.upstreams.revision)
+        current = (self.publications.end, self.upstreams.revision, self.hosts.position)
         if current == self._last_broadcast:
             return
         is_published = current[0] != self._last_broadcast[0]
@@ -423,7 +423,7 @@
             entries_digest=entries_digest,
             entries_age_s=upstreams.age_s,
             entries_end=upstreams.end,
-            hosts={**hosts.by_id, hosts.own_id: hosts.own}
+            hosts={**hosts.leaving_by_id, **hosts.by_id, hosts.own_id: hosts.own}
             if self._has_newer_list_for(request)
             else None,
             hosts_position=hosts.position,
--- a/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
@@ -8,6 +8,7 @@
 
 from ruddersaddle_serving.cached_parts import CachedParts
 from ruddersaddle_serving.crash_records import CrashRecords
+from ruddersaddle_serving.host_lists import HostList
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.neighbour_messages import NeighbourMessage
 from ruddersaddle_serving.neighbours import Neighbours
@@ -17,6 +18,7 @@
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
+from ruddersaddle_serving.upstream_quotas import JOIN_GRACE_S
 
 HALL = HallId("h")
 
@@ -34,6 +36,10 @@
     return Page(records, StorePosition(1, len(numbers)))
 
 
+class StopReadingError(Exception):
+    """Ends the task that reads the list."""
+
+
 class FakePeers:
     """Delivers requests to other hosts by direct calls."""
 
@@ -97,6 +103,19 @@
         self.assertFalse(reader.host_list.is_outdated)
         self.assertEqual(self.count(reader), 12)
 
+    def test_other_readers_are_notified_of_a_changed_list(self) -> None:
+        fleet = [self.make(number, 11) for number in range(12)]
+        readers = self.make(11, 12).hosts.readers()
+        reader = next(each for each in fleet if each.address in readers)
+        other = next(each for each in readers if each != reader.address)
+        reader.peers.broadcast = mock.Mock()
+        reader.refresh()
+        reader.peers.broadcast.reset_mock()
+        reader.host_list.apply_page(page_of(range(12)))
+        reader.refresh()
+        (addresses, _), _ = reader.peers.broadcast.call_args
+        self.assertIn(other, addresses)
+
     def test_all_hosts_learn_the_complete_list_from_their_readers(self) -> None:
         """Each has read the list when a different number of hosts was on it."""
         fleet = [self.make(number, min(30, 3 + number)) for number in range(30)]
@@ -111,5 +130,28 @@
         self.assertEqual({self.count(each) for each in fleet}, {30})
 
 
+class ConfirmationTest(FixedClockTest):
+    def test_reader_reads_its_first_list_again_before_it_takes_its_part(self) -> None:
+        """One that read the list while others started again divided by three, not by seven."""
+        store = mock.Mock(eras=StoreEras())
+        hosts = Hosts(HostId("host-0"), record_of(0), [])
+        host_list = HostList(hosts, store)
+        store.newest.side_effect = [page_of(range(3)), page_of(range(7)), StopReadingError]
+        waits = []
+
+        def pause(seconds: float) -> None:
+            waits.append(seconds)
+            self.now += seconds
+
+        with (
+            mock.patch.object(host_list, "_pause", pause),
+            mock.patch.object(hosts, "is_reader", lambda: True),
+            self.assertRaises(StopReadingError),
+        ):
+            host_list._follow()
+        self.assertEqual(hosts.count, 7)
+        self.assertLess(waits[0], JOIN_GRACE_S)
+
+
 if __name__ == "__main__":
     unittest.main()
