--- a/libs/serving/ruddersaddle_serving/forwarders.py
+++ b/libs/serving/ruddersaddle_serving/forwarders.py
@@ -694,6 +694,9 @@
             return False
         if self._sent_count == 0 or self._sent_count >= self.request.upstreams_max:
             return False
+        if self._has_relayed:
+            # The other host was given all attempts that were left.
+            return False
         if self.request.remaining_s < REMAINING_MIN_S:
             return False
         if self.forwarder.retry_budgets.has_retry(self.pool):
--- a/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_forwarders.py
@@ -171,6 +171,22 @@
             self.assertIsNone(forwarding.relaying)
             self.assertIsNone(forwarding._relay("lost"), "a request is relayed once")
 
+    def test_request_whose_attempts_another_host_may_have_used_up_is_not_sent_again(self) -> None:
+        """With four allowed it reached up to six: one here, three there, and two more here."""
+        forwarding = self.make_forwarding()
+        route = msgspec.structs.replace(ROUTE, upstreams_max=4, kind=RouteKind.REPEATABLE)
+        forwarding.request.route = route
+        forwarding.pool, forwarding._sent_count = POOL, 1
+        self.with_credit(forwarding, POOL, 3)
+        forwarding.forwarder.relay_peers = mock.Mock()
+        broken = Failure(Code.UPSTREAM_FAILED, Step.PEER, "host-2", "broken", Ran.UNKNOWN)
+        self.assertTrue(forwarding._may_retry(broken))
+        for result in (broken, BufferedAnswer(503, (), b"", Framing.DELIMITED)):
+            forwarding._has_relayed = False
+            with mock.patch.object(Relaying, "begin", return_value=result):
+                failure = forwarding._relay("lost")
+            self.assertFalse(forwarding._may_retry(failure))
+
     def with_credit(self, forwarding: Forwarding, pool: PoolId, retries: int) -> RetryBudgets:
         """Give a forwarding's host real budgets, with credit for retries at one pool."""
         budgets = RetryBudgets(RetryBound(0.2, 52.0, 10.0))
