--- a/libs/serving/ruddersaddle_serving/tests/test_brittle_pools.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_brittle_pools.py
@@ -69,6 +69,20 @@
         self.answer(4.0)
         self.assertEqual(sum(self.admitted_by_host().values()), SLOTS)
 
+    def test_slots_of_a_host_that_leaves_are_its_own_until_it_is_gone(self) -> None:
+        """Its requests go on; the others used its slots as well."""
+        self.answer(4.0)
+        leaving = self.quotas_by_host[HostId("host-2")].hosts
+        leaving.record_own_leave()
+        for name in (HostId("host-0"), HostId("host-1")):
+            self.quotas_by_host[name].hosts.add(leaving.own_id, leaving.own)
+        self.assertEqual(sum(self.admitted_by_host().values()), SLOTS)
+        records = dict(self.quotas_by_host[HostId("host-0")].hosts.all_by_id())
+        self.quotas_by_host.pop(leaving.own_id)
+        for quotas in self.quotas_by_host.values():
+            quotas.hosts.replace(records)
+        self.assertEqual(sum(self.admitted_by_host().values()), SLOTS)
+
     def test_host_takes_more_than_its_share_while_others_leave_room(self) -> None:
         self.answer(4.0)
         quotas = self.quotas_by_host[HostId("host-0")]
--- a/libs/serving/ruddersaddle_serving/upstream_quotas.py
+++ b/libs/serving/ruddersaddle_serving/upstream_quotas.py
@@ -13,7 +13,7 @@
 
 import msgspec
 from ruddersaddle_base import clocks
-from ruddersaddle_base.ids import PoolId
+from ruddersaddle_base.ids import HostId, PoolId
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.brittle_pools import (
@@ -81,9 +81,9 @@
         """Digest of the host list that the cached ranks were computed from."""
         self._slots_by_pool: dict[PoolId, dict[UpstreamInstance, int]] = {}
         """This host's slots at the upstreams of brittle pools."""
-        self._slots_source = (0, 0)
-        """Digest of the host list and revision of the upstream list that these were computed
-        from."""
+        self._slots_source: tuple[int, frozenset[HostId], int] = (0, frozenset(), 0)
+        """Digest of the host list, hosts that are leaving, and revision of the upstream list that
+        these were computed from."""
 
     @property
     def may_split(self) -> bool:
@@ -174,7 +174,7 @@
         """Return how many slots of an upstream this host may use at any time."""
         if not self.may_split:
             return 0
-        source = (self.hosts.digest, self.upstreams.revision)
+        source = (self.hosts.digest, frozenset(self.hosts.leaving_by_id), self.upstreams.revision)
         if self._slots_source != source:
             self._slots_source = source
             self._slots_by_pool.clear()
@@ -186,7 +186,9 @@
     def _split_slots(self, pool: PoolId) -> dict[UpstreamInstance, int]:
         # Upstreams that leave are counted, as hosts hear of it at different times.
         entries = [each for each in self.upstreams.by_id.values() if each.pool == pool]
-        upstreams = [(each.instance, each.slots, self._rank(each.instance)) for each in entries]
+        upstreams = [
+            (each.instance, each.slots, self._rank_with_leaving(each.instance)) for each in entries
+        ]
         return split_slots(upstreams, self.hosts.own_id)
 
     def bound_per_s(self, tracker: Tracker) -> float | None:
@@ -229,3 +231,9 @@
             names = [self.hosts.own_id, *self.hosts.by_id]
             self._ranked_by_instance[instance] = rank_names(str(instance), names)
         return self._ranked_by_instance[instance]
+
+    def _rank_with_leaving(self, instance: UpstreamInstance) -> list[str]:
+        """Rank the hosts that are leaving as well, as their requests go on."""
+        leaving = list(self.hosts.leaving_by_id)
+        ranked = self._rank(instance)
+        return rank_names(str(instance), [*ranked, *leaving]) if leaving else ranked
