A planned stop closes each idle connection right after it has looked at it

A stop looked at all idle connections for unread bytes, and then let the server close those without any: a request that arrived between was closed unread, as late as all of them took to be looked at and the process to get its turn. Each is now closed right after the look; what arrives later meets a closed connection.

--- a/libs/serving/ruddersaddle_serving/caller_pools.py
+++ b/libs/serving/ruddersaddle_serving/caller_pools.py
@@ -5,7 +5,8 @@
 from typing import Any
 
 import eventlet
-from eventlet.wsgi import STATE_IDLE, STATE_REQUEST
+from eventlet.greenio import shutdown_safe
+from eventlet.wsgi import STATE_CLOSE, STATE_IDLE, STATE_REQUEST
 
 Connection = list[Any]
 """The WSGI server's record of a connection: the caller's address, the socket, the state."""
@@ -33,15 +34,22 @@
         if self._by_address.get(connection[0]) is connection:
             del self._by_address[connection[0]]
 
-    def mark_unread_as_busy(self) -> None:
-        """Mark idle connections with unread bytes as busy, so that the server does not close them.
+    def close_idle(self) -> None:
+        """Close idle connections on which nothing has arrived, for a planned stop.
 
-        The server closes idle connections when it stops. After a stall of the process this closed
-        connections with unread requests (107 of 250, up to 598 ms after the last byte).
+        The server closes those that count as idle when it stops. After a stall of the process this
+        closed connections with unread requests (107 of 250, up to 598 ms after the last byte). Each
+        connection is closed right after it was looked at: a request that arrives later meets a
+        closed connection, and one that has arrived is served.
         """
-        for connection in self._by_address.values():
-            if connection[STATE_INDEX] == STATE_IDLE and _has_bytes(connection[1]):
+        for connection in list(self._by_address.values()):
+            if connection[STATE_INDEX] != STATE_IDLE:
+                continue
+            if _has_bytes(connection[1]):
                 connection[STATE_INDEX] = STATE_REQUEST
+            else:
+                connection[STATE_INDEX] = STATE_CLOSE
+                shutdown_safe(connection[1])
 
 
 def _has_bytes(connection: Any) -> bool:
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -438,8 +438,8 @@
         # One round of the event loop accepts what arrived while the process got no CPU time.
         eventlet.sleep(0)
         for port in served:
-            port.pool.mark_unread_as_busy()
-            # The server closes idle connections when it is killed, and goes on with the others.
+            port.pool.close_idle()
+            # The server goes on with the other connections when it is killed.
             port.server.kill()
             port.listener.close()
         latest = self.signals.first_at + self.settings.number("requests.grace_s") - GRACE_MARGIN_S
