--- a/libs/serving/ruddersaddle_serving/host_lists.py
+++ b/libs/serving/ruddersaddle_serving/host_lists.py
@@ -52,19 +52,21 @@
         """Called synchronously after each list that was applied."""
         self._era: int | None = None
         """Era of the store that the list was last read in."""
+        self._is_registered = False
+        self._was_listed = False
+        """Whether the newest list had this host's record."""
 
     def start(self) -> None:
         """Start the task."""
         spawn_forever("hosts", self._follow)
 
     def _follow(self) -> None:
-        registered = False
         settled_at = clocks.now_s() + STARTUP_S
         while True:
-            if not registered:
+            if not self._is_registered:
                 record = msgspec.json.encode(self.hosts.own)
                 failure = self.store.put(Topic.HOSTS, self.hosts.own_id, record)
-                registered = failure is None
+                self._is_registered = failure is None
             if self.hosts.by_id and not self.hosts.is_reader():
                 # A reader sends the list in its state updates.
                 eventlet.sleep(POLL_S * (1 + random.random()))
@@ -107,6 +109,8 @@
             listed |= missing
             eventlet.spawn(self._restore, missing, RESTORE_STAGGER_S * self.hosts.reader_rank())
         self.is_outdated = False
+        # The list was read after this host had registered.
+        self._was_listed |= self._is_registered
         self.apply(listed, page.end)
 
     def _restore(self, missing: dict[HostId, HostRecord], delay_s: float) -> None:
@@ -127,11 +131,26 @@
         self, records: dict[HostId, HostRecord], position: StorePosition = TOPIC_START
     ) -> None:
         """Apply a list as of a position, from the store or from another host."""
+        self._check_registration(records, position)
         if self.hosts.replace(records, position):
             logger.info("Hosts: %s.", ", ".join(sorted(self.hosts.by_id)))
         for listener in self.listeners:
             listener()
 
+    def _check_registration(
+        self, records: dict[HostId, HostRecord], position: StorePosition
+    ) -> None:
+        """Register again if a newer list than one with this host's record lacks it.
+
+        A write of this host's former process may have been carried out after this one registered.
+        """
+        if position < self.hosts.position or self.hosts.own.is_leaving:
+            return
+        is_listed = records.get(self.hosts.own_id) == self.hosts.own
+        if self._was_listed and not is_listed:
+            self._is_registered = False
+        self._was_listed = is_listed
+
     def record_peer_position(self, position: StorePosition) -> None:
         """Record the position of a requesting host's list; a newer list is read soon."""
         self.is_outdated = self.is_outdated or position > self.hosts.position
--- a/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
@@ -36,6 +36,10 @@
     return Page(records, StorePosition(1, len(numbers)))
 
 
+def at(offset: int) -> StorePosition:
+    return StorePosition(1, offset)
+
+
 class StopReadingError(Exception):
     """Ends the task that reads the list."""
 
@@ -152,6 +156,32 @@
         self.assertEqual(hosts.count, 7)
         self.assertLess(waits[0], JOIN_GRACE_S)
 
+    def test_host_that_a_late_write_of_its_former_process_removed_registers_again(self) -> None:
+        """It stayed off the list, or marked as leaving, for good."""
+        store = mock.Mock(eras=StoreEras())
+        store.put.return_value = None
+        own = record_of(0)
+        hosts = Hosts(HostId("host-0"), own, [])
+        host_list = HostList(hosts, store)
+        leaving = Record(
+            "host-0", msgspec.json.encode(msgspec.structs.replace(own, is_leaving=True)), 9
+        )
+        others = page_of(range(1, 3))
+        pages = [
+            page_of(range(3)),
+            msgspec.structs.replace(others, end=at(8)),
+            msgspec.structs.replace(others, records=(*others.records, leaving), end=at(9)),
+            msgspec.structs.replace(page_of(range(3)), end=at(10)),
+        ]
+        store.newest.side_effect = [*pages, StopReadingError]
+        with (
+            mock.patch.object(host_list, "_pause"),
+            mock.patch.object(hosts, "is_reader", lambda: True),
+            self.assertRaises(StopReadingError),
+        ):
+            host_list._follow()
+        self.assertEqual(store.put.call_count, 3)
+
 
 if __name__ == "__main__":
     unittest.main()
