--- a/libs/serving/ruddersaddle_serving/hosts.py
+++ b/libs/serving/ruddersaddle_serving/hosts.py
@@ -133,17 +133,14 @@
 
     def add(self, host: HostId, record: HostRecord) -> None:
         """Add the record of a host that has sent a request to this one."""
-        is_known = host not in self.leaving_by_id and self.by_id.get(host) == record
-        if host == self.own_id or is_known:
+        known = self.leaving_by_id if record.is_leaving else self.by_id
+        if host == self.own_id or known.get(host) == record:
             return
-        listed = {each: known for each, known in self.by_id.items() if each != host}
-        if record.is_leaving:
-            self.leaving_by_id[host] = record
-        else:
-            self.leaving_by_id.pop(host, None)
-            listed[host] = record
-        if listed != self.by_id:
-            self._apply_listed(listed)
+        listed = {each: other for each, other in self.by_id.items() if each != host}
+        self.leaving_by_id.pop(host, None)
+        changed = self.leaving_by_id if record.is_leaving else listed
+        changed[host] = record
+        self._apply_listed(listed)
 
     def record_own_leave(self) -> None:
         """Record that this host's planned stop has begun."""
--- a/libs/serving/ruddersaddle_serving/tests/test_departures.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_departures.py
@@ -221,6 +221,11 @@
         self.hosts.add(HostId("other"), HostRecord(self.other.address, HALL))
         self.assertEqual((self.hosts.count, self.hosts.sending_count), (2, 2))
 
+    def test_leaving_host_that_was_not_listed_is_counted_once_it_is_heard_of(self) -> None:
+        for _ in range(2):
+            self.hosts.add(HostId("other"), self.other)
+            self.assertEqual((self.hosts.count, self.hosts.sending_count), (1, 2))
+
     def test_position_of_the_list_is_unknown_before_any_host_has_read_it(self) -> None:
         self.hosts.add(HostId("other"), self.other)
         self.assertEqual(self.hosts.position, TOPIC_START)
