--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -155,6 +155,11 @@
         """Start the task that removes expired records from the store."""
         spawn_forever("crash records", self._sweep)
 
+    @property
+    def are_known(self) -> bool:
+        """Whether the records were read since the start, from the store or another host."""
+        return self.confirmed_at != float("-inf")
+
     @property
     def age_s(self) -> float:
         """Seconds since the records were last confirmed."""
--- a/libs/serving/ruddersaddle_serving/crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/crash_watches.py
@@ -49,6 +49,8 @@
 OUTCOME_WAIT_S = 0.5
 """Longest wait for the outcome of probing; two probes that find the address down take 0.1 s."""
 OUTCOME_POLL_S = 0.01
+RECORDS_WAIT_S = 2.0
+"""Longest time from the start for which requests wait until the records have been read once."""
 LOGGED_PARTS_MAX = 16
 """Parts that the line of a crash names."""
 REPORTED_PARTS_MAX = 256
@@ -87,6 +89,9 @@
         self.notify_crash = notify_crash
         self.notify_cleared = notify_cleared
         self.notify_cleared_parts = notify_cleared_parts
+        self.are_records_known: Callable[[], bool] = lambda: True
+        """Whether this host knows what was recorded before it started."""
+        self._started_at = clocks.now_s()
         self.counts = {"crash": 0, "reset": 0, "unreachable": 0, "refused": 0, "refused_part": 0}
         """Upstreams that crashed while running requests of this host, upstreams that were still
         alive after a run broke off, those that this host alone could not reach then, requests
@@ -139,10 +144,20 @@
         Probing takes some 0.1 s; without the wait, an attempt in that time crashed a fourth
         upstream.
         """
+        self._wait_for_records()
         until = clocks.now_s() + OUTCOME_WAIT_S
         while self._may_refuse(fingerprint, parts) and clocks.now_s() < until:
             eventlet.sleep(OUTCOME_POLL_S)
 
+    def _wait_for_records(self) -> None:
+        """Wait until it is known which requests have crashed upstreams before this host's start.
+
+        The store answers within milliseconds; while it is down, requests go on after a time.
+        """
+        until = self._started_at + RECORDS_WAIT_S
+        while not self.are_records_known() and clocks.now_s() < until:
+            eventlet.sleep(OUTCOME_POLL_S)
+
     def _may_refuse(self, fingerprint: Fingerprint, parts: tuple[PartKey, ...]) -> bool:
         if not self._broken_by_instance:
             return False
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -258,6 +258,7 @@
             self.cached_parts,
             self.crash_records,
         )
+        self.crash_watch.are_records_known = lambda: self.neighbours.crashes.are_known
         self.streams = self._make_stream_exchange()
         self.forwarder.origins = StreamOrigins(self.pool_versions, self.streams)
         self.chooser = LocalFirstChooser.attach(
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_watches.py
@@ -154,6 +154,21 @@
                 eventlet.sleep(0.1)
         self.assertIsNotNone(self.watch.check(BAD, POOL))
 
+    def test_request_waits_until_the_records_are_read_after_a_start(self) -> None:
+        """Hosts that had just started sent prompts with a part that all had refused before."""
+        reads = iter([False] * 5 + [True])
+        self.watch.are_records_known = lambda: next(reads)
+        self.watch.wait_for_outcome(BAD)
+        self.assertEqual(list(reads), [])
+
+    def test_request_waits_for_records_only_for_a_time_after_the_start(self) -> None:
+        self.watch.are_records_known = lambda: False
+        self.watch._started_at = clocks.now_s() - crash_watches.RECORDS_WAIT_S + 0.05
+        for shortest_s in (0.04, 0.0):
+            began = clocks.now_s()
+            self.watch.wait_for_outcome(BAD)
+            self.assertTrue(shortest_s <= clocks.now_s() - began < shortest_s + 0.5)
+
     def test_first_retry_after_a_crash_does_not_wait(self) -> None:
         self.engines.presence.return_value = Presence.DOWN
         self.watch.record_broken(self.make_tracker(), BrokenRun(BAD))
