--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -40,7 +40,9 @@
 SEND_DELAY_S = 0.01
 """Delay in which crashes are collected into one message: a crash cuts many runs at a time."""
 WRITE_PAUSE_S = 0.2
-"""Shortest pause between writes of one host; records that change meanwhile go in one call."""
+"""Shortest pause between writes of one host; records that change meanwhile go in one call. A new
+refusal ends it early, as hosts that all lose power remember only what was written."""
+REFUSAL_POLL_S = 0.01
 WRITES_PER_S = 100.0
 """Rate limit for the writes of all hosts together: a quarter of the store's 400 a second."""
 BACKUP_WRITE_DELAY_S = 1.0
@@ -470,14 +472,28 @@
             while self._dirty:
                 self._dirty = {each for each in self._dirty if self._needs_write(each)}
                 batch = list(self._dirty)[:CRASH_RECORDS_MAX]
-                if batch:
-                    self._write_batch(batch)
-                pause_s = max(WRITE_PAUSE_S, self.hosts.count / WRITES_PER_S)
-                eventlet.sleep(pause_s)
+                is_written = self._write_batch(batch) if batch else True
+                self._pause(ends_at_refusal=is_written)
         finally:
             self._is_writing = False
 
-    def _write_batch(self, batch: list[str]) -> None:
+    def _pause(self, ends_at_refusal: bool) -> None:
+        """Wait until the next write is due."""
+        shortest_s = self.hosts.count / WRITES_PER_S
+        until = clocks.now_s() + max(WRITE_PAUSE_S, shortest_s)
+        eventlet.sleep(shortest_s)
+        while clocks.now_s() < until:
+            if ends_at_refusal and any(map(self._adds_refusal, self._dirty)):
+                return
+            eventlet.sleep(min(REFUSAL_POLL_S, max(0.0, until - clocks.now_s())))
+
+    def _adds_refusal(self, key: str) -> bool:
+        """Return whether a request or part is refused, but not by the store's record."""
+        known, stored = self._known(key), self._stored.get(key)
+        return known is not None and known.is_refusal and not (stored and stored.is_refusal)
+
+    def _write_batch(self, batch: list[str]) -> bool:
+        """Write records in one call; return whether the store has them."""
         records = {each: self._recorded(each) for each in batch}
         values = {
             each: None if record is None else encode_json(record)
@@ -489,13 +505,14 @@
             logger.info(
                 "Crash records could not be written and will be retried. %s", failure.detail
             )
-            return
+            return False
         self._dirty -= set(batch)
         for key, record in records.items():
             if record is None:
                 self._stored.pop(key, None)
             else:
                 self._stored[key] = record
+        return True
 
     def _recorded(self, key: str) -> CrashRecord | PartRecord | None:
         """Return what the store is to hold for a key; None if it is to be deleted."""
--- a/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_crash_shares.py
@@ -244,6 +244,34 @@
         self.store.read(new)
         self.assertEqual(self.refusing_part([new]), 1)
 
+    def test_refusal_is_written_before_the_pause_after_another_write_ends(self) -> None:
+        """Hosts that all lost power 0.2 s after they had refused a part sent prompts with it."""
+        (shares,) = fleet = self.make_fleet(1, 1)
+        self.arrive(fleet)
+        for name, seconds in (("CLEARING_DELAY_S", 0.002), ("WRITE_PAUSE_S", 60.0)):
+            patch = mock.patch.object(crash_shares, name, seconds)
+            patch.start()
+            self.addCleanup(patch.stop)
+        for number in range(2):
+            self.crash_with_part(shares, number, age_ms=900 - 300 * number)
+        self.settle()
+        self.assertEqual(self.store.calls, 1)
+        self.crash_with_part(shares, 2, age_ms=300)
+        self.settle()
+        (new,) = self.make_fleet(1, 1)
+        self.store.read(new)
+        self.assertEqual(self.refusing_part([new]), 1)
+
+    def test_refusal_waits_for_the_pause_while_the_store_is_down(self) -> None:
+        (shares,) = fleet = self.make_fleet(1, 1)
+        self.arrive(fleet)
+        self.store.is_down = True
+        with mock.patch.object(crash_shares, "WRITE_PAUSE_S", 60.0):
+            for number in range(3):
+                self.crash_with_part(shares, number, age_ms=900 - 300 * number)
+            self.settle()
+        self.assertEqual(self.store.calls, 1)
+
     def test_answer_at_any_host_clears_a_part_everywhere_and_in_the_store(self) -> None:
         fleet = self.make_fleet(2, 2)
         self.store.followers = [each for each in fleet if each.hosts.is_reader()]
