--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -258,6 +258,7 @@
             self.cached_parts,
             self.crash_records,
         )
+        self.neighbours.host_list.listeners.append(self._divide_retries)
         self.crash_watch.are_records_known = lambda: self.neighbours.crashes.are_known
         self.streams = self._make_stream_exchange()
         self.forwarder.origins = StreamOrigins(self.pool_versions, self.streams)
@@ -384,16 +385,20 @@
             self.trackers.keep_only(set(self.upstreams.by_id))
             self.trackers.close_expired()
             self.forwarder.relay_peers.close_expired()
-            self.retry_budgets.hosts = self._count_slack_hosts()
+            self._divide_retries()
             slept_at = clocks.now_s()
             self.stall_monitor.check(slept_at, pause(MAINTENANCE_INTERVAL_S))
 
+    def _divide_retries(self) -> None:
+        self.retry_budgets.hosts = self._count_slack_hosts()
+
     def _count_slack_hosts(self) -> int | None:
         """Return by how many hosts the slack of retries is divided; None if it isn't known.
 
         A list that no host has read from the store may lack all that this one can't reach.
         """
-        is_known = self.quotas.may_split and self.hosts.position != TOPIC_START
+        may_split = self.quotas.may_split or self.neighbours.host_list.is_rejoining
+        is_known = may_split and self.hosts.position != TOPIC_START
         return self.hosts.sending_count if is_known else None
 
     # Readiness, metrics
--- a/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
@@ -4,15 +4,17 @@
 from unittest import mock
 
 import msgspec
+from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId
 
 from ruddersaddle_serving.cached_parts import CachedParts
 from ruddersaddle_serving.crash_records import CrashRecords
+from ruddersaddle_serving.entry_hosts import EntryHost
 from ruddersaddle_serving.host_lists import HostList
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.neighbour_messages import NeighbourMessage
 from ruddersaddle_serving.neighbours import Neighbours
-from ruddersaddle_serving.ports import Page, Record, StorePosition
+from ruddersaddle_serving.ports import Page, Record, StorePosition, Topic
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.store_eras import StoreEras
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
@@ -134,6 +136,62 @@
         self.assertEqual({self.count(each) for each in fleet}, {30})
 
 
+class RejoiningTest(FixedClockTest):
+    """Hosts that were killed waited for 3 s for a part that the others had left to them."""
+
+    def start(self, *pages: Page | Failure) -> HostList:
+        """Return the list of a host that has read these pages after its start."""
+        store = mock.Mock(eras=StoreEras())
+        store.put.side_effect = lambda topic, key, value: self.calls.append("put")
+        answers = iter([*pages, StopReadingError])
+
+        def newest(topic: Topic) -> Page | Failure:
+            self.calls.append("newest")
+            answer = next(answers)
+            if answer is StopReadingError:
+                raise StopReadingError
+            return answer
+
+        store.newest.side_effect = newest
+        self.calls: list[str] = []
+        hosts = Hosts(HostId("host-0"), record_of(0), [])
+        host_list = HostList(hosts, store)
+        with (
+            mock.patch.object(host_list, "_pause"),
+            mock.patch("eventlet.sleep"),
+            mock.patch.object(hosts, "is_reader", lambda: True),
+            self.assertRaises(StopReadingError),
+        ):
+            host_list._follow()
+        return host_list
+
+    def test_host_that_was_killed_is_still_on_the_list(self) -> None:
+        self.assertTrue(self.start(page_of(range(3)), page_of(range(3))).is_rejoining)
+        self.assertEqual(self.calls[:2], ["newest", "put"])
+
+    def test_new_host_is_not_on_the_list(self) -> None:
+        self.assertFalse(self.start(page_of(range(1, 3)), page_of(range(3))).is_rejoining)
+
+    def test_host_that_was_killed_in_its_planned_stop_is_not_counted_for_long(self) -> None:
+        own = msgspec.structs.replace(record_of(0), is_leaving=True)
+        leaving = Record("host-0", msgspec.json.encode(own), 0)
+        self.assertFalse(self.start(Page((leaving,), at(1))).is_rejoining)
+
+    def test_host_whose_own_record_is_on_its_first_list_is_new(self) -> None:
+        """The first list couldn't be read; the record may be the one that it wrote after that."""
+        failure = Failure(Code.LOG_UNAVAILABLE, Step.READ, "store", "status 503")
+        self.assertFalse(self.start(failure, page_of(range(3))).is_rejoining)
+
+    def test_part_of_a_host_that_was_killed_is_known_from_its_first_list_on(self) -> None:
+        host = mock.Mock()
+        host.quotas.may_split = False
+        host.hosts.position = at(3)
+        for is_rejoining in (True, False):
+            host.neighbours.host_list.is_rejoining = is_rejoining
+            found = EntryHost._count_slack_hosts(host)
+            self.assertEqual(found, host.hosts.sending_count if is_rejoining else None)
+
+
 class ConfirmationTest(FixedClockTest):
     def test_reader_reads_its_first_list_again_before_it_takes_its_part(self) -> None:
         """One that read the list while others started again divided by three, not by seven."""
--- a/libs/standins/ruddersaddle_standins/retry_budget_models.py
+++ b/libs/standins/ruddersaddle_standins/retry_budget_models.py
@@ -19,7 +19,9 @@
 
 PLAY_S = 40.0
 LIST_KNOWN_S = (3.0, 4.5)
-"""Shortest and longest time from a host's start until it takes its parts."""
+"""Shortest and longest time from the start of a host that is new until it takes its parts."""
+REJOINING_S = (0.02, 1.0)
+"""The same for a host that was killed: it is still on the list."""
 LIST_LAG_S = 2.0
 """Longest time until hosts count one that is added."""
 RETRY_PAUSE_S = (0.001, 0.06)
@@ -97,7 +99,7 @@
         draw, draws = self.draw, self.draws
         late = draws.randint(0, draw.hosts // 4)
         for number in range(draw.hosts - late):
-            self._add_host(number)
+            self._add_host(number, LIST_KNOWN_S)
         self._tell_count(draw.hosts - late)
         for number in range(draw.hosts - late, draw.hosts):
             self._at(draws.uniform(5.0, PLAY_S), lambda number=number: self._join(number))
@@ -129,14 +131,14 @@
             if moment % period_s < on_share * period_s:
                 self._at(moment, lambda: self._send_first(service))
 
-    def _add_host(self, number: int) -> None:
+    def _add_host(self, number: int, known_s: tuple[float, float]) -> None:
         budgets = RetryBudgets(self.draw.bound)
         if number < len(self._budgets):
             self._budgets[number] = budgets
         else:
             self._budgets.append(budgets)
             self._resumes_at.append(0.0)
-        known_at = self.now + self.draws.uniform(*LIST_KNOWN_S)
+        known_at = self.now + self.draws.uniform(*known_s)
         self._at(known_at, lambda: self._learn_count(budgets))
 
     def _learn_count(self, budgets: RetryBudgets) -> None:
@@ -148,17 +150,17 @@
                 budgets.hosts = count
 
     def _join(self, number: int) -> None:
-        self._add_host(number)
+        self._add_host(number, LIST_KNOWN_S)
         count = len(self._budgets)
         lag_s = self.draws.uniform(0.0, LIST_LAG_S)
         self._at(self.now + lag_s, lambda: self._tell_count(count))
 
     def _restart_one(self) -> None:
-        self._add_host(self.draws.randrange(len(self._budgets)))
+        self._add_host(self.draws.randrange(len(self._budgets)), REJOINING_S)
 
     def _restart_all(self) -> None:
         for number in range(len(self._budgets)):
-            self._add_host(number)
+            self._add_host(number, REJOINING_S)
 
     def _suspend_one(self) -> None:
         number = self.draws.randrange(len(self._budgets))
