--- a/libs/serving/ruddersaddle_serving/attempts.py
+++ b/libs/serving/ruddersaddle_serving/attempts.py
@@ -76,16 +76,26 @@
     def connect(self) -> Failure | None:
         """Get a connection without sending anything."""
         tracker = self.choice.tracker
-        exchange = tracker.connections.open_exchange(self.request.id)
+        is_repeatable = self.request.route.is_repeatable
+        exchange = tracker.connections.open_exchange(self.request.id, is_repeatable)
         if isinstance(exchange, Failure):
-            tracker.record_connect_failure()
-            self._reachability = Reachability.NO_CONNECTION
+            self._record_no_connection(exchange)
             return exchange
         if exchange.is_new:
             tracker.record_reached()
         self.exchange = exchange
         return None
 
+    def _record_no_connection(self, failure: Failure) -> None:
+        tracker = self.choice.tracker
+        if failure.code is Code.OVERLOADED:
+            # It is alive, and open connections to it may be used.
+            tracker.record_reached()
+            self._reachability = Reachability.RESPONDED
+            return
+        tracker.record_connect_failure()
+        self._reachability = Reachability.NO_CONNECTION
+
     def open(self) -> AnswerHead | Failure:
         """Send the request and return the head of its answer, if the answer is valid."""
         request = self.request
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -12,7 +12,7 @@
 
 from ruddersaddle_base import clocks  # noqa: E402
 from ruddersaddle_base.answer_framings import Framing  # noqa: E402
-from ruddersaddle_base.failures import Failure  # noqa: E402
+from ruddersaddle_base.failures import Failure, Ran  # noqa: E402
 from ruddersaddle_base.ids import RequestId  # noqa: E402
 from ruddersaddle_base.strict_answers import INTERIM_HEADS_MAX, TRAILERS_MAX  # noqa: E402
 
@@ -110,6 +110,47 @@
         self.assertIsNot(self.pool.open_exchange(next_id()).connection, released.connection)
 
 
+class RejectedConnectionsTest(unittest.TestCase):
+    """An upstream that resets new connections, as it has too many open ones."""
+
+    def setUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(self.listener.close)
+        self.is_full = True
+        task = eventlet.spawn(self.accept)
+        self.addCleanup(task.kill)
+        self.pool = UpstreamConnections(f"127.0.0.1:{self.listener.getsockname()[1]}")
+        self.addCleanup(self.pool.close)
+        self.kept: list[socket.socket] = []
+
+    def accept(self) -> None:
+        while True:
+            accepted, _ = self.listener.accept()
+            if self.is_full:
+                accepted.close()
+            else:
+                self.kept.append(accepted)
+
+    def test_nothing_is_sent_of_a_request_that_may_run_once(self) -> None:
+        failure = self.pool.open_exchange(next_id(), is_repeatable=False)
+        self.assertIsInstance(failure, Failure)
+        self.assertIs(failure.ran, Ran.NOT_RUN)
+        self.is_full = False
+        self.assertIsInstance(self.pool.open_exchange(next_id(), is_repeatable=False), Exchange)
+
+    def test_repeatable_requests_wait_only_after_a_connection_was_rejected(self) -> None:
+        exchange = self.pool.open_exchange(next_id())
+        self.assertIsInstance(exchange, Exchange)
+        exchange.send("GET", "/", b"", {}, 1.0)
+        self.assertIsInstance(exchange.read_head(mock.Mock()), Failure)
+        exchange.finish()
+        failure = self.pool.open_exchange(next_id())
+        self.assertIsInstance(failure, Failure)
+        self.assertIs(failure.ran, Ran.NOT_RUN)
+        with mock.patch.object(upstream_connections, "REJECTIONS_REMEMBERED_S", 0.0):
+            self.assertIsInstance(self.pool.open_exchange(next_id()), Exchange)
+
+
 ANY_HEAD = AnswerHead(200, None, False, RunStatement.NONE, None, None, None, False, ())
 
 
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 from http.client import HTTPException
 
+import eventlet
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.answer_framings import Framing, framing_of
@@ -42,6 +43,12 @@
 """An idle connection is no longer reused this long before the upstream would close it."""
 IDLE_MAX = 32
 """Largest number of idle connections for each address."""
+ACCEPTANCE_S = 0.01
+"""Time after which a new connection counts as accepted: an upstream with too many open ones resets
+it at once. A request that was sent on it by then might have run."""
+REJECTIONS_REMEMBERED_S = 10.0
+"""How long after a connection was rejected all requests wait until theirs are accepted; those that
+may run once only always do."""
 REQUESTS_MAX = 250
 """Requests for which one connection is used. It remembers their ids, in 8 bytes each, and compares
 them one by one, within 10 us."""
@@ -254,6 +261,8 @@
         is_unusable = _is_unusable(error)
         is_lost = isinstance(error, CONNECTION_LOST_ERRORS) and not isinstance(error, TIMEOUTS)
         self.is_broken = is_lost and not is_unusable
+        if self.is_broken and self.is_new and self.head is None:
+            self.pool.record_rejection()
         detail = f"{type(error).__name__}: {error}"
         if is_unusable:
             logger.warning("Answer of %s not used: %s.", self.pool.address, detail)
@@ -269,6 +278,8 @@
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._idle: list[IdleConnection] = []
+        self._rejected_at = float("-inf")
+        """When a new connection was last reset before its first answer."""
 
     @property
     def has_idle(self) -> bool:
@@ -281,7 +292,7 @@
             idle.is_usable and not idle.connection.may_have_carried(request) for idle in self._idle
         )
 
-    def open_exchange(self, request: RequestId) -> Exchange | Failure:
+    def open_exchange(self, request: RequestId, is_repeatable: bool = True) -> Exchange | Failure:
         """Return an exchange for a request, on an idle connection or on a new one."""
         connection = self._take_idle(request)
         is_new = connection is None
@@ -289,9 +300,28 @@
             connection = self._open()
             if isinstance(connection, Failure):
                 return connection
+            is_rejecting = clocks.now_s() < self._rejected_at + REJECTIONS_REMEMBERED_S
+            if is_rejecting or not is_repeatable:
+                failure = self._await_acceptance(connection)
+                if failure is not None:
+                    return failure
         connection.record_carried(request)
         return Exchange(self, connection, is_new)
 
+    def record_rejection(self) -> None:
+        """Record that a new connection was reset before its first answer."""
+        self._rejected_at = clocks.now_s()
+
+    def _await_acceptance(self, connection: UpstreamConnection) -> Failure | None:
+        """Wait until a new connection is probably accepted; return why it can't be used."""
+        eventlet.sleep(ACCEPTANCE_S)
+        if connection.is_idle:
+            return None
+        connection.close()
+        self.record_rejection()
+        detail = "the connection was closed as soon as it was open"
+        return Failure(Code.OVERLOADED, Step.CONNECT, self.address, detail, Ran.NOT_RUN)
+
     def _take_idle(self, request: RequestId) -> UpstreamConnection | None:
         """Return the newest idle connection that hasn't carried the request's id."""
         passed_over: list[IdleConnection] = []
