--- a/libs/serving/ruddersaddle_serving/host_lists.py
+++ b/libs/serving/ruddersaddle_serving/host_lists.py
@@ -53,7 +53,6 @@
         self._era: int | None = None
         """Era of the store that the list was last read in."""
         self._is_registered = False
-        self._has_tried_to_register = False
         self._was_listed = False
         """Whether the newest list had this host's record."""
         self.is_rejoining = False
@@ -66,32 +65,35 @@
 
     def _follow(self) -> None:
         settled_at = clocks.now_s() + STARTUP_S
+        if not self._is_registered:
+            self.is_rejoining = self._finds_former_record()
         while True:
+            if not self._is_registered:
+                record = msgspec.json.encode(self.hosts.own)
+                failure = self.store.put(Topic.HOSTS, self.hosts.own_id, record)
+                self._is_registered = failure is None
             if self.hosts.by_id and not self.hosts.is_reader():
                 # A reader sends the list in its state updates.
-                self._register()
                 eventlet.sleep(POLL_S * (1 + random.random()))
                 continue
             page = self.store.newest(Topic.HOSTS)
-            if isinstance(page, Page):
-                self.apply_page(page)
-            self._register()
             if isinstance(page, Failure):
                 logger.info("List of hosts could not be read. %s", page.detail)
                 eventlet.sleep(POLL_S * (1 + random.random()))
                 continue
+            self.apply_page(page)
             # When all hosts start together, the first to read the list find no other on it yet.
             is_settled = self.hosts.by_id or clocks.now_s() > settled_at
             pause_s = READ_PAUSE_S if is_settled else POLL_S
             self._pause(min(pause_s * (0.75 + 0.5 * random.random()), self._confirmation_in_s()))
 
-    def _register(self) -> None:
-        """Write this host's record, unless the store has it."""
-        if self._is_registered:
-            return
-        self._has_tried_to_register = True
-        record = msgspec.json.encode(self.hosts.own)
-        self._is_registered = self.store.put(Topic.HOSTS, self.hosts.own_id, record) is None
+    def _finds_former_record(self) -> bool:
+        """Return whether the list has a record of this host's former process, which was killed."""
+        page = self.store.newest(Topic.HOSTS)
+        if isinstance(page, Failure):
+            return False
+        former = _decode_hosts(page.records).get(self.hosts.own_id)
+        return former is not None and not former.is_leaving
 
     def _confirmation_in_s(self) -> float:
         """Return in how many seconds a list that was read at the start must be read again."""
@@ -112,9 +114,6 @@
     def apply_page(self, page: Page) -> None:
         """Apply the list read from the store; rewrite the hosts that a restore has lost."""
         listed = _decode_hosts(page.records)
-        if not self.hosts.is_known and not self._has_tried_to_register:
-            former = listed.get(self.hosts.own_id)
-            self.is_rejoining = former is not None and not former.is_leaving
         is_restore = self._era not in (None, page.end.era)
         self._era = page.end.era
         if is_restore:
--- a/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
@@ -177,8 +177,8 @@
         leaving = Record("host-0", msgspec.json.encode(own), 0)
         self.assertFalse(self.start(Page((leaving,), at(1))).is_rejoining)
 
-    def test_host_whose_own_record_is_on_its_first_list_is_new(self) -> None:
-        """The first list couldn't be read; the record may be the one that it wrote after that."""
+    def test_host_that_could_not_look_before_it_registered_is_new(self) -> None:
+        """What it finds on the list after that may be its own record."""
         failure = Failure(Code.LOG_UNAVAILABLE, Step.READ, "store", "status 503")
         self.assertFalse(self.start(failure, page_of(range(3))).is_rejoining)
 
@@ -198,7 +198,9 @@
         store = mock.Mock(eras=StoreEras())
         hosts = Hosts(HostId("host-0"), record_of(0), [])
         host_list = HostList(hosts, store)
-        store.newest.side_effect = [page_of(range(3)), page_of(range(7)), StopReadingError]
+        before = page_of(range(1, 3))
+        pages = [before, page_of(range(3)), page_of(range(7))]
+        store.newest.side_effect = [*pages, StopReadingError]
         waits = []
 
         def pause(seconds: float) -> None:
@@ -226,6 +228,7 @@
         )
         others = page_of(range(1, 3))
         pages = [
+            page_of(range(3)),
             page_of(range(3)),
             msgspec.structs.replace(others, end=at(8)),
             msgspec.structs.replace(others, records=(*others.records, leaving), end=at(9)),
