--- a/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_host_lists.py
@@ -14,7 +14,7 @@
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.neighbour_messages import NeighbourMessage
 from ruddersaddle_serving.neighbours import Neighbours
-from ruddersaddle_serving.ports import Page, Record, StorePosition, Topic
+from ruddersaddle_serving.ports import Page, Record, StorePosition
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.store_eras import StoreEras
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
@@ -142,18 +142,8 @@
     def start(self, *pages: Page | Failure) -> HostList:
         """Return the list of a host that has read these pages after its start."""
         store = mock.Mock(eras=StoreEras())
-        store.put.side_effect = lambda topic, key, value: self.calls.append("put")
-        answers = iter([*pages, StopReadingError])
-
-        def newest(topic: Topic) -> Page | Failure:
-            self.calls.append("newest")
-            answer = next(answers)
-            if answer is StopReadingError:
-                raise StopReadingError
-            return answer
-
-        store.newest.side_effect = newest
-        self.calls: list[str] = []
+        store.put.return_value = None
+        store.newest.side_effect = [*pages, StopReadingError]
         hosts = Hosts(HostId("host-0"), record_of(0), [])
         host_list = HostList(hosts, store)
         with (
@@ -163,6 +153,7 @@
             self.assertRaises(StopReadingError),
         ):
             host_list._follow()
+        self.calls = [name for name, _, _ in store.method_calls]
         return host_list
 
     def test_host_that_was_killed_is_still_on_the_list(self) -> None:
