--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -11,6 +11,7 @@
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import START, HostId, Incarnation, new_incarnation
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_base.tasks import log_unhandled_exceptions
 from ruddersaddle_serving.garbage_collections import start_collecting
 from ruddersaddle_serving.peers import Peers, limit_threads
 from ruddersaddle_state.appenders import Appender
@@ -151,6 +152,7 @@
 
     def serve(self) -> None:
         """Run until a planned stop has finished; connections are refused only after that."""
+        log_unhandled_exceptions()
         limit_threads()
         start_collecting()
         self.peers.start()
--- a/libs/serving/ruddersaddle_serving/cached_parts.py
+++ b/libs/serving/ruddersaddle_serving/cached_parts.py
@@ -16,6 +16,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.ids import HallId, ModelId, StoreId, WorkspaceId
+from ruddersaddle_base.tasks import pause, spawn_forever
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.context_stores import DEFAULT_TOKEN_BYTES, NAMESPACE_MARK, StoreView
@@ -23,7 +24,6 @@
 from ruddersaddle_serving.prompts import CallerRequest, Part, PartId, Prompt
 from ruddersaddle_serving.regions.maps import RegionMap
 from ruddersaddle_serving.routes import ContextStore, RouteTable
-from ruddersaddle_serving.tasks import pause, spawn_forever
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -16,6 +16,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_json, encode_json
 from ruddersaddle_base.failures import Failure, Step
+from ruddersaddle_base.tasks import spawn_forever
 
 from ruddersaddle_serving.crash_records import (
     SHARED_MIN,
@@ -31,7 +32,6 @@
 from ruddersaddle_serving.part_verdicts import SETTLING_MS
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.ports import MetadataStore, Record, Topic
-from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
 
 logger = logging.getLogger(__name__)
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -15,6 +15,7 @@
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import HallId, HostId, Incarnation, UpstreamId, new_incarnation
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_base.tasks import log_unhandled_exceptions, pause, spawn_forever
 from ruddersaddle_routing.retry_budgets import RetryBound, RetryBudgets
 
 from ruddersaddle_serving.cached_parts import CachedParts
@@ -68,7 +69,6 @@
 from ruddersaddle_serving.stream_exchanges import StreamExchange
 from ruddersaddle_serving.stream_origins import StreamOrigins, StreamTimes
 from ruddersaddle_serving.stream_records import StreamRecords
-from ruddersaddle_serving.tasks import pause, spawn_forever
 from ruddersaddle_serving.trackers import Notice, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.upstream_quotas import UpstreamQuotas
@@ -320,6 +320,7 @@
             raise
 
     def _serve(self) -> None:
+        log_unhandled_exceptions()
         limit_threads()
         start_collecting()
         signal.signal(signal.SIGTERM, self._handle_signal)
--- a/libs/serving/ruddersaddle_serving/garbage_collections.py
+++ b/libs/serving/ruddersaddle_serving/garbage_collections.py
@@ -7,7 +7,7 @@
 
 import gc
 
-from ruddersaddle_serving.tasks import pause, spawn_forever
+from ruddersaddle_base.tasks import pause, spawn_forever
 
 COLLECT_INTERVAL_S = 1.0
 """Interval between collections of young objects. At 560 requests a second, the most that one
--- a/libs/serving/ruddersaddle_serving/host_lists.py
+++ b/libs/serving/ruddersaddle_serving/host_lists.py
@@ -11,6 +11,7 @@
 from ruddersaddle_base.codecs import decode_json
 from ruddersaddle_base.failures import Failure, Step
 from ruddersaddle_base.ids import HostId
+from ruddersaddle_base.tasks import spawn_forever
 
 from ruddersaddle_serving.hosts import HostRecord, Hosts
 from ruddersaddle_serving.ports import (
@@ -21,7 +22,6 @@
     StorePosition,
     Topic,
 )
-from ruddersaddle_serving.tasks import spawn_forever
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -4,6 +4,7 @@
 
 from ruddersaddle_base import clocks
 from ruddersaddle_base.loggers import count_dropped
+from ruddersaddle_base.tasks import HEALTHS
 
 from ruddersaddle_serving.metric_pages import (
     format_counters,
@@ -57,6 +58,12 @@
     lines += format_counters(
         "crash_parts", "parts of prompts by event", host.crash_records.parts.counts
     )
+    lines += format_labelled("task_failures", "failures of tasks that are restarted", _failures())
+    lines += format_labelled_gauges(
+        "task_failing_seconds",
+        "seconds for which a task has been failing again and again; 0 once it has recovered",
+        [({"task": name}, each.failing_s) for name, each in HEALTHS.by_name.items()],
+    )
     lines += format_counters("store_calls", "calls to the store", host.store.calls_by_kind)
     lines += format_counters("contexts", "cached context by action", host.cached_parts.counts)
     lines += format_counters("orders", "orders to engines", host.rollouts.counts)
@@ -88,6 +95,10 @@
     ]
 
 
+def _failures() -> list[tuple[dict[str, str], float]]:
+    return [({"task": name}, each.failures) for name, each in HEALTHS.by_name.items()]
+
+
 def _gauges(host: "EntryHost") -> tuple[tuple[str, str, float], ...]:
     """Return name, description and value of each gauge."""
     records = host.crash_records
@@ -182,6 +193,7 @@
             len(records.parts.refused()),
         ),
         ("task_delay_seconds", "how late the last sampled task ran", host.gate.delay_s),
+        ("unhandled_exceptions", "exceptions that ended a task", HEALTHS.unhandled),
         ("stood_still_seconds", "seconds stalled since the start", host.stall_monitor.total_s),
     )
 
--- a/libs/serving/ruddersaddle_serving/load_shares.py
+++ b/libs/serving/ruddersaddle_serving/load_shares.py
@@ -16,6 +16,7 @@
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import UpstreamId
+from ruddersaddle_base.tasks import spawn_forever
 
 from ruddersaddle_serving.engine_sums import (
     EngineSum,
@@ -36,7 +37,6 @@
 from ruddersaddle_serving.role_changes import RoleChanges
 from ruddersaddle_serving.sum_series import SumSeries
 from ruddersaddle_serving.sum_sources import NO_SERIES, ReceivedRow, SumSource
-from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.trackers import Notice, Progress, Tracker, Trackers
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
 from ruddersaddle_serving.upstream_lists import UpstreamList
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -10,6 +10,7 @@
 from ruddersaddle_base.clocks import MS_PER_S
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, StoreId
+from ruddersaddle_base.tasks import TICK_S, pause, spawn_forever
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.cached_parts import CachedParts
@@ -50,7 +51,6 @@
 from ruddersaddle_serving.store_eras import ERA_UNKNOWN
 from ruddersaddle_serving.stream_exchanges import StreamExchange
 from ruddersaddle_serving.stream_records import HeldRequest, StreamQuestion, StreamsTold
-from ruddersaddle_serving.tasks import TICK_S, pause, spawn_forever
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 from ruddersaddle_serving.weight_notices import WeightNotices
--- a/libs/serving/ruddersaddle_serving/part_relays.py
+++ b/libs/serving/ruddersaddle_serving/part_relays.py
@@ -3,6 +3,7 @@
 import logging
 
 from ruddersaddle_base import clocks
+from ruddersaddle_base.tasks import pause, spawn_forever
 
 from ruddersaddle_serving.cached_parts import RESERVED_WATCHERS, CachedParts
 from ruddersaddle_serving.neighbours import ASK_TIMEOUT_S, Neighbours
@@ -13,7 +14,6 @@
     apply_store_update,
 )
 from ruddersaddle_serving.routes import ContextStore
-from ruddersaddle_serving.tasks import pause, spawn_forever
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/probes.py
+++ b/libs/serving/ruddersaddle_serving/probes.py
@@ -12,11 +12,11 @@
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import HallId, UpstreamId
+from ruddersaddle_base.tasks import pause, spawn_forever
 
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.ports import Engines, Presence
 from ruddersaddle_serving.role_changes import RoleChanges
-from ruddersaddle_serving.tasks import pause, spawn_forever
 from ruddersaddle_serving.trackers import Notice, Progress, Tracker, Trackers
 
 logger = logging.getLogger(__name__)
--- a/libs/serving/ruddersaddle_serving/regions/link_probes.py
+++ b/libs/serving/ruddersaddle_serving/regions/link_probes.py
@@ -10,12 +10,12 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import RegionId
+from ruddersaddle_base.tasks import spawn_forever
 
 from ruddersaddle_serving.hosts import Hosts
 from ruddersaddle_serving.neighbour_messages import Ping
 from ruddersaddle_serving.peers import Peers
 from ruddersaddle_serving.regions.links import LinkReports, LinkStatus, RegionLinks
-from ruddersaddle_serving.tasks import spawn_forever
 
 PROBE_INTERVAL_S = 0.5
 PROBE_TIMEOUT_S = 1.0
--- a/libs/serving/ruddersaddle_serving/regions/restricted_parts.py
+++ b/libs/serving/ruddersaddle_serving/regions/restricted_parts.py
@@ -11,6 +11,7 @@
 import eventlet
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import StoreId
+from ruddersaddle_base.tasks import spawn_forever
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.cached_parts import CachedParts
@@ -19,7 +20,6 @@
 from ruddersaddle_serving.ports import StoreChange
 from ruddersaddle_serving.regions.residency import FREE_AFTER_S, FREE_CALL_S, Residency
 from ruddersaddle_serving.replaced_parts import FREE_BATCH
-from ruddersaddle_serving.tasks import spawn_forever
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/replaced_parts.py
+++ b/libs/serving/ruddersaddle_serving/replaced_parts.py
@@ -12,12 +12,12 @@
 
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
+from ruddersaddle_base.tasks import pause, spawn_forever
 
 from ruddersaddle_serving.cached_parts import CachedParts
 from ruddersaddle_serving.context_stores import FETCH_TIMEOUT_S, StoreView
 from ruddersaddle_serving.neighbours import Neighbours, rank_for_duty
 from ruddersaddle_serving.publications import Publications
-from ruddersaddle_serving.tasks import pause, spawn_forever
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_lists import (
     FOLLOWED_AGE_MAX_S,
--- a/libs/serving/ruddersaddle_serving/role_changes.py
+++ b/libs/serving/ruddersaddle_serving/role_changes.py
@@ -2,9 +2,9 @@
 
 import eventlet
 from eventlet.event import Event as Signal
+from ruddersaddle_base.tasks import until_tick_s
 
 from ruddersaddle_serving.hosts import Hosts
-from ruddersaddle_serving.tasks import until_tick_s
 
 CHECK_MAX_S = 5.0
 """Longest wait of a task that only waits for a change."""
--- a/libs/serving/ruddersaddle_serving/rollouts/participants.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/participants.py
@@ -10,6 +10,7 @@
 import eventlet
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import Incarnation
+from ruddersaddle_base.tasks import spawn_forever
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.fence_leases import FenceLease
@@ -31,7 +32,6 @@
 from ruddersaddle_serving.rollouts.pool_plans import PoolPlans
 from ruddersaddle_serving.rollouts.records import DecisionLog
 from ruddersaddle_serving.rollouts.selections import RolloutSelection
-from ruddersaddle_serving.tasks import spawn_forever
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
--- a/libs/serving/ruddersaddle_serving/settings_watches.py
+++ b/libs/serving/ruddersaddle_serving/settings_watches.py
@@ -6,8 +6,7 @@
 from pathlib import Path
 
 from ruddersaddle_base.settings import Problem, Settings
-
-from ruddersaddle_serving.tasks import pause, spawn_forever
+from ruddersaddle_base.tasks import pause, spawn_forever
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/stream_exchanges.py
+++ b/libs/serving/ruddersaddle_serving/stream_exchanges.py
@@ -16,6 +16,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HallId, PoolId
+from ruddersaddle_base.tasks import spawn_forever
 from ruddersaddle_routing.rendezvous import rank_names
 
 from ruddersaddle_serving.hosts import HostRecord, Hosts
@@ -34,7 +35,6 @@
     StreamsNoted,
     StreamsTold,
 )
-from ruddersaddle_serving.tasks import spawn_forever
 
 logger = logging.getLogger(__name__)
 
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -14,13 +14,13 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import ModelId, UpstreamId
+from ruddersaddle_base.tasks import pause, spawn_forever
 
 from ruddersaddle_serving.fence_leases import MARGIN_S, FenceLease
 from ruddersaddle_serving.neighbour_messages import Loaded, LoadedEngine, Loading
 from ruddersaddle_serving.neighbours import Neighbours, rank_for_duty
 from ruddersaddle_serving.ports import EngineReport, Engines, Order, OrderOutcome
 from ruddersaddle_serving.publications import Publications
-from ruddersaddle_serving.tasks import pause, spawn_forever
 from ruddersaddle_serving.trackers import Tracker, Trackers
 from ruddersaddle_serving.upstream_lists import UpstreamList
 
