--- a/libs/base/ruddersaddle_base/codecs.py
+++ b/libs/base/ruddersaddle_base/codecs.py
@@ -1,6 +1,8 @@
 """Encoding and decoding of typed messages with `msgspec`."""
 
+from array import array
 from functools import cache
+from itertools import accumulate
 from typing import Any, TypeVar
 
 import msgspec
@@ -9,6 +11,14 @@
 
 T = TypeVar("T")
 
+NESTING_MAX = 64
+"""Most levels of arrays and objects in a JSON document. The decoder's own limit is what is left of
+the interpreter's stack, so that tasks and hosts would decide differently on the same document."""
+_QUOTE = b'"'
+_IGNORED_BYTES = bytes(set(range(256)) - set(b'"[]{}'))
+_STEP_BY_BRACKET = bytes.maketrans(b"[{]}", b"\x01\x01\xff\xff")
+"""Maps brackets to their change of the level, 1 or -1, as a signed byte."""
+
 
 @cache
 def _json_decoder(kind: Any) -> msgspec.json.Decoder:
@@ -33,22 +43,40 @@
 
 def decode_json(data: bytes | str, kind: type[T], step: Step, peer: str) -> T | Failure:
     """Return JSON `data` as `kind`, or a failure that names the invalid field."""
+    if is_nested_deeply(data):
+        return Failure(Code.BAD_REQUEST, step, peer, f"more than {NESTING_MAX} levels of nesting")
     try:
         return _json_decoder(kind).decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Failure(Code.BAD_REQUEST, step, peer, str(error))
 
 
+def is_nested_deeply(data: bytes | str) -> bool:
+    """Return whether a JSON document has more than `NESTING_MAX` levels of nesting."""
+    raw = data.encode(errors="surrogatepass") if isinstance(data, str) else data
+    if raw.count(b"[") + raw.count(b"{") <= NESTING_MAX:
+        return False
+    # Without escaped backslashes, each backslash that is left escapes the character after it.
+    unescaped = raw.replace(b"\\\\", b"").replace(b'\\"', b"")
+    marks = unescaped.translate(_STEP_BY_BRACKET, _IGNORED_BYTES)
+    # Between two quotes there is a string, so that every other piece lies outside of strings.
+    steps = array("b", b"".join(marks.split(_QUOTE)[::2]))
+    return max(accumulate(steps), default=0) > NESTING_MAX
+
+
 def encode_msgpack(value: object) -> bytes:
     """Return `value` as MessagePack, for messages between hosts."""
     return msgspec.msgpack.encode(value)
 
 
 def decode_msgpack(data: bytes | msgspec.Raw, kind: type[T], step: Step, peer: str) -> T | Failure:
-    """Return MessagePack `data` as `kind`, or a failure."""
+    """Return MessagePack `data` as `kind`, or a failure.
+
+    Each message has one receiver, so that a limit that depends on the stack divides no hosts.
+    """
     try:
         return _msgpack_decoder(kind).decode(data)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Failure(Code.CORRUPT, step, peer, str(error))
 
 
--- a/libs/base/ruddersaddle_base/tests/document_mutations.py
+++ b/libs/base/ruddersaddle_base/tests/document_mutations.py
@@ -1,6 +1,7 @@
 """Mutations of documents for fuzzing: some values are replaced or removed."""
 
 import copy
+from collections.abc import Iterator
 from random import Random
 from typing import Any
 
@@ -13,6 +14,24 @@
 )
 
 
+TOO_DEEP = "nested too deeply"
+"""Stands for a value that is nested deeper than `json` can encode."""
+
+
+def nest_documents(document: Any) -> Iterator[Any]:
+    """Yield copies with `TOO_DEEP` in place of each value, and in one more field of each object."""
+    yield TOO_DEEP
+    match document:
+        case dict():
+            for key in (*document, "unknown"):
+                for nested in nest_documents(document.get(key)):
+                    yield {**document, key: nested}
+        case list():
+            for index, value in enumerate(document):
+                for nested in nest_documents(value):
+                    yield [*document[:index], nested, *document[index + 1 :]]
+
+
 def mutate_document(document: Any, random: Random) -> Any:
     """Return a copy of a document with one to three values replaced, removed or added."""
     result = copy.deepcopy(document)
--- a/libs/serving/ruddersaddle_serving/explanations.py
+++ b/libs/serving/ruddersaddle_serving/explanations.py
@@ -36,8 +36,8 @@
         return None
     try:
         record = json.loads(line[start:])
-    except ValueError:
-        # A line of another program, or a truncated line.
+    except (ValueError, RecursionError):
+        # A line of another program, a truncated line, or one that is nested too deeply.
         return None
     return record if isinstance(record, dict) else None
 
