--- a/libs/base/ruddersaddle_base/tasks.py
+++ b/libs/base/ruddersaddle_base/tasks.py
@@ -3,7 +3,8 @@
 import logging
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from types import TracebackType
 from typing import Any
 
@@ -112,6 +113,15 @@
         eventlet.sleep(RESTART_DELAY_S)
 
 
+@contextmanager
+def contain(name: str) -> Iterator[None]:
+    """Log and count an exception of one step of a task, so that its other steps go on."""
+    try:
+        yield
+    except Exception:
+        _log_failure(name, HEALTHS.record_failure(name))
+
+
 def _log_failure(name: str, health: TaskHealth) -> None:
     """Log the exception being handled, and less often the longer the task has been failing."""
     if health.consecutive & (health.consecutive - 1):
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -64,6 +64,7 @@
     CrashFollower,
     OperatorFollower,
     StoreLink,
+    TopicFollower,
     UpstreamFollower,
 )
 from ruddersaddle_serving.stream_exchanges import StreamExchange
@@ -133,6 +134,8 @@
         self.upstreams = UpstreamList()
         store.eras.restore_listeners.append(self.upstreams.ignore_gone_instances)
         self.upstream_follower = UpstreamFollower(store, self.store_link, self.upstreams)
+        self.followers: tuple[TopicFollower, ...] = ()
+        """The followers of the store's topics, once they run."""
         self.trackers = Trackers()
         self.hosts = self._make_hosts(settings)
         self.quotas = UpstreamQuotas(self.hosts, self.publications, self.upstreams)
@@ -366,7 +369,8 @@
         spawn_forever("operator", operator.run, OPERATOR_WAIT_S, 0.0, *duty)
         spawn_forever("entries", self.upstream_follower.run, 0.0, UPSTREAM_PAUSE_S, *duty)
         crashes = CrashFollower(self.store, self.neighbours.crashes)
-        for follower in (operator, self.upstream_follower, crashes):
+        self.followers = (operator, self.upstream_follower, crashes)
+        for follower in self.followers:
             follower.is_divided = self.hosts.regions.is_divided
         spawn_forever("crashes", crashes.run, CRASH_WAIT_S, 0.0, *duty)
         self.neighbours.start()
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -58,6 +58,9 @@
     lines += format_counters(
         "crash_parts", "parts of prompts by event", host.crash_records.parts.counts
     )
+    lines += format_counters(
+        "unusable_records", "records that this host can't use, by topic", _unusable_records(host)
+    )
     lines += format_labelled("task_failures", "failures of tasks that are restarted", _failures())
     lines += format_labelled_gauges(
         "task_failing_seconds",
@@ -95,6 +98,10 @@
     ]
 
 
+def _unusable_records(host: "EntryHost") -> dict[str, int]:
+    return {each.topic.value: each.faults.count for each in host.followers}
+
+
 def _failures() -> list[tuple[dict[str, str], float]]:
     return [({"task": name}, each.failures) for name, each in HEALTHS.by_name.items()]
 
@@ -145,7 +152,7 @@
         (
             "upstream_entries_unusable",
             "upstream entries that were invalid",
-            host.upstream_follower.unusable,
+            host.upstream_follower.faults.count,
         ),
         ("upstream_connections_opened", "connections opened", opened),
         ("ready", "1 if the load balancer should send callers", host.is_ready()),
--- a/libs/serving/ruddersaddle_serving/publications.py
+++ b/libs/serving/ruddersaddle_serving/publications.py
@@ -6,6 +6,7 @@
 import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.ids import ModelId
+from ruddersaddle_base.tasks import contain
 
 from ruddersaddle_serving.evacuations import Evacuations
 from ruddersaddle_serving.ports import TOPIC_START, ModelVersion, StorePosition
@@ -96,7 +97,8 @@
         logger.info("Configuration %d is in force, after %d.", published.version, self.version)
         self.table = RouteTable(published)
         for listener in self.listeners:
-            listener(self.table)
+            with contain("configuration"):
+                listener(self.table)
 
     def _apply_version(self, named: ModelVersion) -> None:
         known = self.version_by_model.get(named.model, 0)
--- a/libs/serving/ruddersaddle_serving/rollouts/order_books.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/order_books.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import msgspec
 from ruddersaddle_base import clocks
@@ -183,18 +183,12 @@
         logger.error("Order %s ignored: the configuration has no such service.", id)
         self._awaiting_pool[id.pool] = rollout
 
-    def apply_complete(
-        self, orders: Iterable[tuple[RolloutOrder, StorePosition]], end: StorePosition
-    ) -> None:
-        """Apply all records of the operators' topic, as of its `end`; others were withdrawn.
+    def withdraw_missing(self, found: Collection[PoolId], end: StorePosition) -> None:
+        """Withdraw the orders for pools that the complete topic, up to its `end`, has none for.
 
         Orders of an earlier era stay: the restored copy may lack them.
         """
-        found = set()
-        for order, position in orders:
-            found.add(order.pool)
-            self.apply(order, position)
-        for pool in set(self.by_pool) - found:
+        for pool in set(self.by_pool) - set(found):
             if self.by_pool[pool].id.position.era == end.era:
                 self._withdraw(pool, end)
 
--- a/libs/serving/ruddersaddle_serving/rollouts/tests/test_orders_in_turn.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/tests/test_orders_in_turn.py
@@ -183,9 +183,9 @@
     def test_complete_page_from_before_an_order_does_not_withdraw_it(self) -> None:
         self.learn_later_order()
         book = self.hosts[0].participant.book
-        book.apply_complete([], StorePosition(1, 7))
+        book.withdraw_missing([], StorePosition(1, 7))
         self.assertIsNone(self.hosts[0].rollout.stop)
-        book.apply_complete([], StorePosition(1, 8))
+        book.withdraw_missing([], StorePosition(1, 8))
         self.assertIsNotNone(self.hosts[0].rollout.stop)
 
     def test_withdrawal_after_completion_changes_nothing(self) -> None:
--- a/libs/serving/ruddersaddle_serving/rollouts/tests/test_store_failures.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/tests/test_store_failures.py
@@ -6,6 +6,7 @@
 from ruddersaddle_base.failures import Failure
 
 from ruddersaddle_serving.ports import StorePosition, Topic
+from ruddersaddle_serving.rollouts.order_books import OrderBook
 from ruddersaddle_serving.rollouts.orders import RolloutOrder, RolloutState
 from ruddersaddle_serving.rollouts.records import DecisionRecord
 from ruddersaddle_serving.rollouts.tests.host_worlds import (
@@ -17,6 +18,15 @@
 )
 
 
+def apply_complete(
+    book: OrderBook, orders: list[tuple[RolloutOrder, StorePosition]], end: StorePosition
+) -> None:
+    """Apply all records of the operators' topic, as its followers do."""
+    for order, position in orders:
+        book.apply(order, position)
+    book.withdraw_missing([order.pool for order, _ in orders], end)
+
+
 class OutageTest(HostWorld):
     def largest_share(self) -> float:
         host = self.hosts[0]
@@ -113,7 +123,7 @@
                 for target, offset in orders
             ]
             end = StorePosition(era, len(self.store.log(Topic.OPERATOR)))
-            each.participant.book.apply_complete(found, end)
+            apply_complete(each.participant.book, found, end)
 
     def test_order_goes_on_after_a_restore(self) -> None:
         self.order()
@@ -182,7 +192,7 @@
             each.is_running = False
         self.hosts = [self.start_host(each.address, run=1) for each in self.hosts]
         for each in self.hosts:
-            each.participant.book.apply_complete(orders, StorePosition(1, 1))
+            apply_complete(each.participant.book, orders, StorePosition(1, 1))
 
     def test_samples_and_time_go_on_after_all_hosts_lost_power(self) -> None:
         self.order()
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -20,6 +20,7 @@
     Topic,
 )
 from ruddersaddle_serving.publications import Publications
+from ruddersaddle_serving.record_faults import RecordFaults
 from ruddersaddle_serving.rollouts.order_books import OrderBook
 from ruddersaddle_serving.rollouts.orders import RolloutOrder
 from ruddersaddle_serving.routes import PublishedConfiguration
@@ -88,7 +89,10 @@
 
 
 class TopicFollower:
-    """Reads one keyed topic completely, then its changes."""
+    """Reads one keyed topic completely, then its changes.
+
+    A record that can't be used is reported and read past: it hides no other one.
+    """
 
     fallback_s = FALLBACK_S
     fallback_spread_s = FALLBACK_SPREAD_S
@@ -101,6 +105,7 @@
         self.topic = topic
         self.link = link
         self.position: StorePosition | None = None
+        self.faults = RecordFaults(topic)
         self._era: int | None = None
         """Era of the last page; None before the first."""
 
@@ -120,7 +125,12 @@
             if not is_reader() and self.age_s < fallback_s:
                 await_change(fallback_s - self.age_s)
                 continue
-            page = self._read(wait_s)
+            try:
+                page = self._read(wait_s)
+            except Exception:
+                # Changes that can't be applied may be missing from the complete topic.
+                self.position = None
+                raise
             fallback_s = self.draw_fallback_s()
             self.link.record(page)
             if isinstance(page, Failure):
@@ -206,22 +216,21 @@
 
     def apply(self, page: Page, complete: bool, asked_at: float) -> bool:
         """Apply published items, then confirm the view as of the request."""
-        evacuations = []
-        orders = []
+        evacuations: list[Evacuation] = []
+        orders: list[tuple[Record, RolloutOrder]] = []
         for record in page.records:
-            item = self.store.decode_operator(record)
-            match item:
-                case Failure():
-                    logger.error(
-                        "Record %d of %s could not be decoded. %s", record.offset, record.key, item
-                    )
-                case Evacuation():
-                    evacuations.append(item)
-                case RolloutOrder():
-                    orders.append((item, StorePosition(page.end.era, record.offset)))
-                case PublishedConfiguration() | ModelVersion():
-                    self.publications.apply(item)
-                    self._record_stored_version(item)
+            with self.faults.contain(record):
+                item = self.store.decode_operator(record)
+                match item:
+                    case Failure():
+                        self.faults.report(record, str(item))
+                    case Evacuation():
+                        evacuations.append(item)
+                    case RolloutOrder():
+                        orders.append((record, item))
+                    case PublishedConfiguration() | ModelVersion():
+                        self.publications.apply(item)
+                        self._record_stored_version(item)
         self._apply_evacuations(evacuations, complete, page.end)
         if self.orders is not None:
             self._apply_orders(self.orders, orders, complete, page.end)
@@ -244,16 +253,16 @@
     def _apply_orders(
         self,
         book: OrderBook,
-        orders: list[tuple[RolloutOrder, StorePosition]],
+        orders: list[tuple[Record, RolloutOrder]],
         complete: bool,
         end: StorePosition,
     ) -> None:
         """Apply orders of rollouts; a page that lags may lack some."""
+        for record, order in orders:
+            with self.faults.contain(record):
+                book.apply(order, StorePosition(end.era, record.offset))
         if complete and end >= self.publications.end:
-            book.apply_complete(orders, end)
-            return
-        for order, position in orders:
-            book.apply(order, position)
+            book.withdraw_missing({order.pool for _, order in orders}, end)
 
     def _record_stored_version(self, item: PublishedConfiguration | ModelVersion) -> None:
         """Log once if the store has an older configuration than the one in force."""
@@ -283,8 +292,6 @@
     def __init__(self, store: MetadataStore, link: StoreLink, upstreams: UpstreamList) -> None:
         super().__init__(store, Topic.UPSTREAMS, link)
         self.upstreams = upstreams
-        self.unusable = 0
-        """Number of entries read that describe no usable upstream."""
         self._is_first_page = True
         """Whether the next page is the first since an outage: it may hold writes from before the
         outage, even if other hosts have reported that the store answers again."""
@@ -304,26 +311,33 @@
         put = self.upstreams.put if self._is_first_page else self.upstreams.put_written
         self._is_first_page = False
         for record in page.records:
-            entry = self._decode(record) if record.value else None
-            if entry is not None:
-                put(entry)
-            elif record.value:
-                # An entry that can't be decoded is missing from a complete list, too. Its upstream
-                # rewrites it with each heartbeat.
-                self.upstreams.drop(UpstreamId(record.key))
-            else:
-                self.upstreams.remove(UpstreamId(record.key))
+            self._apply_change(record, put)
         self.upstreams.advance(page.end)
         self.upstreams.confirm(asked_at)
         return True
 
+    def _apply_change(self, record: Record, put: Callable[[UpstreamEntry], None]) -> None:
+        upstream = UpstreamId(record.key)
+        with self.faults.contain(record):
+            if not record.value:
+                self.upstreams.remove(upstream)
+                return
+            entry = self._decode(record)
+            if entry is not None:
+                put(entry)
+                return
+        # An entry that can't be used is missing from a complete list, too. Its upstream rewrites it
+        # with each heartbeat.
+        self.upstreams.drop(upstream)
+
     def _decode(self, record: Record) -> UpstreamEntry | None:
-        entry = self.store.decode_upstream(record)
-        if isinstance(entry, Failure):
-            self.unusable += 1
-            logger.error("Entry of %s is not usable. %s", record.key, entry.detail)
-            return None
-        return entry
+        """Return the entry of an upstream, or None if the record describes no usable one."""
+        with self.faults.contain(record):
+            entry = self.store.decode_upstream(record)
+            if not isinstance(entry, Failure):
+                return entry
+            self.faults.report(record, entry.detail)
+        return None
 
     @property
     def age_s(self) -> float:
@@ -356,7 +370,8 @@
     def apply(self, page: Page, complete: bool, asked_at: float) -> bool:
         """Apply records, then confirm them as of the request."""
         for record in page.records:
-            self.shares.apply_record(record)
+            with self.faults.contain(record):
+                self.shares.apply_record(record)
         if complete:
             self.shares.write_missing()
         self.shares.confirm(asked_at)
