--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -25,6 +25,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.codecs import decode_msgpack, encode_msgpack
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
+from ruddersaddle_base.tasks import contain, spawn_forever
 
 logger = logging.getLogger(__name__)
 
@@ -111,13 +112,22 @@
         self._socket = pynng.Bus0(
             listen=f"tcp://{self.address}", recv_max_size=MESSAGE_MAX_BYTES, recv_buffer_size=512
         )
-        eventlet.spawn(self._receive_all)
+        spawn_forever("peers", self._receive_all)
 
     def _receive_all(self) -> None:
         hub = get_hub()
         self._receiver = eventlet.getcurrent()
         # The listener stays for good: adding it for each wait is two system calls.
-        hub.add(hub.READ, self._socket.recv_fd, self._wake, self._receiver.throw, lambda: None)
+        listener = hub.add(
+            hub.READ, self._socket.recv_fd, self._wake, self._receiver.throw, lambda: None
+        )
+        try:
+            self._receive_until_closed(hub)
+        finally:
+            self._is_waiting = False
+            hub.remove(listener)
+
+    def _receive_until_closed(self, hub: Any) -> None:
         for turn in itertools.count(1):
             try:
                 data = self._socket.recv(block=False)
@@ -128,7 +138,8 @@
             except pynng.Closed:
                 return
             self.received_bytes += len(data)
-            self._receive(data)
+            with contain("messages"):
+                self._receive(data)
             if turn % RECEIVES_PER_TURN == 0:
                 # Other tasks get a turn, however many messages arrive.
                 eventlet.sleep(0)
--- a/libs/serving/ruddersaddle_serving/tests/test_peers.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_peers.py
@@ -4,9 +4,13 @@
 from unittest import mock
 
 import eventlet
+from msgspec import Raw
+from msgspec.structs import replace
+from ruddersaddle_base.codecs import encode_msgpack
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_standins.port_blocks import free_ports
 
+from ruddersaddle_serving import peers
 from ruddersaddle_serving.peers import RECEIVES_PER_TURN, Peers
 
 
@@ -17,9 +21,9 @@
         self.asking, self.answering = (
             Peers(each, self.handle, str | int, (str,)) for each in addresses
         )
-        for peers in (self.asking, self.answering):
-            peers.start()
-            self.addCleanup(peers.keep_only, set())
+        for each in (self.asking, self.answering):
+            each.start()
+            self.addCleanup(each.keep_only, set())
 
     def handle(self, message: str | int) -> str | int:
         self.received.append(message)
@@ -63,6 +67,30 @@
             self.asking.send(self.answering.address, "bad")
             self.assertEqual(self.ask("next"), "next")
 
+    def test_message_that_raises_as_it_is_read_ends_no_receiving(self) -> None:
+        """The host was deaf to its hall until it was restarted."""
+        self.ask("first")
+        with (
+            self.assertLogs("ruddersaddle_base.tasks", "ERROR"),
+            mock.patch.object(peers, "decode_msgpack", side_effect=RecursionError("too deep")),
+        ):
+            self.asking.send(self.answering.address, "one")
+            eventlet.sleep(0.2)
+        self.assertEqual(self.ask("next"), "next")
+
+    def test_nested_message_is_refused_and_ends_no_receiving(self) -> None:
+        self.ask("first")
+        socket = self.asking._socket_by_address[self.answering.address]
+        sound = self.asking._wrap(0, False, "one")
+        nested = b"\x91" * 60_000 + b"\xc0"
+        with self.assertLogs("ruddersaddle_serving.peers", "WARNING") as logs:
+            socket.send(nested)
+            socket.send(encode_msgpack({"sender": "x", "more": 1})[:-1] + nested)
+            socket.send(encode_msgpack(replace(sound, message=Raw(nested))))
+            eventlet.sleep(0.2)
+        self.assertEqual(len(logs.records), 3)
+        self.assertEqual(self.ask("next"), "next")
+
     def test_malformed_address_raises_in_the_task_that_sends(self) -> None:
         for address in ("10.0.0.1", "10.0.0.1:99999", "", "\x00:1", "10.0.0.1:80/x"):
             with self.subTest(address=address):
