--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -11,7 +11,7 @@
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import START, HostId, Incarnation, new_incarnation
 from ruddersaddle_base.settings import Settings
-from ruddersaddle_base.tasks import log_unhandled_exceptions
+from ruddersaddle_base.tasks import HEALTHS, log_unhandled_exceptions, spawn_forever
 from ruddersaddle_serving.garbage_collections import start_collecting
 from ruddersaddle_serving.peers import Peers, limit_threads
 from ruddersaddle_state.appenders import Appender
@@ -185,7 +185,7 @@
         self.orders.start()
         self.snapshots.start()
         self.prefetcher.start()
-        eventlet.spawn(self._run_updates)
+        spawn_forever("updates", self._run_updates)
 
     def _run_updates(self) -> None:
         while True:
@@ -297,6 +297,9 @@
         for prefix, part in parts:
             for name in part.__struct_fields__:
                 counts[f"{prefix}_{name}"] = getattr(part, name)
+        counts["task_failures"] = HEALTHS.unhandled + sum(
+            each.failures for each in HEALTHS.by_name.values()
+        )
         counts["orders_given"] = self.orders.counts.given
         counts["orders_refused"] = self.orders.counts.refused
         counts["orders_withheld"] = self.orders.counts.withheld
--- a/libs/daemon/ruddersaddle/orders.py
+++ b/libs/daemon/ruddersaddle/orders.py
@@ -12,6 +12,7 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import Incarnation, PoolId, Position, new_record_id
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_base.tasks import contain, spawn_forever
 from ruddersaddle_state.appenders import Appender
 from ruddersaddle_state.configurations import Configuration
 from ruddersaddle_state.entries import Model, PoolKind
@@ -77,13 +78,14 @@
 
     def start(self) -> None:
         """Start the task."""
-        eventlet.spawn(self._run)
+        spawn_forever("orders", self._run)
 
     def _run(self) -> None:
         while True:
             for view in list(self.pools.by_id.values()):
                 if view.pool.kind is PoolKind.ENGINE:
-                    self._update_engines(view)
+                    with contain(f"engines of {view.pool.id}"):
+                        self._update_engines(view)
             eventlet.sleep(CHECK_INTERVAL_S)
 
     def _update_engines(self, view: PoolView) -> None:
--- a/libs/daemon/ruddersaddle/pools.py
+++ b/libs/daemon/ruddersaddle/pools.py
@@ -8,6 +8,7 @@
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import PoolId, UpstreamId, WorkspaceId
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_base.tasks import contain, spawn_forever
 from ruddersaddle_routing.choices import Chooser
 from ruddersaddle_routing.homes import assign_homes
 from ruddersaddle_routing.limits import AdaptiveLimit
@@ -117,8 +118,8 @@
         control = EngineClient(load.address, connect_s, CONTROL_READ_S)
         read_s = self.settings.number("routing.read_s")
         self.engine_by_address[load.address] = EngineClient(load.address, connect_s, read_s)
-        eventlet.spawn(self._follow_load, load, control)
-        eventlet.spawn(self._follow_cache, load, control)
+        spawn_forever(f"load of {load.upstream}", self._follow_load, load, control)
+        spawn_forever(f"cache of {load.upstream}", self._follow_cache, load, control)
 
     def _is_member(self, load: Load) -> bool:
         return self.load_by_address.get(load.address) is load
@@ -213,11 +214,15 @@
         for removed in set(self.by_id) - set(wanted):
             self.by_id.pop(removed).load_by_address.clear()
         for pool in wanted.values():
-            if pool.id not in self.by_id:
-                self.by_id[pool.id] = PoolView(pool, self.settings)
-                eventlet.spawn(self._run_wakeups, self.by_id[pool.id])
-            self.by_id[pool.id].update(pool, self.hosts)
-            self.by_id[pool.id].assign_event_homes(configuration.values(Event))
+            with contain(f"update of {pool.id}"):
+                self._update_pool(pool, configuration)
+
+    def _update_pool(self, pool: Pool, configuration: Configuration) -> None:
+        if pool.id not in self.by_id:
+            self.by_id[pool.id] = PoolView(pool, self.settings)
+            spawn_forever(f"queue of {pool.id}", self._run_wakeups, self.by_id[pool.id])
+        self.by_id[pool.id].update(pool, self.hosts)
+        self.by_id[pool.id].assign_event_homes(configuration.values(Event))
 
     def _run_wakeups(self, view: PoolView) -> None:
         """Wake waiting requests as loads, circuits and limits change."""
--- a/libs/daemon/ruddersaddle/prefetches.py
+++ b/libs/daemon/ruddersaddle/prefetches.py
@@ -8,6 +8,7 @@
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import HostId, WorkspaceId, new_request_id
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_base.tasks import contain, spawn_forever
 from ruddersaddle_routing.loads import Load
 from ruddersaddle_routing.rendezvous import rank_names
 from ruddersaddle_state.configurations import Configuration
@@ -52,13 +53,14 @@
 
     def start(self) -> None:
         """Start the task."""
-        eventlet.spawn(self._run)
+        spawn_forever("prefetches", self._run)
 
     def _run(self) -> None:
         while True:
             for event in self.configuration.values(Event):
-                if self._is_due(event) and self._is_assigned_here(event):
-                    self._prepare(event)
+                with contain(f"event {event.id}"):
+                    if self._is_due(event) and self._is_assigned_here(event):
+                        self._prepare(event)
             eventlet.sleep(CHECK_INTERVAL_S)
 
     def _is_due(self, event: Event) -> bool:
--- a/libs/daemon/ruddersaddle/snapshots.py
+++ b/libs/daemon/ruddersaddle/snapshots.py
@@ -10,6 +10,7 @@
 import eventlet
 from ruddersaddle_base.ids import START, split_offset
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_base.tasks import spawn_forever
 from ruddersaddle_state.appenders import Appender
 from ruddersaddle_state.configurations import Configuration
 
@@ -39,7 +40,7 @@
 
     def start(self) -> None:
         """Start the task."""
-        eventlet.spawn(self._run)
+        spawn_forever("snapshots", self._run)
 
     def _run(self) -> None:
         while True:
--- a/libs/serving/ruddersaddle_serving/weight_rollouts.py
+++ b/libs/serving/ruddersaddle_serving/weight_rollouts.py
@@ -14,7 +14,7 @@
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import ModelId, UpstreamId
-from ruddersaddle_base.tasks import pause, spawn_forever
+from ruddersaddle_base.tasks import contain, pause, spawn_forever
 
 from ruddersaddle_serving.fence_leases import MARGIN_S, FenceLease
 from ruddersaddle_serving.neighbour_messages import Loaded, LoadedEngine, Loading
@@ -152,7 +152,8 @@
     def _run(self) -> None:
         while True:
             for model, version in list(self.publications.version_by_model.items()):
-                self._advance(model, version)
+                with contain(f"weights of {model}"):
+                    self._advance(model, version)
             is_active = any(self._outdated_count_by_model.values()) or self._in_progress
             self._pause(POLL_S if is_active else IDLE_POLL_S)
 
--- a/libs/state/ruddersaddle_state/appenders.py
+++ b/libs/state/ruddersaddle_state/appenders.py
@@ -10,6 +10,7 @@
 from eventlet.event import Event as Signal
 from ruddersaddle_base.failures import Failure, Ran
 from ruddersaddle_base.ids import RecordId
+from ruddersaddle_base.tasks import spawn_forever
 
 from ruddersaddle_state.log_clients import LogClient
 from ruddersaddle_state.records import BATCH_MAX, Batch, Record, Stream
@@ -48,7 +49,7 @@
 
     def start(self) -> None:
         """Start the task."""
-        eventlet.spawn(self._run)
+        spawn_forever(f"{self.stream.value} appender", self._run)
 
     @property
     def down(self) -> bool:
--- a/libs/state/ruddersaddle_state/followers.py
+++ b/libs/state/ruddersaddle_state/followers.py
@@ -8,6 +8,7 @@
 from eventlet.event import Event as Signal
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import Position, RecordId, join_position, split_offset
+from ruddersaddle_base.tasks import contain, spawn_forever
 
 from ruddersaddle_state.log_clients import LogClient
 from ruddersaddle_state.records import PositionedRecord, RecordResult, Stream
@@ -48,7 +49,7 @@
 
     def start(self) -> None:
         """Start the task."""
-        eventlet.spawn(self._run)
+        spawn_forever(f"{self.stream.value} follower", self._run)
 
     def _run(self) -> None:
         while True:
@@ -91,7 +92,10 @@
         self.reachable = False
 
     def _fold(self, positioned: PositionedRecord) -> None:
-        result = self.fold.apply(positioned)
+        result = None
+        # A record that raises does so on all hosts, for which it then counts for nothing.
+        with contain(f"{self.stream.value} fold"):
+            result = self.fold.apply(positioned)
         signal = self._signal_by_id.get(positioned.record.id)
         if signal is not None and not signal.ready():
             signal.send(result)
--- a/libs/upstreams/ruddersaddle_upstreams/host_lists.py
+++ b/libs/upstreams/ruddersaddle_upstreams/host_lists.py
@@ -8,6 +8,7 @@
 from ruddersaddle_base.codecs import decode_json
 from ruddersaddle_base.failures import Failure, Step
 from ruddersaddle_base.ids import HallId, HostId
+from ruddersaddle_base.tasks import spawn_forever
 
 from ruddersaddle_upstreams.connections import Connections
 
@@ -61,7 +62,7 @@
 
     def start(self) -> None:
         """Start the task that polls the list."""
-        eventlet.spawn(self._run)
+        spawn_forever("host list", self._run)
 
     def _run(self) -> None:
         while True:
