--- a/libs/serving/ruddersaddle_serving/tests/test_peers.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_peers.py
@@ -71,11 +71,12 @@
         """The host was deaf to its hall until it was restarted."""
         self.ask("first")
         with (
-            self.assertLogs("ruddersaddle_base.tasks", "ERROR"),
+            self.assertLogs("ruddersaddle_base.tasks", "ERROR") as logs,
             mock.patch.object(peers, "decode_msgpack", side_effect=RecursionError("too deep")),
         ):
             self.asking.send(self.answering.address, "one")
             eventlet.sleep(0.2)
+        self.assertIn("Task messages failed", logs.output[0])
         self.assertEqual(self.ask("next"), "next")
 
     def test_nested_message_is_refused_and_ends_no_receiving(self) -> None:
