--- a/libs/base/ruddersaddle_base/codecs.py
+++ b/libs/base/ruddersaddle_base/codecs.py
@@ -14,6 +14,8 @@
 NESTING_MAX = 64
 """Most levels of arrays and objects in a JSON document. The decoder's own limit is what is left of
 the interpreter's stack, so that tasks and hosts would decide differently on the same document."""
+DETAIL_CHARS_MAX = 300
+"""Longest text on an invalid document. The decoder quotes values, which may be of any length."""
 _QUOTE = b'"'
 _IGNORED_BYTES = bytes(set(range(256)) - set(b'"[]{}'))
 _STEP_BY_BRACKET = bytes.maketrans(b"[{]}", b"\x01\x01\xff\xff")
@@ -48,7 +50,7 @@
     try:
         return _json_decoder(kind).decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
-        return Failure(Code.BAD_REQUEST, step, peer, str(error))
+        return Failure(Code.BAD_REQUEST, step, peer, str(error)[:DETAIL_CHARS_MAX])
 
 
 def is_nested_deeply(data: bytes | str) -> bool:
@@ -77,7 +79,7 @@
     try:
         return _msgpack_decoder(kind).decode(data)
     except (msgspec.MsgspecError, RecursionError) as error:
-        return Failure(Code.CORRUPT, step, peer, str(error))
+        return Failure(Code.CORRUPT, step, peer, str(error)[:DETAIL_CHARS_MAX])
 
 
 def is_decimal_integer(text: str) -> bool:
--- a/libs/base/ruddersaddle_base/tests/test_codecs.py
+++ b/libs/base/ruddersaddle_base/tests/test_codecs.py
@@ -4,12 +4,13 @@
 import unittest
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 from hypothesis import given, strategies
 
 from ruddersaddle_base.codecs import (
+    DETAIL_CHARS_MAX,
     NESTING_MAX,
     decode_json,
     decode_msgpack,
@@ -108,6 +109,15 @@
         sound = encode_msgpack({"name": "x", "more": [[[1]]]})
         self.assertEqual(decode_msgpack(sound, Entry, Step.PEER, "peer"), Entry("x"))
 
+    def test_text_on_a_long_invalid_value_is_short(self) -> None:
+        """It goes into log lines and answers."""
+        kind = Literal["a", "b"]
+        for failure in (
+            decode(json.dumps("x" * 100_000), kind),
+            decode_msgpack(encode_msgpack("x" * 100_000), kind, Step.PEER, "peer"),
+        ):
+            self.assertLessEqual(len(failure.detail), DETAIL_CHARS_MAX)
+
     @DETERMINISTIC
     @given(strategies.binary(max_size=80))
     def test_any_bytes_give_a_value_or_a_failure(self, data: bytes) -> None:
