--- a/libs/serving/ruddersaddle_serving/ports.py
+++ b/libs/serving/ruddersaddle_serving/ports.py
@@ -14,7 +14,7 @@
 
 from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.prompts import CallerHead, CallerRequest, Headers, PartId
-from ruddersaddle_serving.rollouts.orders import RolloutOrder, RolloutState
+from ruddersaddle_serving.rollouts.orders import RolloutOrder, RolloutState, UnusableOrder
 from ruddersaddle_serving.routes import ContextStore, PublishedConfiguration
 from ruddersaddle_serving.run_statements import RunStatement
 from ruddersaddle_serving.self_reports import EMPTY_REPORT, SelfReport
@@ -68,7 +68,9 @@
     version: int
 
 
-OperatorPublication = PublishedConfiguration | ModelVersion | Evacuation | RolloutOrder
+OperatorPublication = (
+    PublishedConfiguration | ModelVersion | Evacuation | RolloutOrder | UnusableOrder
+)
 """What operators publish."""
 
 
--- a/libs/serving/ruddersaddle_serving/rollouts/orders.py
+++ b/libs/serving/ruddersaddle_serving/rollouts/orders.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 import msgspec
+from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.ids import PoolId, SoftwareVersion
 from ruddersaddle_base.settings import Settings
 
@@ -25,6 +26,13 @@
     duration_s: float
 
 
+class UnusableOrder(msgspec.Struct, frozen=True):
+    """A record of an order that can't be used; it neither ends nor replaces the order in force."""
+
+    pool: PoolId
+    failure: Failure
+
+
 class OrderId(msgspec.Struct, frozen=True, array_like=True):
     """Identifies one order: the same version ordered again is another order, with new counts.
 
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -22,7 +22,7 @@
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.record_faults import RecordFaults
 from ruddersaddle_serving.rollouts.order_books import OrderBook
-from ruddersaddle_serving.rollouts.orders import RolloutOrder
+from ruddersaddle_serving.rollouts.orders import RolloutOrder, UnusableOrder
 from ruddersaddle_serving.routes import PublishedConfiguration
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -217,7 +217,7 @@
     def apply(self, page: Page, complete: bool, asked_at: float) -> bool:
         """Apply published items, then confirm the view as of the request."""
         evacuations: list[Evacuation] = []
-        orders: list[tuple[Record, RolloutOrder]] = []
+        orders: list[tuple[Record, RolloutOrder | UnusableOrder]] = []
         for record in page.records:
             with self.faults.contain(record):
                 item = self.store.decode_operator(record)
@@ -226,7 +226,7 @@
                         self.faults.report(record, str(item))
                     case Evacuation():
                         evacuations.append(item)
-                    case RolloutOrder():
+                    case RolloutOrder() | UnusableOrder():
                         orders.append((record, item))
                     case PublishedConfiguration() | ModelVersion():
                         self.publications.apply(item)
@@ -253,14 +253,18 @@
     def _apply_orders(
         self,
         book: OrderBook,
-        orders: list[tuple[Record, RolloutOrder]],
+        orders: list[tuple[Record, RolloutOrder | UnusableOrder]],
         complete: bool,
         end: StorePosition,
     ) -> None:
         """Apply orders of rollouts; a page that lags may lack some."""
         for record, order in orders:
             with self.faults.contain(record):
-                book.apply(order, StorePosition(end.era, record.offset))
+                match order:
+                    case RolloutOrder():
+                        book.apply(order, StorePosition(end.era, record.offset))
+                    case UnusableOrder():
+                        self.faults.report(record, str(order.failure))
         if complete and end >= self.publications.end:
             book.withdraw_missing({order.pool for _, order in orders}, end)
 
--- a/libs/serving/ruddersaddle_serving/tests/test_record_faults.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_record_faults.py
@@ -12,7 +12,8 @@
 from ruddersaddle_serving.ports import ModelVersion, Page, Record, StorePosition, Topic
 from ruddersaddle_serving.publications import Publications
 from ruddersaddle_serving.record_faults import LINES_INTERVAL_S, LINES_MAX, RecordFaults
-from ruddersaddle_serving.rollouts.orders import RolloutOrder
+from ruddersaddle_serving.rollouts.order_books import OrderBook
+from ruddersaddle_serving.rollouts.orders import RolloutOrder, UnusableOrder
 from ruddersaddle_serving.routes import PublishedConfiguration
 from ruddersaddle_serving.store_followers import (
     CrashFollower,
@@ -136,6 +137,20 @@
                 self.assertEqual(taken, ["a", "b"])
                 self.assertEqual(publications.confirmed_at, self.now)
 
+    def test_order_that_can_not_be_read_leaves_the_former_one_in_force(self) -> None:
+        """A host that read the complete topic withdrew the order, others went on with it."""
+        unusable = UnusableOrder(PoolId("p"), Failure(Code.BAD_REQUEST, Step.READ, "s", "not JSON"))
+        self.store.decode_operator = lambda record: unusable
+        for complete in (True, False):
+            with self.subTest(complete=complete):
+                book = OrderBook(mock.Mock(seen_at=0.0), UpstreamList())
+                follower = OperatorFollower(self.store, StoreLink(), Publications(), book)
+                book.apply(RolloutOrder(PoolId("p"), SoftwareVersion("v2"), 30.0), END)
+                later = StorePosition(1, 12)
+                follower.apply(Page((Record("p", b"x", 11),), later), complete, self.now)
+                self.assertEqual([each.stop for each in book.in_force()], [None])
+                self.assertEqual(follower.faults.count, 1)
+
     def test_crash_record_that_raises_hides_no_other(self) -> None:
         shares = mock.Mock()
         shares.apply_record.side_effect = [None, KeyError("odd"), None]
