--- a/libs/daemon/ruddersaddle/tests/test_callers.py
+++ b/libs/daemon/ruddersaddle/tests/test_callers.py
@@ -50,6 +50,15 @@
         found = render_prompt(configured(CLINIC, template), CLINIC, body)
         self.assertIs(found.code, Code.BAD_REQUEST)
 
+    def test_a_body_that_is_nested_too_deeply_is_the_callers_fault(self):
+        for body in (
+            b'{"model":"m","prompt":"x","more":' + b"[" * 5000 + b"]" * 5000 + b"}",
+            b"[" * 60_000,
+        ):
+            for chat in (False, True):
+                found = read_completion(body, chat)
+                self.assertIs(found.code, Code.BAD_REQUEST)
+
     def test_a_parameter_is_inserted_as_text_and_not_substituted_again(self):
         template = Template("t", CLINIC.id, "Dear $name, $day", ("name", "day"))
         body = CompletionBody("m", template="t", parameters={"name": "$day", "day": "$name"})
