--- a/libs/base/ruddersaddle_base/codecs.py
+++ b/libs/base/ruddersaddle_base/codecs.py
@@ -74,7 +74,8 @@
 def decode_msgpack(data: bytes | msgspec.Raw, kind: type[T], step: Step, peer: str) -> T | Failure:
     """Return MessagePack `data` as `kind`, or a failure.
 
-    Each message has one receiver, so that a limit that depends on the stack divides no hosts.
+    Its limit on nesting depends on the stack. Hosts send a few levels, and one that misses a
+    message learns the same from a later answer, so that this divides no hosts for long.
     """
     try:
         return _msgpack_decoder(kind).decode(data)
--- a/libs/base/ruddersaddle_base/tasks.py
+++ b/libs/base/ruddersaddle_base/tasks.py
@@ -31,7 +31,7 @@
 
 
 class TaskHealth(msgspec.Struct):
-    """Failures of one task that is restarted. Times are on the boot-time clock."""
+    """Failures of a restarted task, or of a contained step of one, by the boot-time clock."""
 
     failures: int = 0
     """Number of failures since the process started."""
@@ -63,7 +63,7 @@
 
 
 class TaskHealths:
-    """The failures of all tasks of this process."""
+    """The failures of all tasks and contained steps of this process, by their names."""
 
     def __init__(self) -> None:
         self.by_name: dict[str, TaskHealth] = {}
@@ -71,13 +71,14 @@
         """Number of exceptions that ended a task that isn't restarted."""
 
     def record_failure(self, name: str) -> TaskHealth:
-        """Count the failure of a task that is restarted."""
+        """Count the failure of a restarted task or of a contained step."""
         health = self.by_name.setdefault(name, TaskHealth())
         health.record_failure()
         return health
 
 
 HEALTHS = TaskHealths()
+"""Tasks and contained steps share one space of names, which the metrics page shows."""
 
 
 def until_tick_s(seconds: float) -> float:
