--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -27,10 +27,11 @@
 LINGER = struct.Struct("ii")
 """The value of SO_LINGER: whether it is on, and seconds; 0 s resets the connection on close."""
 HEAD_BYTES_MAX = 1 << 20
-"""Largest head that is read at all; the configuration's limit is checked after reading. The
-library's own limits (8 KB a line) are below what configurations allow."""
+"""Replaces the library's own limits, which are below what configurations allow (8 KB a line)."""
 wsgi.MAX_HEADER_LINE = HEAD_BYTES_MAX
 wsgi.MAX_TOTAL_HEADER_SIZE = HEAD_BYTES_MAX
+HEAD_SPACE_BYTES = 1024
+"""Bytes of white space around values that a head may have beyond its limit."""
 
 RELAY_HEAD_BYTES = 4096
 """Largest size of the headers that a host adds to a relayed request."""
@@ -72,19 +73,36 @@
 """Status by fault; all other faults get 400."""
 
 
+class HeadTooLargeError(Exception):
+    """A head is longer than its limit, whatever is still to come of it."""
+
+
 class HeadLines:
-    """Reads the lines of a head, and notices one that doesn't end with CR and LF.
+    """Reads the lines of a head up to its limit, and notices those that don't end with CR and LF.
 
     A recipient before or behind this one may not take a lone LF for a line's end.
     """
 
-    def __init__(self, file: BinaryIO) -> None:
-        self._file = file
+    def __init__(self, file: BinaryIO, bytes_max: int) -> None:
+        self.file = file
         self.has_bare_end = False
+        self.size = 0
+        self.count = 0
+        self._bytes_max = bytes_max
+
+    @property
+    def closed(self) -> bool:
+        """Whether the file is closed."""
+        return self.file.closed
 
     def readline(self, size: int = -1) -> bytes:
-        """Read one line."""
-        line = self._file.readline(size)
+        """Read one line, or `size` bytes of it."""
+        left = self._bytes_max + 1 - self.size
+        line = self.file.readline(left if size < 0 else min(size, left))
+        self.size += len(line)
+        self.count += 1
+        if self.size > self._bytes_max:
+            raise HeadTooLargeError
         self.has_bare_end |= line.endswith(b"\n") and not line.endswith(b"\r\n")
         return line
 
@@ -102,6 +120,8 @@
     """Whether an answer that ends with its connection is being written."""
     has_unframed_answer = False
     """Whether the connection's last answer ends with it."""
+    _lines: HeadLines
+    """The lines of the head that is being read."""
 
     @property
     def limits(self) -> CallerLimits:
@@ -118,13 +138,26 @@
             # stop thus closed 40 of 40 connections whose first bytes had arrived.
             self.conn_state[STATE_INDEX] = STATE_REQUEST
         self._head_timer = HeadTimeout(self.limits.header_timeout_s)
+        self.raw_requestline = b""
         try:
             super().handle_one_request()
         except HeadTimeout:
             self._refuse(HeadFault.TIMEOUT)
+        except HeadTooLargeError:
+            self._refuse(HeadFault.TOO_LARGE)
         finally:
             self._head_timer.cancel()
 
+    def _read_request_line(self) -> bytes:
+        """Read the first line of a head; called by the library."""
+        file = self.rfile
+        self._lines = HeadLines(file, self.limits.header_bytes + HEAD_SPACE_BYTES)
+        self.rfile = self._lines
+        try:
+            return super()._read_request_line()
+        finally:
+            self.rfile = file
+
     def _await_request(self) -> bool:
         """Return whether the first byte of a request arrived."""
         try:
@@ -137,8 +170,10 @@
 
     def parse_request(self) -> bool:
         """Parse the head; refuse requests with ambiguous framing (request smuggling)."""
-        lines = HeadLines(self.rfile)
-        file, self.rfile = self.rfile, lines
+        lines = self._lines
+        file, lines.file = self.rfile, self.rfile
+        self.rfile = lines
+        lines.has_bare_end = False
         try:
             if not super().parse_request():
                 return False
@@ -184,7 +219,7 @@
         self.close_connection = True
         counts = self.server.app.head_faults
         counts[fault.value] = counts.get(fault.value, 0) + 1
-        line = bytes(getattr(self, "raw_requestline", b""))[:LOGGED_LINE_BYTES]
+        line = bytes(self.raw_requestline)[:LOGGED_LINE_BYTES]
         logger.info("Head of a request refused: %s.", fault.value, extra={"line": repr(line)})
         status = STATUS_BY_FAULT.get(fault, 400)
         head = f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\n"
