--- a/libs/base/ruddersaddle_base/settings.py
+++ b/libs/base/ruddersaddle_base/settings.py
@@ -47,6 +47,7 @@
         str,
         "region of each hall as HALL=REGION, comma-separated; empty if there is only one region",
     ),
+    Default("host", "memory_mb", "150", float, "memory of the host in MB; bounds what is kept", 32),
     Default("host", "link_mbps", "1000", float, "bandwidth of the host's link in Mbit/s", 0),
     Default("host", "address", "127.0.0.1", str, "IP address to listen on"),
     Default("host", "port", "8080", int, "port for callers and operators", 1, 65535),
--- a/libs/daemon/ruddersaddle/caller_connections.py
+++ b/libs/daemon/ruddersaddle/caller_connections.py
@@ -1,46 +1,32 @@
 """Callers' connections: heads are checked by the grammar that platform hosts use."""
 
-from collections.abc import Callable, Iterable
-from typing import Any
-
 import eventlet.wsgi
+from eventlet.greenio import GreenSocket
 from ruddersaddle_base.settings import Settings
+from ruddersaddle_serving.caller_budgets import CallerBudget
+from ruddersaddle_serving.caller_listeners import ResilientListener
+from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import CallerProtocol
+from ruddersaddle_serving.limited_applications import LimitedApplication
 from ruddersaddle_serving.routes import CallerLimits
 
-from ruddersaddle.traces import Application
-
-
-class LimitedApplication:
-    """A WSGI application with what `CallerProtocol` asks its server's application for."""
-
-    def __init__(self, application: Application, limits: CallerLimits) -> None:
-        self.application = application
-        self.limits = limits
-        self.head_faults: dict[str, int] = {}
-        """Numbers of refused heads, by reason."""
-
-    @classmethod
-    def from_settings(cls, application: Application, settings: Settings) -> "LimitedApplication":
-        """Return an application with the settings' limits."""
-        timeout_s = settings.number("requests.read_timeout_s")
-        limits = CallerLimits(header_timeout_s=timeout_s, idle_timeout_s=timeout_s)
-        return cls(application, limits)
 
-    def __call__(self, environ: dict[str, Any], start: Callable) -> Iterable[bytes]:
-        """Answer one request."""
-        return self.application(environ, start)
+def limits_from(settings: Settings) -> CallerLimits:
+    """Return the settings' limits on callers."""
+    timeout_s = settings.number("requests.read_timeout_s")
+    return CallerLimits(header_timeout_s=timeout_s, idle_timeout_s=timeout_s)
 
 
-def serve(listener: object, application: LimitedApplication, connections_max: int) -> None:
+def serve(listener: GreenSocket, application: LimitedApplication, budget: CallerBudget) -> None:
     """Serve callers until the task is killed."""
+    pool = CallerPool(budget)
     eventlet.wsgi.server(
-        listener,
+        ResilientListener(listener, pool),
         application,
         protocol=CallerProtocol,
         log_output=False,
         minimum_chunk_size=1,
         socket_timeout=application.limits.idle_timeout_s,
-        max_size=connections_max,
+        custom_pool=pool,
         debug=False,
     )
--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -7,12 +7,16 @@
 from enum import Enum
 
 import eventlet
+from ruddersaddle_base.allocators import return_large_blocks
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import START, HostId, Incarnation, new_incarnation
 from ruddersaddle_base.settings import Settings
 from ruddersaddle_base.tasks import HEALTHS, log_unhandled_exceptions, spawn_forever
+from ruddersaddle_serving.caller_budgets import CallerBudget
+from ruddersaddle_serving.caller_listeners import connection_limit
 from ruddersaddle_serving.garbage_collections import start_collecting
+from ruddersaddle_serving.limited_applications import LimitedApplication
 from ruddersaddle_serving.peers import Peers, limit_threads
 from ruddersaddle_state.appenders import Appender
 from ruddersaddle_state.claims import Claims
@@ -24,7 +28,7 @@
 from ruddersaddle_upstreams.host_lists import HostList
 
 from ruddersaddle.answers import AnswerCache
-from ruddersaddle.caller_connections import LimitedApplication, serve
+from ruddersaddle.caller_connections import limits_from, serve
 from ruddersaddle.contexts import ContextCache
 from ruddersaddle.gateways import Gateway, HostControl
 from ruddersaddle.generations import Generator
@@ -155,6 +159,7 @@
         log_unhandled_exceptions()
         limit_threads()
         start_collecting()
+        return_large_blocks()
         self.peers.start()
         self.hosts.refresh()
         self._start_tasks()
@@ -163,11 +168,14 @@
         address = (self.settings.text("host.address"), self.settings.integer("host.port"))
         listener = eventlet.listen(address, backlog=LISTEN_BACKLOG, reuse_port=False)
         logger.info("Host %s listens on %s:%d.", self.incarnation, *address)
-        application = LimitedApplication.from_settings(
-            self.recorder.wrap(self.gateway), self.settings
+        application = LimitedApplication(
+            self.recorder.wrap(self.gateway), limits_from(self.settings)
         )
-        connections_max = self.settings.integer("requests.concurrent_max") * 2
-        server = eventlet.spawn(serve, listener, application, connections_max)
+        connections_max = min(
+            self.settings.integer("requests.concurrent_max") * 2, connection_limit()
+        )
+        budget = CallerBudget.from_settings(self.settings, connections_max)
+        server = eventlet.spawn(serve, listener, application, budget)
         while not self.stopping:
             eventlet.sleep(STOP_POLL_S)
         self._finish_requests()
--- a/libs/daemon/ruddersaddle/tests/test_caller_connections.py
+++ b/libs/daemon/ruddersaddle/tests/test_caller_connections.py
@@ -8,10 +8,12 @@
 from eventlet.green import socket
 from ruddersaddle_base.failures import Failure
 from ruddersaddle_base.tests.malformed_heads import BOTH, CHUNKS, CODINGS, FIELDS, LENGTHS, LINES
+from ruddersaddle_serving.caller_budgets import CallerBudget
+from ruddersaddle_serving.limited_applications import LimitedApplication
 from ruddersaddle_serving.routes import CallerLimits
 
 from ruddersaddle.bodies import read_body
-from ruddersaddle.caller_connections import LimitedApplication, serve
+from ruddersaddle.caller_connections import serve
 
 AFTER_LINE = "Host: api.example\r\nConnection: close\r\n"
 HEAD = f"POST /c/x HTTP/1.1\r\n{AFTER_LINE}"
@@ -27,7 +29,7 @@
         self.address = listener.getsockname()
         application = LimitedApplication(self.answer, CallerLimits(idle_timeout_s=2.0))
         self.faults = application.head_faults
-        server = eventlet.spawn(serve, listener, application, 10)
+        server = eventlet.spawn(serve, listener, application, CallerBudget(1 << 20, 10))
         self.addCleanup(server.kill)
 
     def answer(self, environ: dict[str, Any], start: Callable) -> list[bytes]:
--- a/libs/daemon/ruddersaddle/traces.py
+++ b/libs/daemon/ruddersaddle/traces.py
@@ -12,6 +12,7 @@
 import msgspec
 from ruddersaddle_base.codecs import decode_json, encode_json, is_decimal_integer
 from ruddersaddle_base.failures import Failure, Step
+from ruddersaddle_serving.limited_applications import Application
 from ruddersaddle_upstreams.chains import TOKEN_BYTES
 
 WORKSPACE_KEY = "ruddersaddle.workspace"
@@ -53,7 +54,6 @@
 
 
 TraceLine = Arrival | Fault | ExpectedOutcome
-Application = Callable[[dict[str, Any], Callable], Iterable[bytes]]
 
 
 def read_trace(path: str) -> list[TraceLine] | Failure:
--- a/libs/serving/ruddersaddle_serving/caller_listeners.py
+++ b/libs/serving/ruddersaddle_serving/caller_listeners.py
@@ -28,14 +28,16 @@
 LOG_INTERVAL_S = 5.0
 """Shortest time between two log lines of one listener about refused connections."""
 CONNECTIONS_MAX = 3000
-"""Concurrent connections of a listener, if the descriptor limit allows it."""
+"""Concurrent connections of all callers, if the descriptor limit allows it."""
+ACCEPTED_PER_TURN = 16
+"""Connections that are accepted before other tasks get a turn, while more are waiting."""
 CALLERS_SHARE = 0.75
 """Share of the descriptors for callers' connections: 3,000 of the about 4,000 of a host. The others
 are for upstreams, the store and peers."""
 
 
 def connection_limit() -> int:
-    """Return how many concurrent connections a listener may have in this process."""
+    """Return how many concurrent connections of callers this process may have."""
     soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft == resource.RLIM_INFINITY:
         return CONNECTIONS_MAX
@@ -59,6 +61,7 @@
         self.family = listener.family
         self._closed = False
         self._refused = 0
+        self._accepted = 0
         self._logged_at = -LOG_INTERVAL_S
         self._reserve: int | None = None
         self._open_reserve()
@@ -74,6 +77,9 @@
             if accepted is None:
                 eventlet.sleep(ERROR_PAUSE_S)
             elif self.pool.free() > 0:
+                self._accepted += 1
+                if self._accepted % ACCEPTED_PER_TURN == 0:
+                    eventlet.sleep(0)
                 if self.gate is None or self.gate.admits():
                     return accepted
                 accepted[0].close()
--- a/libs/serving/ruddersaddle_serving/caller_protocols.py
+++ b/libs/serving/ruddersaddle_serving/caller_protocols.py
@@ -14,8 +14,11 @@
 from eventlet.wsgi import STATE_IDLE, STATE_REQUEST, HttpProtocol
 from ruddersaddle_base import clocks
 
-from ruddersaddle_serving.caller_pools import STATE_INDEX
+from ruddersaddle_serving.caller_bodies import CallerInput
+from ruddersaddle_serving.caller_budgets import CONNECTION_BYTES, Holding, NoRoomError, Phase
+from ruddersaddle_serving.caller_pools import HOLDING_INDEX, STATE_INDEX
 from ruddersaddle_serving.deferred_timeouts import DeferredTimeout
+from ruddersaddle_serving.read_turns import TURNS
 from ruddersaddle_serving.routes import CallerLimits
 
 logger = logging.getLogger(__name__)
@@ -32,6 +35,12 @@
 wsgi.MAX_TOTAL_HEADER_SIZE = HEAD_BYTES_MAX
 HEAD_SPACE_BYTES = 1024
 """Bytes of white space around values that a head may have beyond its limit."""
+HEAD_LINE_BYTES = 800
+"""Memory of a parsed line of a head, in addition to its text; measured."""
+HEAD_COPIES = 4
+"""How often the text of a head is kept: as it came, parsed, and as the request's variables."""
+REQUESTS_PER_TURN = 8
+"""Requests of one connection after which its task takes a turn, if they have arrived already."""
 
 RELAY_HEAD_BYTES = 4096
 """Largest size of the headers that a host adds to a relayed request."""
@@ -63,14 +72,18 @@
     VERSION = "version"
     TOO_LARGE = "too_large"
     TIMEOUT = "timeout"
+    NO_ROOM = "no_room"
 
 
 STATUS_BY_FAULT = {
     HeadFault.VERSION: 505,
     HeadFault.TOO_LARGE: 431,
     HeadFault.TIMEOUT: 408,
+    HeadFault.NO_ROOM: 503,
 }
 """Status by fault; all other faults get 400."""
+NO_ROOM_RETRY_S = 1
+"""Retry delay of a request whose head found no room."""
 
 
 class HeadTooLargeError(Exception):
@@ -120,8 +133,18 @@
     """Whether an answer that ends with its connection is being written."""
     has_unframed_answer = False
     """Whether the connection's last answer ends with it."""
+    has_unread_rest = False
+    """Whether the rest of a request is left unread."""
+    holding: Holding
+    """What is kept for this connection."""
     _lines: HeadLines
     """The lines of the head that is being read."""
+    _requests = 0
+
+    def setup(self) -> None:
+        """Prepare the connection."""
+        super().setup()
+        self.holding = self.conn_state[HOLDING_INDEX]
 
     @property
     def limits(self) -> CallerLimits:
@@ -137,16 +160,24 @@
             # The library counts the connection as idle until it has read a complete line. A planned
             # stop thus closed 40 of 40 connections whose first bytes had arrived.
             self.conn_state[STATE_INDEX] = STATE_REQUEST
-        self._head_timer = HeadTimeout(self.limits.header_timeout_s)
+        limits = self.limits
+        self._head_timer = HeadTimeout(limits.header_timeout_s)
+        self.holding.enter(Phase.READING)
         self.raw_requestline = b""
         try:
-            super().handle_one_request()
+            if self.holding.resize(CONNECTION_BYTES + limits.header_bytes):
+                super().handle_one_request()
+            else:
+                self._refuse(HeadFault.NO_ROOM)
         except HeadTimeout:
             self._refuse(HeadFault.TIMEOUT)
         except HeadTooLargeError:
             self._refuse(HeadFault.TOO_LARGE)
+        except NoRoomError:
+            self._refuse(HeadFault.NO_ROOM)
         finally:
             self._head_timer.cancel()
+            self.holding.end_request()
 
     def _read_request_line(self) -> bytes:
         """Read the first line of a head; called by the library."""
@@ -160,6 +191,9 @@
 
     def _await_request(self) -> bool:
         """Return whether the first byte of a request arrived."""
+        self._requests += 1
+        if self._requests % REQUESTS_PER_TURN == 0:
+            TURNS.take()
         try:
             with DeferredTimeout(self.limits.idle_timeout_s, False):
                 return bool(self.rfile.peek(1))
@@ -181,11 +215,18 @@
             self.rfile = file
         self._head_timer.cancel()
         fault = HeadFault.LINE_END if lines.has_bare_end else self._find_fault()
+        fault = fault or self._take_room(lines)
         if fault is None:
             return True
         self._refuse(fault)
         return False
 
+    def _take_room(self, lines: HeadLines) -> HeadFault | None:
+        """Take the room for a request with this head."""
+        size = CONNECTION_BYTES + HEAD_COPIES * lines.size + HEAD_LINE_BYTES * lines.count
+        self.holding.enter(Phase.RUNNING)
+        return None if self.holding.resize(size) else HeadFault.NO_ROOM
+
     def _find_fault(self) -> HeadFault | None:
         line = REQUEST_LINE_PATTERN.match(self.raw_requestline)
         if line is None:
@@ -217,12 +258,15 @@
 
     def _refuse(self, fault: HeadFault) -> None:
         self.close_connection = True
+        self.has_unread_rest = True
         counts = self.server.app.head_faults
         counts[fault.value] = counts.get(fault.value, 0) + 1
         line = bytes(self.raw_requestline)[:LOGGED_LINE_BYTES]
         logger.info("Head of a request refused: %s.", fault.value, extra={"line": repr(line)})
         status = STATUS_BY_FAULT.get(fault, 400)
         head = f"HTTP/1.1 {status} {responses[status]}\r\nConnection: close\r\n"
+        if fault is HeadFault.NO_ROOM:
+            head += f"Retry-After: {NO_ROOM_RETRY_S}\r\n"
         try:
             self.wfile.write(f"{head}Content-Length: 0\r\n\r\n".encode())
             self.wfile.flush()
@@ -230,6 +274,11 @@
             # The caller has disconnected.
             return
 
+    def leave_rest(self) -> None:
+        """Close the connection after the answer, as the rest of the request stays unread."""
+        self.close_connection = 1
+        self.has_unread_rest = True
+
     @property
     def can_use_chunks(self) -> bool:
         """Whether the caller's version of HTTP has chunks."""
@@ -261,7 +310,7 @@
     def finish(self) -> None:
         """Close the connection, without a shutdown if it is to be reset."""
         if not self.is_unframed_answer_open:
-            if self.has_unframed_answer:
+            if self.has_unframed_answer or self.has_unread_rest:
                 self._await_close()
             super().finish()
             return
@@ -276,13 +325,16 @@
 
         Closing a connection with unread bytes resets it, and the caller would lose the end.
         """
+        self.holding.enter(Phase.READING)
         with DeferredTimeout(AWAIT_CLOSE_S, False):
             try:
                 self.connection.shutdown(socket.SHUT_WR)
                 while self.connection.recv(DISCARD_BYTES):
-                    pass
+                    TURNS.take()
             except OSError as error:
                 logger.debug("The caller closed its connection first. %s", error)
+            except NoRoomError:
+                logger.debug("The connection gives way to another.")
 
     def get_environ(self) -> dict[str, object]:
         """Add what the front needs: the target as sent, the connection, the start time."""
@@ -290,6 +342,13 @@
         environ["caller.target"] = self.path
         environ["caller.connection"] = self.connection
         environ["caller.protocol"] = self
+        body = CallerInput(
+            environ["eventlet.input"],
+            self.holding,
+            self.limits.header_timeout_s,
+            self.leave_rest,
+        )
+        environ["wsgi.input"] = environ["eventlet.input"] = body
         environ["caller.began"] = clocks.now_s()
         return environ
 
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -12,6 +12,7 @@
 import eventlet.wsgi
 from eventlet.greenthread import GreenThread
 from ruddersaddle_base import clocks
+from ruddersaddle_base.allocators import return_large_blocks
 from ruddersaddle_base.histograms import Histograms
 from ruddersaddle_base.ids import HallId, HostId, Incarnation, UpstreamId, new_incarnation
 from ruddersaddle_base.settings import Settings
@@ -19,6 +20,7 @@
 from ruddersaddle_routing.retry_budgets import RetryBound, RetryBudgets
 
 from ruddersaddle_serving.cached_parts import CachedParts
+from ruddersaddle_serving.caller_budgets import CallerBudget
 from ruddersaddle_serving.caller_listeners import ResilientListener, connection_limit
 from ruddersaddle_serving.caller_pools import CallerPool
 from ruddersaddle_serving.caller_protocols import HEAD_BYTES_MAX, CallerProtocol, RelayProtocol
@@ -32,6 +34,7 @@
 from ruddersaddle_serving.garbage_collections import start_collecting
 from ruddersaddle_serving.host_pages import format_host_page
 from ruddersaddle_serving.hosts import HostRecord, Hosts
+from ruddersaddle_serving.limited_applications import LimitedApplication
 from ruddersaddle_serving.metric_pages import (
     TEXT_TYPE,
 )
@@ -128,6 +131,8 @@
         self.signals = StopSignals()
         self.stall_monitor = StallMonitor()
         self.gate = ConnectionGate()
+        self.caller_budget = CallerBudget.from_settings(settings, connection_limit())
+        self.operations_budget = CallerBudget.for_operations()
         self.histograms = Histograms()
         self.store_link = StoreLink()
         self.publications = Publications()
@@ -326,14 +331,20 @@
         log_unhandled_exceptions()
         limit_threads()
         start_collecting()
+        return_large_blocks()
         signal.signal(signal.SIGTERM, self._handle_signal)
         signal.signal(signal.SIGINT, self._handle_signal)
-        callers = self._listen("listen.callers", self.front, CallerProtocol, self.gate)
-        served = [callers]
+        callers = CallerPool(self.caller_budget)
+        served = [self._listen("listen.callers", self.front, CallerProtocol, callers, self.gate)]
         if self.settings.text("listen.relays"):
-            served.append(self._listen("listen.relays", self.front, RelayProtocol))
-        self._listen("listen.ready", self._serve_ready, eventlet.wsgi.HttpProtocol)
-        self._listen("listen.metrics", self._serve_metrics, eventlet.wsgi.HttpProtocol)
+            relays = CallerPool(self.caller_budget)
+            served.append(self._listen("listen.relays", self.front, RelayProtocol, relays))
+        for name, application in (
+            ("listen.ready", self._serve_ready),
+            ("listen.metrics", self._serve_metrics),
+        ):
+            operations = CallerPool(self.operations_budget)
+            self._listen(name, LimitedApplication(application), CallerProtocol, operations)
         self._start_tasks()
         logger.info("Host %s has started.", self.incarnation, extra={"pid": os.getpid()})
         while not self.stopping:
@@ -341,12 +352,16 @@
         self._drain(served)
 
     def _listen(
-        self, name: str, app: Any, protocol: type, gate: ConnectionGate | None = None
+        self,
+        name: str,
+        app: Any,
+        protocol: type,
+        pool: CallerPool,
+        gate: ConnectionGate | None = None,
     ) -> ServedPort:
         host, _, port = self.settings.text(name).rpartition(":")
         listener = eventlet.listen((host, int(port)), backlog=BACKLOG, reuse_port=False)
         set_listener_options(listener)
-        pool = CallerPool(connection_limit())
         listener = ResilientListener(listener, pool, gate)
         server = eventlet.spawn(
             eventlet.wsgi.server,
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -66,6 +66,9 @@
 """Shared parts of a prompt that its line names, the first ones."""
 LONG_ANSWER_BYTES = 16384
 """Longer answers may block until the caller reads."""
+ROOM_WAIT_SHARE = 2 / 3
+"""Longest wait of a large body for its room, as a share of the request's time: the rest is for the
+caller's next attempt."""
 PUBLIC = "public"
 ANSWERED = "answered"
 """Outcome of a request whose answer was written completely."""
@@ -244,8 +247,11 @@
             eventlet.sleep(STARTUP_POLL_S)
 
     def _read_body(self, table: RouteTable, route: Route) -> bytes | Failure:
+        budget_s = self.head.budget_s
+        left_s = route.timeout_s if budget_s is None else min(budget_s, route.timeout_s)
         with DeferredTimeout(route.timeout_s, False):
-            return read_body(self.environ, table.published.limits.body_bytes)
+            limits = table.published.limits
+            return read_body(self.environ, limits.body_bytes, ROOM_WAIT_SHARE * left_s)
         return Failure(Code.DEADLINE, Step.PARSE, "caller", "the body did not arrive in time")
 
     # Forwarding
@@ -334,8 +340,11 @@
         self.status = status
         # A caller that was not sent "100 Continue" may still send its body, which would be taken
         # for the next request.
-        if self.front.draining or self.environ["eventlet.input"].should_send_hundred_continue:
+        body = self.environ["eventlet.input"]
+        if self.front.draining or body.should_send_hundred_continue:
             self._protocol.close_connection = 1
+        if body.will_be_left:
+            self._protocol.leave_rest()
         self.start(f"{status} {responses.get(status, 'Unknown')}", headers)
 
     def _deadline_passed(self) -> Failure:
@@ -367,7 +376,7 @@
             headers.append((REFUSAL_HEADER, relay_refusal.value))
         if failure.code is Code.TOO_LARGE or failure.step is Step.PARSE:
             # The unread rest of the body would be taken for the next request.
-            self._protocol.close_connection = 1
+            self._protocol.leave_rest()
         self.failure = failure
         self._start(status, headers)
         # A body after the head of an answer to HEAD would be taken for the next answer.
--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -6,6 +6,7 @@
 from ruddersaddle_base.loggers import count_dropped
 from ruddersaddle_base.tasks import HEALTHS
 
+from ruddersaddle_serving.caller_budgets import Phase
 from ruddersaddle_serving.metric_pages import (
     format_counters,
     format_gauges,
@@ -55,6 +56,16 @@
     )
     lines += format_counters("crashes", "broken runs by outcome", host.crash_watch.counts)
     lines += format_counters("connections", "new connections of callers", host.gate.counts)
+    lines += format_counters(
+        "callers_gave_way",
+        "connections of callers that gave way to others, by what they were doing",
+        host.caller_budget.gave_way,
+    )
+    lines += format_labelled_gauges(
+        "caller_connections",
+        "open connections of callers and of hosts that relay, by what they are doing",
+        [({"phase": each.value}, host.caller_budget.count(each)) for each in Phase],
+    )
     lines += format_counters(
         "crash_parts", "parts of prompts by event", host.crash_records.parts.counts
     )
@@ -199,6 +210,13 @@
             "parts of prompts that are refused",
             len(records.parts.refused()),
         ),
+        ("caller_bytes", "bytes that are kept for callers", host.caller_budget.used),
+        ("caller_bytes_max", "most bytes that are kept for callers", host.caller_budget.bytes_max),
+        (
+            "callers_refused",
+            "connections of callers that were closed unread for want of room",
+            host.caller_budget.refused,
+        ),
         ("task_delay_seconds", "how late the last sampled task ran", host.gate.delay_s),
         ("unhandled_exceptions", "exceptions that ended a task", HEALTHS.unhandled),
         ("stood_still_seconds", "seconds stalled since the start", host.stall_monitor.total_s),
--- a/libs/serving/ruddersaddle_serving/tests/test_caller_pools.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_caller_pools.py
@@ -8,12 +8,13 @@
 from eventlet.wsgi import STATE_IDLE
 
 from ruddersaddle_serving import caller_pools
+from ruddersaddle_serving.caller_budgets import CallerBudget
 from ruddersaddle_serving.caller_pools import STATE_INDEX, CallerPool, Connection
 
 
 class ClosedConnectionsTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.pool = CallerPool(10)
+        self.pool = CallerPool(CallerBudget(1 << 20, 10))
         self.callers = [self.connect(number) for number in range(3)]
 
     def connect(self, number: int) -> socket.socket:
