--- a/libs/serving/ruddersaddle_serving/buffer_shares.py
+++ b/libs/serving/ruddersaddle_serving/buffer_shares.py
@@ -3,6 +3,8 @@
 The bound of one answer doesn't bound the memory of many: seven bodies of 16 MB fill a small host.
 """
 
+from ruddersaddle_serving.caller_budgets import CallerBudget
+
 SHARED_BYTES_MAX = 40 * 1024 * 1024
 """Most bytes that all answers have buffered beyond `UNSHARED_BYTES` each; the largest event and the
 largest body fit at once."""
@@ -16,6 +18,17 @@
     def __init__(self, bytes_max: int = SHARED_BYTES_MAX) -> None:
         self.bytes_max = bytes_max
         self.used = 0
+        self.budget: CallerBudget | None = None
+        """The budget of all callers, which the buffers are a part of."""
+
+    def resize(self, grown: int, grown_counted: int) -> bool:
+        """Record that buffers have grown; return whether the host has room for them."""
+        if grown_counted > 0 and self.used + grown_counted > self.bytes_max:
+            return False
+        if self.budget is not None and not self.budget.buffer(grown, grown_counted):
+            return False
+        self.used += grown_counted
+        return True
 
 
 BUFFERS = SharedBuffers()
@@ -27,18 +40,20 @@
 
     def __init__(self, buffers: SharedBuffers = BUFFERS) -> None:
         self._buffers = buffers
-        self._counted = 0
+        self._size = 0
 
     def resize(self, size: int) -> bool:
         """Record how many bytes are buffered now; return whether the host has room for them."""
-        counted = max(0, size - UNSHARED_BYTES)
-        grown = counted - self._counted
-        if grown > 0 and self._buffers.used + grown > self._buffers.bytes_max:
+        grown_counted = _counted(size) - _counted(self._size)
+        if not self._buffers.resize(size - self._size, grown_counted):
             return False
-        self._buffers.used += grown
-        self._counted = counted
+        self._size = size
         return True
 
     def release(self) -> None:
         """Record that nothing is buffered any more."""
         self.resize(0)
+
+
+def _counted(size: int) -> int:
+    return max(0, size - UNSHARED_BYTES)
--- a/libs/serving/ruddersaddle_serving/entry_hosts.py
+++ b/libs/serving/ruddersaddle_serving/entry_hosts.py
@@ -19,6 +19,7 @@
 from ruddersaddle_base.tasks import log_unhandled_exceptions, pause, spawn_forever
 from ruddersaddle_routing.retry_budgets import RetryBound, RetryBudgets
 
+from ruddersaddle_serving.buffer_shares import BUFFERS
 from ruddersaddle_serving.cached_parts import CachedParts
 from ruddersaddle_serving.caller_budgets import CallerBudget
 from ruddersaddle_serving.caller_listeners import ResilientListener, connection_limit
@@ -133,6 +134,7 @@
         self.gate = ConnectionGate()
         self.caller_budget = CallerBudget.from_settings(settings, connection_limit())
         self.operations_budget = CallerBudget.for_operations()
+        BUFFERS.budget = self.caller_budget
         self.histograms = Histograms()
         self.store_link = StoreLink()
         self.publications = Publications()
--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -66,6 +66,8 @@
 """Shared parts of a prompt that its line names, the first ones."""
 LONG_ANSWER_BYTES = 16384
 """Longer answers may block until the caller reads."""
+WRITTEN_BYTES = 65536
+"""Bytes of a long answer that are written at once."""
 ROOM_WAIT_SHARE = 2 / 3
 """Longest wait of a large body for its room, as a share of the request's time: the rest is for the
 caller's next attempt."""
@@ -529,14 +531,24 @@
         """Whether the server has come back after the last part, so that writing it did not fail."""
 
     def __iter__(self) -> Iterator[bytes]:
-        if sum(map(len, self.parts)) > LONG_ANSWER_BYTES:
+        size = sum(map(len, self.parts))
+        if size > LONG_ANSWER_BYTES:
+            self.protocol.holding.begin_writing(size)
             with bounded_writes(self.protocol.connection):
-                yield from self.parts
+                yield from self._pieces()
         else:
             yield from self.parts
         self.protocol.end_unframed_answer()
         self.written = True
 
+    def _pieces(self) -> Iterator[memoryview]:
+        """Yield the answer in pieces, so that a caller who takes nothing is noticed."""
+        for part in map(memoryview, self.parts):
+            for start in range(0, len(part), WRITTEN_BYTES):
+                piece = part[start : start + WRITTEN_BYTES]
+                yield piece
+                self.protocol.holding.record_progress(len(piece))
+
     def close(self) -> None:
         """End the request."""
         was_lost = self.outcome == ANSWERED and not self.written
--- a/libs/serving/ruddersaddle_serving/upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/upstream_connections.py
@@ -6,6 +6,7 @@
 for the answer to a second one on the same connection.
 """
 
+import io
 import logging
 import socket
 from collections.abc import Mapping
@@ -123,9 +124,14 @@
             name: value for name, value in SKIPPED.items() if name.lower() not in _names(headers)
         }
         sent.update(headers)
-        data = body if body or method not in ("GET", "HEAD", "DELETE") else None
+        data: bytes | memoryview | None = body
+        if not body and method in ("GET", "HEAD", "DELETE"):
+            data = None
         try:
             self._allow_slow_upload(body, remaining_s)
+            if self._is_long:
+                # A green socket copies the rest of bytes each time that the upstream is slow.
+                data = memoryview(body)
             self.connection.request(
                 method, target, data, sent, preload_content=False, decode_content=False
             )
@@ -187,21 +193,21 @@
         return self._fail(Step.READ, EndlessAnswerError(detail))
 
     def read_all(self, bytes_max: int) -> bytes | Failure:
-        """Return the complete body."""
-        parts: list[bytes] = []
+        """Return the complete body, which is kept as one object while it is read."""
+        body = io.BytesIO()
         size = 0
         while True:
             data = self.read_some()
             if isinstance(data, Failure):
                 return data
             if not data:
-                return b"".join(parts)
+                return body.getvalue()
             size += len(data)
             if size > bytes_max:
                 return self.refuse_rest(f"a body of more than {bytes_max} bytes")
             if not self.has_room_for(size):
                 return self.refuse_rest(f"{size} bytes to buffer, beside those of other answers")
-            parts.append(data)
+            body.write(data)
 
     def has_room_for(self, size: int) -> bool:
         """Record that so much of the answer is buffered, if all answers leave room for it."""
