--- a/libs/serving/ruddersaddle_serving/host_pages.py
+++ b/libs/serving/ruddersaddle_serving/host_pages.py
@@ -217,6 +217,11 @@
             "connections of callers that were closed unread for want of room",
             host.caller_budget.refused,
         ),
+        (
+            "peer_connections_closed",
+            "connections of other hosts, or of strangers, that gave way to newer ones",
+            host.neighbours.peers.gate.closed,
+        ),
         ("task_delay_seconds", "how late the last sampled task ran", host.gate.delay_s),
         ("unhandled_exceptions", "exceptions that ended a task", HEALTHS.unhandled),
         ("stood_still_seconds", "seconds stalled since the start", host.stall_monitor.total_s),
--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -27,6 +27,8 @@
 from ruddersaddle_base.failures import Code, Failure, Ran, Step
 from ruddersaddle_base.tasks import contain, spawn_forever
 
+from ruddersaddle_serving.pipe_gates import PipeGate
+
 logger = logging.getLogger(__name__)
 
 # The library runs callbacks on threads of its own, but green locks work within one thread only: if
@@ -42,7 +44,11 @@
 """Capacity of the queue to a slow peer; further messages are dropped."""
 BACKLOG_POLL_S = 0.01
 """Interval of checks, after a time-out, whether all messages that have arrived are received."""
-MESSAGE_MAX_BYTES = 16 * 1024 * 1024
+MESSAGE_MAX_BYTES = 4 * 1024 * 1024
+"""Largest message; anybody who connects may send one. The state of a host with 12,000 upstreams has
+3 MB."""
+LARGE_MESSAGE_BYTES = 64 * 1024
+"""Messages from this size on are looked at before they are copied."""
 NO_ANSWER = 0
 """Exchange number of messages that expect no answer; others count from 1."""
 RECEIVES_PER_TURN = 16
@@ -106,12 +112,14 @@
         self._is_waiting = False
         """Whether the receiving task has taken all messages and waits for the next one."""
         self._exchange_numbers = itertools.count(1)
+        self.gate = PipeGate()
 
     def start(self) -> None:
         """Listen, and start the task that receives messages."""
-        self._socket = pynng.Bus0(
-            listen=f"tcp://{self.address}", recv_max_size=MESSAGE_MAX_BYTES, recv_buffer_size=512
-        )
+        self._socket = pynng.Bus0(recv_max_size=MESSAGE_MAX_BYTES, recv_buffer_size=512)
+        self._socket.add_pre_pipe_connect_cb(self.gate.admit)
+        self._socket.add_post_pipe_remove_cb(self.gate.remove)
+        self._socket.listen(f"tcp://{self.address}")
         spawn_forever("peers", self._receive_all)
 
     def _receive_all(self) -> None:
@@ -130,16 +138,18 @@
     def _receive_until_closed(self, hub: Any) -> None:
         for turn in itertools.count(1):
             try:
-                data = self._socket.recv(block=False)
+                received = self._socket.recv_msg(block=False)
             except pynng.TryAgain:
                 self._is_waiting = True
                 hub.switch()
                 continue
             except pynng.Closed:
                 return
-            self.received_bytes += len(data)
             with contain("messages"):
-                self._receive(data)
+                if not self._refuse_large(received):
+                    self._receive(received.bytes)
+            # The next message may be awaited for long; this one may be large.
+            del received
             if turn % RECEIVES_PER_TURN == 0:
                 # Other tasks get a turn, however many messages arrive.
                 eventlet.sleep(0)
@@ -150,7 +160,25 @@
             self._is_waiting = False
             self._receiver.switch()
 
+    def _refuse_large(self, received: pynng.Message) -> bool:
+        """Close the connection of a large message that no host sent; return whether it is one.
+
+        Such messages are read into memory faster than they could be copied.
+        """
+        data = received._buffer
+        if len(data) < LARGE_MESSAGE_BYTES:
+            return False
+        envelope = decode_msgpack(data, Envelope, Step.PEER, "peer")
+        if not isinstance(envelope, Failure):
+            return False
+        self.received_bytes += len(data)
+        logger.warning("A large message could not be decoded. %s", envelope.detail)
+        if received.pipe is not None:
+            received.pipe.close()
+        return True
+
     def _receive(self, data: bytes) -> None:
+        self.received_bytes += len(data)
         envelope = decode_msgpack(data, Envelope, Step.PEER, "peer")
         if isinstance(envelope, Failure):
             logger.warning("Message could not be decoded. %s", envelope.detail)
@@ -306,7 +334,8 @@
         return bool(socket.pipes)
 
     def keep_only(self, addresses: set[str]) -> None:
-        """Close the sockets to peers that are not in `addresses`."""
+        """Close the sockets to peers that are not in `addresses`, those of all other hosts."""
+        self.gate.set_hosts(addresses)
         for address in set(self._socket_by_address) - addresses:
             self._socket_by_address.pop(address).close()
         self._unanswered &= addresses
