--- a/libs/base/ruddersaddle_base/strict_answers.py
+++ b/libs/base/ruddersaddle_base/strict_answers.py
@@ -3,9 +3,10 @@
 The library takes the end of the connection for the end of a head, and what came of a cut line with
 a chunk's size for the size: of `0a`, the `0` alone, which is the size of the last chunk. Such
 answers passed for complete. It also reads any number of interim answers and of trailers, and skips
-none of the interim answers but 100.
+none of the interim answers but 100. A status is any number from 100 to 999 to it, however written.
 """
 
+import re
 from http.client import (
     HTTPException,
     HTTPResponse,
@@ -24,6 +25,11 @@
 """Most lines of a head with its first and the blank one; the library's own limit."""
 TRAILERS_MAX = 100
 SWITCHING_PROTOCOLS = 101
+STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [1-5][0-9]{2}(?:[ \t].*)?\r?\n")
+"""The first line of an answer (RFC 9112, section 4), which may lack the space before the reason;
+statuses are 100 to 599 (RFC 9110, section 15)."""
+LOGGED_BYTES = 40
+"""Bytes of an invalid first line in an error."""
 CONTROLS = frozenset({*range(0x20), 0x7F}) - {ord("\t")}
 """Bytes that no field has; the library takes some of them for ends of lines."""
 HEX_DIGITS = frozenset(b"0123456789abcdefABCDEF")
@@ -41,6 +47,10 @@
     """A line of a head is no field; the library drops it and all lines that follow."""
 
 
+class InvalidStatusError(UnusableAnswerError):
+    """The status of an answer is none, or none that answers the request."""
+
+
 class HeadReader:
     """Reads the lines of heads for the library; each must be complete."""
 
@@ -53,12 +63,15 @@
         """Count the bytes and lines of the next head."""
         self.size = 0
         self.lines = 0
+        self.first_line = b""
 
     def readline(self, limit: int) -> bytes:
         """Return a line of up to `limit` bytes; raise `RemoteDisconnected` if it is cut."""
         line = self.file.readline(limit)
         self.size += len(line)
         self.lines += 1
+        if self.lines == 1:
+            self.first_line = line
         if len(line) == limit or self.size > HEAD_BYTES_MAX or self.lines > HEAD_LINES_MAX:
             raise EndlessAnswerError(f"a head of {self.lines} or more lines, {self.size} bytes")
         if len(line) < limit and not line.endswith(b"\n"):
@@ -91,7 +104,11 @@
         for _ in range(INTERIM_HEADS_MAX + 1):
             self.fp.begin_head()
             version, status, reason = super()._read_status()
-            if status >= 200 or status == SWITCHING_PROTOCOLS:
+            if not STATUS_LINE.fullmatch(self.fp.first_line):
+                raise InvalidStatusError(f"the first line {self.fp.first_line[:LOGGED_BYTES]!r}")
+            if status == SWITCHING_PROTOCOLS:
+                raise InvalidStatusError("another protocol, which was not asked for")
+            if status >= 200:
                 return version, status, reason
             parse_headers(self.fp)
         raise EndlessAnswerError(f"more than {INTERIM_HEADS_MAX} interim answers")
--- a/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_upstream_connections.py
@@ -307,8 +307,9 @@
             found, _, is_broken = self.read_status(interim * (INTERIM_HEADS_MAX + 1) + final)
             self.assertIsInstance(found, Failure)
             self.assertFalse(is_broken)
-        found = self.read_status(b"HTTP/1.1 101 Other\r\n\r\n" + final)
-        self.assertEqual(found[0], 101)
+        found, _, is_broken = self.read_status(b"HTTP/1.1 101 Other\r\n\r\n" + final)
+        self.assertIsInstance(found, Failure)
+        self.assertFalse(is_broken)
 
     def test_trailers_without_end_are_read(self) -> None:
         """Those within the bounds are skipped, and may be cut, as the body is complete."""
