--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -31,7 +31,15 @@
 from ruddersaddle_serving.part_crashes import PartClearance, PartRecord
 from ruddersaddle_serving.part_verdicts import SETTLING_MS
 from ruddersaddle_serving.peers import Peers
-from ruddersaddle_serving.ports import MetadataStore, Record, Topic
+from ruddersaddle_serving.ports import (
+    TOPIC_START,
+    MetadataStore,
+    Page,
+    Record,
+    StorePosition,
+    Topic,
+)
+from ruddersaddle_serving.record_faults import RecordFaults
 from ruddersaddle_serving.upstream_entries import UpstreamInstance
 
 logger = logging.getLogger(__name__)
@@ -142,10 +150,21 @@
         self.confirmed_at = float("-inf")
         """When the last request to the store, or to a host that follows it, was sent of which the
         answer was applied."""
+        self.end = TOPIC_START
+        """Position in the store's topic up to which this host has read and applied all changes."""
+        self.told_end = TOPIC_START
+        """The latest position of another host whose records were applied."""
         self.writes = 0
         self._pending_by_hop: dict[Hop, PendingUpdate] = {}
         self._stored: dict[str, CrashRecord | PartRecord] = {}
         """The store's records by key, as far as this host knows."""
+        self._unapplied: dict[str, CrashRecord | PartRecord | None] = {}
+        """Former records of keys whose changes were read up to `told_end` but not applied yet."""
+        self._written_at: dict[str, float] = {}
+        """When this host wrote records since the topic was last read completely."""
+        self._told: dict[str, None] = {}
+        """Keys of records that other hosts have sent since the topic was last read completely, the
+        oldest first."""
         self._seen_locally: dict[str, None] = {}
         """Keys of requests and parts with a crash that this host saw itself, the oldest first."""
         self._cleared_elsewhere: dict[tuple[PartKey, UpstreamInstance], None] = {}
@@ -357,6 +376,65 @@
         """Record that the records are as new as a request sent at `asked_at`."""
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
+    def apply_page(self, page: Page, complete: bool, asked_at: float, faults: RecordFaults) -> None:
+        """Apply records of the store, as of a request sent at `asked_at`.
+
+        What was deleted since must not be refused again: changes that lie before what other hosts
+        have told are applied only once all of them have been read.
+        """
+        for record in page.records:
+            at = page.end if complete else StorePosition(page.end.era, record.offset)
+            with faults.contain(record):
+                if at < self.told_end:
+                    self._unapplied.setdefault(record.key, self._stored.get(record.key))
+                    self._note(record)
+                else:
+                    self.apply_record(record)
+        if page.end < self.told_end:
+            return
+        if complete:
+            self._drop_missing({record.key for record in page.records}, asked_at)
+        for key, former in self._unapplied.items():
+            self._apply_stored(key, former)
+        self._unapplied.clear()
+        self.end = max(self.end, page.end)
+
+    def _drop_missing(self, found: set[str], asked_at: float) -> None:
+        """Drop what the complete topic lacks; the store may no longer have the deletions.
+
+        What this host wrote after it had asked for the topic stays.
+        """
+        missing = (self._stored.keys() | self._told.keys()) - found
+        for key in missing:
+            if self._written_at.get(key, float("-inf")) < asked_at:
+                self._unapplied.setdefault(key, self._stored.get(key) or self._known(key))
+                self._stored.pop(key, None)
+        self._told.clear()
+        self._written_at.clear()
+
+    def apply_told(
+        self,
+        records: tuple[CrashRecord, ...],
+        part_records: tuple[PartRecord, ...],
+        end: StorePosition | msgspec.UnsetType,
+    ) -> None:
+        """Apply the records of a host that has read up to a position."""
+        self.apply_records(records)
+        self.apply_part_records(part_records)
+        if end is msgspec.UNSET:
+            return
+        self.told_end = max(self.told_end, end)
+        self._told.update(dict.fromkeys(map(_key_of, (*records, *part_records))))
+        while len(self._told) > SUSPECTS_MAX:
+            del self._told[next(iter(self._told))]
+
+    def lags(self, end: StorePosition | msgspec.UnsetType) -> bool:
+        """Return whether the records of a host that has read up to a position may be outdated.
+
+        The position is unset for hosts of the former version.
+        """
+        return end is not msgspec.UNSET and end < max(self.end, self.told_end)
+
     def record_restore(self) -> None:
         """Record that the store was restored from a copy: its records are not known any more."""
         self._stored.clear()
@@ -377,36 +455,42 @@
 
     def apply_record(self, record: Record) -> None:
         """Apply one record of the store; one without a value was deleted."""
-        if record.key.startswith(PART_PREFIX):
-            self._apply_part_record(record)
-            return
-        fingerprint = Fingerprint(record.key)
-        if not record.value:
-            self._stored.pop(fingerprint, None)
-            self.records.clear(fingerprint, clocks.unix_ms())
-            return
-        decoded = decode_json(record.value, CrashRecord, Step.READ, record.key)
-        if isinstance(decoded, Failure) or decoded.fingerprint != fingerprint:
-            detail = decoded.detail if isinstance(decoded, Failure) else "it names another request"
-            logger.error("Crash record %s is unreadable. %s", record.key, detail)
-            return
-        self._stored[fingerprint] = decoded
-        self.apply_records((decoded,))
-
-    def _apply_part_record(self, record: Record) -> None:
+        former = self._stored.get(record.key)
+        if self._note(record):
+            self._apply_stored(record.key, former)
+
+    def _apply_stored(self, key: str, former: CrashRecord | PartRecord | None) -> None:
+        """Apply what the store holds for a key, and held before."""
+        match self._stored.get(key):
+            case CrashRecord() as stored:
+                self.apply_records((stored,))
+            case PartRecord() as stored:
+                self.apply_part_records((stored,))
+            case None:
+                self._apply_deletion(key, former)
+
+    def _note(self, record: Record) -> bool:
+        """Record what the store holds for a key; return whether the record is usable."""
         if not record.value:
-            stored = self._stored.pop(record.key, None)
-            if isinstance(stored, PartRecord):
-                clearance = PartClearance(stored.part, tuple(stored.instances))
-                self.records.parts.clear(clearance, clocks.unix_ms())
-            return
-        decoded = decode_json(record.value, PartRecord, Step.READ, record.key)
-        if isinstance(decoded, Failure) or store_key(decoded.part) != record.key:
-            detail = decoded.detail if isinstance(decoded, Failure) else "it names another part"
+            self._stored.pop(record.key, None)
+            return True
+        is_part = record.key.startswith(PART_PREFIX)
+        kind = PartRecord if is_part else CrashRecord
+        decoded = decode_json(record.value, kind, Step.READ, record.key)
+        if isinstance(decoded, Failure) or _key_of(decoded) != record.key:
+            is_other = not isinstance(decoded, Failure)
+            detail = "it names another key" if is_other else decoded.detail
             logger.error("Crash record %s is unreadable. %s", record.key, detail)
-            return
+            return False
         self._stored[record.key] = decoded
-        self.apply_part_records((decoded,))
+        return True
+
+    def _apply_deletion(self, key: str, former: CrashRecord | PartRecord | None) -> None:
+        if not key.startswith(PART_PREFIX):
+            self.records.clear(Fingerprint(key), clocks.unix_ms())
+        elif isinstance(former, PartRecord):
+            clearance = PartClearance(former.part, tuple(former.instances))
+            self.records.parts.clear(clearance, clocks.unix_ms())
 
     def apply_part_records(self, records: tuple[PartRecord, ...]) -> None:
         """Merge the records of others, and write those to which this host adds crashes."""
@@ -508,6 +592,9 @@
             return False
         self._dirty -= set(batch)
         for key, record in records.items():
+            self._written_at[key] = clocks.now_s()
+            if len(self._written_at) > SUSPECTS_MAX:
+                del self._written_at[next(iter(self._written_at))]
             if record is None:
                 self._stored.pop(key, None)
             else:
@@ -531,3 +618,8 @@
                     self._write_soon(key, 0.0)
                 else:
                     del self._stored[key]
+
+
+def _key_of(record: CrashRecord | PartRecord) -> str:
+    """Return the key of a record in the store."""
+    return store_key(record.part) if isinstance(record, PartRecord) else record.fingerprint
--- a/libs/serving/ruddersaddle_serving/neighbour_messages.py
+++ b/libs/serving/ruddersaddle_serving/neighbour_messages.py
@@ -99,6 +99,8 @@
     entries_end: StorePosition = TOPIC_START
     """Position in the store's topic up to which the sender's entries have all changes; the start
     from hosts of the former version."""
+    crashes_end: StorePosition | msgspec.UnsetType = msgspec.UNSET
+    """Position up to which the sender has read and applied the records of crashes."""
 
 
 class Changed(msgspec.Struct, frozen=True, tag="changed"):
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -349,10 +349,13 @@
             self.store.eras.learn(era)
 
     def _apply_crashes(self, update: StateUpdate, asked_at: float) -> None:
-        self.crashes.apply_cleared(update.cleared)
-        self.crashes.apply_records(update.crashes or ())
-        self.crashes.apply_part_records(update.part_records)
-        self.crashes.confirm(asked_at - update.crashes_age_s)
+        crashes = self.crashes
+        crashes.apply_cleared(update.cleared)
+        if crashes.lags(update.crashes_end):
+            # It may have records that were deleted since; new ones come as messages of their own.
+            return
+        crashes.apply_told(update.crashes or (), update.part_records, update.crashes_end)
+        crashes.confirm(asked_at - update.crashes_age_s)
 
     def _handle(self, message: NeighbourMessage) -> NeighbourMessage:
         match message:
@@ -433,6 +436,7 @@
             part_records=() if knows_crashes else records.parts.shared()[:PART_RECORDS_MAX],
             crashes_revision=crashes_revision,
             crashes_age_s=self.crashes.told_age_s,
+            crashes_end=self.crashes.end,
             evacuated=publications.evacuations.in_force(),
             cold=upstreams.cold.current(),
             leaving=upstreams.leaving(),
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import eventlet
+import msgspec
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure
 from ruddersaddle_base.ids import UpstreamId
@@ -12,6 +13,7 @@
 from ruddersaddle_serving.crash_shares import CrashShares
 from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.ports import (
+    TOPIC_START,
     MetadataStore,
     ModelVersion,
     Page,
@@ -91,7 +93,9 @@
 class TopicFollower:
     """Reads one keyed topic completely, then its changes.
 
-    A record that can't be used is reported and read past: it hides no other one.
+    The view of a topic moves on by what other hosts tell as well. A read begins after all that the
+    view has: what lies before it would take the view back. A record that can't be used is reported
+    and read past: it hides no other one.
     """
 
     fallback_s = FALLBACK_S
@@ -105,6 +109,7 @@
         self.topic = topic
         self.link = link
         self.position: StorePosition | None = None
+        """Position after the last page that was read; None if the whole topic is to be read."""
         self.faults = RecordFaults(topic)
         self._era: int | None = None
         """Era of the last page; None before the first."""
@@ -137,7 +142,7 @@
                 self._record_failure(page)
                 self._pause_after_failure(is_reader, await_change)
                 continue
-            eventlet.sleep(0.0 if page.has_more else pause_s)
+            eventlet.sleep(self._pause_s(page, pause_s))
 
     def draw_fallback_s(self) -> float:
         """Return the age of the view above which this host reads the topic if it isn't a reader."""
@@ -145,6 +150,21 @@
             return self.fallback_s
         return self.fallback_s + self.far_round_trip_s + self.fallback_spread_s * random.random()
 
+    def _pause_s(self, page: Page, pause_s: float) -> float:
+        """Return the pause after a page; one that confirms nothing is no reason to hurry."""
+        if page.end < self.view_end:
+            return RETRY_S * (1 + random.random())
+        return 0.0 if page.has_more else pause_s
+
+    @property
+    def view_end(self) -> StorePosition:
+        """Position up to which the view has all changes, whoever told them."""
+        return TOPIC_START
+
+    def _next_position(self) -> StorePosition | None:
+        """Return the position at which the next read begins; None to read the whole topic."""
+        return None if self.position is None else max(self.position, self.view_end)
+
     def _pause_after_failure(
         self, is_reader: Callable[[], bool], await_change: Callable[[float], None]
     ) -> None:
@@ -158,22 +178,31 @@
 
     def _read(self, wait_s: float) -> Page | Failure:
         asked_at = clocks.now_s()
-        if self.position is None:
+        position = self._next_position()
+        complete = position is None
+        if complete:
             page = self.store.newest(self.topic)
         else:
-            page = self.store.changes(self.topic, self.position, wait_s)
+            page = self.store.changes(self.topic, position, wait_s)
         if isinstance(page, Failure):
             return page
-        complete = self.position is None
         if self._era not in (None, page.end.era):
             self.record_restore()
         self._era = page.end.era
         # Until the rest is read, the view lacks changes that the store had accepted before.
         confirmed_at = float("-inf") if page.has_more else asked_at
-        if self.apply(page, complete, confirmed_at):
-            self.position = page.end
+        self.apply(page if complete else self._without_known(page), complete, confirmed_at)
+        self.position = page.end
         return page
 
+    def _without_known(self, page: Page) -> Page:
+        """Return a page without changes that the view has learned of since it was asked for."""
+        known_end = self.view_end
+        records = tuple(
+            each for each in page.records if StorePosition(page.end.era, each.offset) >= known_end
+        )
+        return page if records == page.records else msgspec.structs.replace(page, records=records)
+
     def _record_failure(self, failure: Failure) -> None:
         if failure.code is Code.GAP:
             logger.info(
@@ -284,6 +313,11 @@
                 known,
             )
 
+    @property
+    def view_end(self) -> StorePosition:
+        """Position up to which everything published is in force."""
+        return self.publications.end
+
     @property
     def age_s(self) -> float:
         """Seconds since the configuration was last confirmed."""
@@ -343,6 +377,11 @@
             self.faults.report(record, entry.detail)
         return None
 
+    @property
+    def view_end(self) -> StorePosition:
+        """Position up to which the list has all entries."""
+        return self.upstreams.end
+
     @property
     def age_s(self) -> float:
         """Seconds since the entries were last confirmed."""
@@ -373,9 +412,7 @@
 
     def apply(self, page: Page, complete: bool, asked_at: float) -> bool:
         """Apply records, then confirm them as of the request."""
-        for record in page.records:
-            with self.faults.contain(record):
-                self.shares.apply_record(record)
+        self.shares.apply_page(page, complete, asked_at, self.faults)
         if complete:
             self.shares.write_missing()
         self.shares.confirm(asked_at)
--- a/libs/serving/ruddersaddle_serving/tests/test_record_faults.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_record_faults.py
@@ -8,6 +8,8 @@
 from ruddersaddle_base.ids import HallId, PoolId, SoftwareVersion, UpstreamId
 
 from ruddersaddle_serving import record_faults
+from ruddersaddle_serving.crash_records import CrashRecords
+from ruddersaddle_serving.crash_shares import CrashShares
 from ruddersaddle_serving.evacuations import Evacuation
 from ruddersaddle_serving.ports import ModelVersion, Page, Record, StorePosition, Topic
 from ruddersaddle_serving.publications import Publications
@@ -152,11 +154,14 @@
                 self.assertEqual(follower.faults.count, 1)
 
     def test_crash_record_that_raises_hides_no_other(self) -> None:
-        shares = mock.Mock()
-        shares.apply_record.side_effect = [None, KeyError("odd"), None]
-        CrashFollower(self.store, shares).apply(self.page, False, self.now)
-        self.assertEqual(shares.apply_record.call_count, 3)
-        shares.confirm.assert_called_once_with(self.now)
+        shares = CrashShares(mock.Mock(), mock.Mock(), self.store, CrashRecords())
+        follower = CrashFollower(self.store, shares)
+        effects = [None, KeyError("odd"), None]
+        with mock.patch.object(shares, "apply_record", side_effect=effects) as applied:
+            follower.apply(self.page, False, self.now)
+        self.assertEqual(applied.call_count, 3)
+        self.assertEqual(shares.confirmed_at, self.now)
+        self.assertEqual(follower.faults.count, 1)
 
 
 class OtherFaultsTest(unittest.TestCase):
