--- a/libs/daemon/ruddersaddle/daemons.py
+++ b/libs/daemon/ruddersaddle/daemons.py
@@ -213,6 +213,7 @@
         self.contexts.update(self.configuration)
         listed = {row.peer_address for row in self.hosts.entries() if row.peer_address}
         self.peers.keep_only(listed)
+        self.peers.gate.set_hosts(listed)
 
     def _request_configuration(self) -> None:
         """Adopt the configuration of peers while the log does not provide a complete one."""
--- a/libs/serving/ruddersaddle_serving/neighbours.py
+++ b/libs/serving/ruddersaddle_serving/neighbours.py
@@ -107,6 +107,9 @@
         self.peers = Peers(self.address, self._handle, NeighbourMessage, IMMEDIATE_TYPES)
         self.host_list = HostList(hosts, store)
         self.host_list.listeners.append(lambda: self.peers.keep_only(set(hosts.addresses())))
+        hosts.listeners.append(self._set_known_hosts)
+        self._gate = self.peers.gate
+        self._set_known_hosts()
         self.role_changes = RoleChanges(hosts)
         self.loads = LoadExchange(hosts, self.peers, trackers, upstreams)
         self.crashes = CrashShares(hosts, self.peers, store, crashes)
@@ -126,6 +129,11 @@
         self.load_message_at = 0.0
         """When the last message about an engine's load of weights was handled."""
 
+    def _set_known_hosts(self) -> None:
+        """Tell the gate of connections which hosts there are, also those that are leaving."""
+        records = (*self.hosts.by_id.values(), *self.hosts.leaving_by_id.values())
+        self._gate.set_hosts(each.address for each in records)
+
     def start(self) -> None:
         """Listen, register this host, and start the tasks that keep its view up to date."""
         self.publications.settling_until = clocks.now_s() + START_WAIT_S
--- a/libs/serving/ruddersaddle_serving/peers.py
+++ b/libs/serving/ruddersaddle_serving/peers.py
@@ -334,8 +334,7 @@
         return bool(socket.pipes)
 
     def keep_only(self, addresses: set[str]) -> None:
-        """Close the sockets to peers that are not in `addresses`, those of all other hosts."""
-        self.gate.set_hosts(addresses)
+        """Close the sockets to peers that are not in `addresses`."""
         for address in set(self._socket_by_address) - addresses:
             self._socket_by_address.pop(address).close()
         self._unanswered &= addresses
