--- a/libs/serving/ruddersaddle_serving/tests/test_caller_budgets.py
+++ b/libs/serving/ruddersaddle_serving/tests/test_caller_budgets.py
@@ -104,6 +104,7 @@
         taken, untaken = (self.open(Phase.RUNNING) for _ in range(2))
         for each in (taken, untaken):
             each.begin_writing(SMALL_BODY_BYTES)
+        self.assertEqual(self.budget.used, 2 * (CONNECTION_BYTES + SMALL_BODY_BYTES))
         self.fill(Phase.RUNNING)
         untaken.progressed_at -= STALLED_S
         self.assertTrue(self.budget.buffer(CONNECTION_BYTES, 0))
