--- a/libs/serving/ruddersaddle_serving/tests/state_orders.py
+++ b/libs/serving/ruddersaddle_serving/tests/state_orders.py
@@ -4,15 +4,11 @@
 happen to any host between them.
 """
 
-import heapq
 import itertools
-from collections.abc import Callable
 from random import Random
 from unittest import mock
 
-import greenlet
 import msgspec
-from eventlet.hubs import get_hub
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId, PoolId, UpstreamId
 
@@ -26,6 +22,7 @@
 from ruddersaddle_serving.store_eras import StoreEras
 from ruddersaddle_serving.store_followers import StoreLink, UpstreamFollower
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
+from ruddersaddle_serving.tests.virtual_schedules import VirtualSchedule
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_entries import UpstreamEntry
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -120,20 +117,14 @@
         """Do nothing: there are no connections."""
 
 
-class StateOrders:
+class StateOrders(VirtualSchedule):
     """Some hosts of one hall, the store's topic of entries, and the schedule of what they do."""
 
     def __init__(self, test: FixedClockTest, seed: int, count: int) -> None:
-        self.test = test
+        super().__init__(test)
         self.random = Random(seed)
         self.log = EntryLog()
         self.frozen: set[str] = set()
-        self.violations: list[str] = []
-        self._queue: list[tuple[float, int, Callable[[], object]]] = []
-        self._numbers = itertools.count()
-        self._hub = greenlet.getcurrent()
-        # Created here, so that it isn't created by a task of this class.
-        get_hub()
         self.records = {
             HostId(f"host-{n}"): HostRecord(f"10.0.0.{n}:1", HALL) for n in range(count)
         }
@@ -167,29 +158,6 @@
         """Return the delay of one way of a request."""
         return self.random.choice(DELAYS_S)
 
-    # Virtual time
-
-    def spawn(self, run: Callable[[], None], delay_s: float = 0.0) -> None:
-        """Run a task after a delay."""
-        task = greenlet.greenlet(run, self._hub)
-        self._push(delay_s, task.switch)
-
-    def sleep(self, seconds: float) -> None:
-        """Let virtual time pass for the running task."""
-        self._push(seconds, greenlet.getcurrent().switch)
-        self._hub.switch()
-
-    def _push(self, delay_s: float, switch: Callable[[], object]) -> None:
-        heapq.heappush(self._queue, (self.test.now + delay_s, next(self._numbers), switch))
-
-    def run(self, seconds: float) -> None:
-        """Run all tasks for some seconds, and check every host's list after each step."""
-        until = self.test.now + seconds
-        while self._queue and self._queue[0][0] <= until:
-            self.test.now, _, switch = heapq.heappop(self._queue)
-            switch()
-            self._check()
-
     # Tasks
 
     def start(self) -> None:
@@ -262,7 +230,7 @@
 
     # The check
 
-    def _check(self) -> None:
+    def check(self) -> None:
         """Check that each list has what the store took before the time it counts as confirmed."""
         for address, host in self.by_address.items():
             upstreams = host.upstreams
--- a/libs/serving/ruddersaddle_serving/tests/view_orders.py
+++ b/libs/serving/ruddersaddle_serving/tests/view_orders.py
@@ -5,17 +5,13 @@
 model of each topic is its log: the state at each of its positions.
 """
 
-import heapq
 import itertools
 import json
-from collections.abc import Callable
 from random import Random
 from typing import Any
 from unittest import mock
 
-import greenlet
 import msgspec
-from eventlet.hubs import get_hub
 from ruddersaddle_base import clocks
 from ruddersaddle_base.failures import Code, Failure, Step
 from ruddersaddle_base.ids import HallId, HostId, ModelId, PoolId, UpstreamId
@@ -43,6 +39,7 @@
     UpstreamFollower,
 )
 from ruddersaddle_serving.tests.fixed_clocks import FixedClockTest
+from ruddersaddle_serving.tests.virtual_schedules import VirtualSchedule
 from ruddersaddle_serving.trackers import Trackers
 from ruddersaddle_serving.upstream_entries import UpstreamEntry, UpstreamInstance
 from ruddersaddle_serving.upstream_lists import UpstreamList
@@ -273,25 +270,19 @@
         """Do nothing: there are no connections."""
 
 
-class ViewOrders:
+class ViewOrders(VirtualSchedule):
     """Some hosts, the store's topics, and the schedule of what happens to them."""
 
     def __init__(self, test: FixedClockTest, seed: int, count: int) -> None:
-        self.test = test
+        super().__init__(test)
         self.random = Random(seed)
         self.logs = {topic: TopicLog() for topic in TOPICS}
         self.is_store_down = False
         self.frozen: set[str] = set()
         self.lost: set[str] = set()
-        self.violations: list[str] = []
-        self._queue: list[tuple[float, int, Callable[[], object]]] = []
-        self._numbers = itertools.count()
         self._ids = itertools.count()
-        self._hub = greenlet.getcurrent()
-        # Created here, so that it isn't created by a task of this class.
-        get_hub()
         for module in (store_followers, crash_shares):
-            fake = mock.Mock(sleep=self.sleep, spawn=self.spawn, spawn_after=self._spawn_after)
+            fake = mock.Mock(sleep=self.sleep, spawn=self.spawn, spawn_after=self.spawn_after)
             patch = mock.patch.object(module, "eventlet", fake)
             patch.start()
             test.addCleanup(patch.stop)
@@ -309,31 +300,10 @@
         for host in self.by_address.values():
             host.start()
 
-    # Virtual time
-
-    def spawn(self, run: Callable[..., object], *arguments: object) -> None:
-        """Run a task."""
-        self._spawn_after(0.0, run, *arguments)
-
-    def _spawn_after(self, delay_s: float, run: Callable[..., object], *arguments: object) -> None:
-        task = greenlet.greenlet(lambda: run(*arguments), self._hub)
-        self._push(delay_s, task.switch)
-
-    def sleep(self, seconds: float) -> None:
-        """Let virtual time pass for the running task."""
-        self._push(seconds, greenlet.getcurrent().switch)
-        self._hub.switch()
-
-    def _push(self, delay_s: float, switch: Callable[[], object]) -> None:
-        heapq.heappush(self._queue, (self.test.now + delay_s, next(self._numbers), switch))
-
     def run(self, seconds: float) -> None:
-        """Run all tasks for some seconds, and check every host after each step."""
+        """Run all tasks for some seconds; something is written at the end of them."""
         until = self.test.now + seconds
-        while self._queue and self._queue[0][0] <= until and not self.violations:
-            self.test.now, _, switch = heapq.heappop(self._queue)
-            switch()
-            self._check()
+        super().run(seconds)
         self.test.now = until
 
     def draw_delay(self) -> float:
@@ -454,7 +424,8 @@
 
     # The check
 
-    def _check(self) -> None:
+    def check(self) -> None:
+        """Check the views of all hosts that are left."""
         for address, host in self.by_address.items():
             if address in self.lost:
                 continue
