--- a/libs/serving/ruddersaddle_serving/crash_shares.py
+++ b/libs/serving/ruddersaddle_serving/crash_shares.py
@@ -162,9 +162,9 @@
         """Former records of keys whose changes were read up to `told_end` but not applied yet."""
         self._written_at: dict[str, float] = {}
         """When this host wrote records since the topic was last read completely."""
-        self._told: dict[str, None] = {}
-        """Keys of records that other hosts have sent since the topic was last read completely, the
-        oldest first."""
+        self._told: dict[str, StorePosition] = {}
+        """Up to where other hosts had read that have sent a record, by its key, since the topic was
+        last read completely."""
         self._seen_locally: dict[str, None] = {}
         """Keys of requests and parts with a crash that this host saw itself, the oldest first."""
         self._cleared_elsewhere: dict[tuple[PartKey, UpstreamInstance], None] = {}
@@ -393,18 +393,20 @@
         if page.end < self.told_end:
             return
         if complete:
-            self._drop_missing({record.key for record in page.records}, asked_at)
+            self._drop_missing({record.key for record in page.records}, asked_at, page.end)
         for key, former in self._unapplied.items():
             self._apply_stored(key, former)
         self._unapplied.clear()
         self.end = max(self.end, page.end)
 
-    def _drop_missing(self, found: set[str], asked_at: float) -> None:
+    def _drop_missing(self, found: set[str], asked_at: float, end: StorePosition) -> None:
         """Drop what the complete topic lacks; the store may no longer have the deletions.
 
-        What this host wrote after it had asked for the topic stays.
+        What this host wrote after it had asked for the topic stays, and what was told of an earlier
+        era: a restored store lacks it, too.
         """
-        missing = (self._stored.keys() | self._told.keys()) - found
+        told = {key for key, at in self._told.items() if at.era == end.era}
+        missing = (self._stored.keys() | told) - found
         for key in missing:
             if self._written_at.get(key, float("-inf")) < asked_at:
                 self._unapplied.setdefault(key, self._stored.get(key) or self._known(key))
@@ -424,7 +426,7 @@
         if end is msgspec.UNSET:
             return
         self.told_end = max(self.told_end, end)
-        self._told.update(dict.fromkeys(map(_key_of, (*records, *part_records))))
+        self._told.update(dict.fromkeys(map(_key_of, (*records, *part_records)), end))
         while len(self._told) > SUSPECTS_MAX:
             del self._told[next(iter(self._told))]
 
@@ -438,6 +440,8 @@
     def record_restore(self) -> None:
         """Record that the store was restored from a copy: its records are not known any more."""
         self._stored.clear()
+        self._told.clear()
+        self._unapplied.clear()
 
     def write_missing(self) -> None:
         """Write the records that a completely read store lacks.
