A request's time is worked out in one place; pages are trimmed only if the view has moved

Read-through of the change. fronts worked out again what CallerRequest does with the caller's time and the route's: both call CallerHead.time_budget_s now. The follower compared each record of each page with the view's end; it does so only if the view has moved since the page was asked for, as before that no record can lie behind it.

--- a/libs/serving/ruddersaddle_serving/fronts.py
+++ b/libs/serving/ruddersaddle_serving/fronts.py
@@ -249,11 +249,9 @@
             eventlet.sleep(STARTUP_POLL_S)
 
     def _read_body(self, table: RouteTable, route: Route) -> bytes | Failure:
-        budget_s = self.head.budget_s
-        left_s = route.timeout_s if budget_s is None else min(budget_s, route.timeout_s)
+        wait_s = ROOM_WAIT_SHARE * self.head.time_budget_s(route.timeout_s)
         with DeferredTimeout(route.timeout_s, False):
-            limits = table.published.limits
-            return read_body(self.environ, limits.body_bytes, ROOM_WAIT_SHARE * left_s)
+            return read_body(self.environ, table.published.limits.body_bytes, wait_s)
         return Failure(Code.DEADLINE, Step.PARSE, "caller", "the body did not arrive in time")
 
     # Forwarding
--- a/libs/serving/ruddersaddle_serving/prompts.py
+++ b/libs/serving/ruddersaddle_serving/prompts.py
@@ -67,6 +67,10 @@
     resumes: RequestId | None = None
     """Request that brought the first event of the stream that is taken up again, if stated."""
 
+    def time_budget_s(self, timeout_s: float) -> float:
+        """Return the time for the request on a route with a timeout, in seconds."""
+        return timeout_s if self.budget_s is None else min(self.budget_s, timeout_s)
+
 
 class RelayTerms(msgspec.Struct, frozen=True):
     """The terms under which another host relays a request to this one."""
@@ -121,8 +125,7 @@
         self.started_at = began
         self.pin: VersionPin | None = None
         """Where the request must go on; None while it may begin at any software version."""
-        budget_s = route.timeout_s if head.budget_s is None else head.budget_s
-        self.budget_s = min(budget_s, route.timeout_s)
+        self.budget_s = head.time_budget_s(route.timeout_s)
 
     def apply(self, allowed: Authorization) -> bool:
         """Go on by a newer configuration; return whether that changes where or for whom it runs."""
--- a/libs/serving/ruddersaddle_serving/store_followers.py
+++ b/libs/serving/ruddersaddle_serving/store_followers.py
@@ -191,7 +191,9 @@
         self._era = page.end.era
         # Until the rest is read, the view lacks changes that the store had accepted before.
         confirmed_at = float("-inf") if page.has_more else asked_at
-        self.apply(page if complete else self._without_known(page), complete, confirmed_at)
+        if position is not None and position < self.view_end:
+            page = self._without_known(page)
+        self.apply(page, complete, confirmed_at)
         self.position = page.end
         return page
 
@@ -201,7 +203,7 @@
         records = tuple(
             each for each in page.records if StorePosition(page.end.era, each.offset) >= known_end
         )
-        return page if records == page.records else msgspec.structs.replace(page, records=records)
+        return msgspec.structs.replace(page, records=records)
 
     def _record_failure(self, failure: Failure) -> None:
         if failure.code is Code.GAP:
