--- a/libs/standins/ruddersaddle_standins/crowds.py
+++ b/libs/standins/ruddersaddle_standins/crowds.py
@@ -3,6 +3,7 @@
 import contextlib
 import selectors
 import socket
+import struct
 import threading
 import time
 from collections.abc import Callable
@@ -10,6 +11,17 @@
 
 import msgspec
 
+from ruddersaddle_standins.processes import wait_until
+
+LARGE_CHUNK = 65536
+MISSING_BYTES = 6
+"""How far from their end unfinished bodies and messages stop."""
+LONG_LINE = b"X-Long: " + b"v" * 60_000 + b"\r\n"
+UNENDED_BYTES = 16 << 20
+"""Bytes that a client sends of what has no end."""
+BUS_GREETING = b"\x00SP\x00\x00\x70\x00\x00"
+"""The start of a connection of a bus socket (SP protocol 7/0)."""
+MESSAGE_LENGTH = struct.Struct(">Q")
 SEND_BYTES = 262144
 SETTLED_S = 1.0
 """A crowd has settled once nobody could send a byte for this long."""
@@ -40,10 +52,21 @@
         head += b"Transfer-Encoding: chunked\r\n\r\n"
         return cls(head, chunk * count, size, b"0\r\n\r\n")
 
-    def cut(self, missing_bytes: int) -> "Sending":
+    @classmethod
+    def long_head(cls, head: bytes) -> "Sending":
+        """Return a sending of a head far over any limit, without its end."""
+        return cls(head, LONG_LINE, 15 * len(LONG_LINE))
+
+    @classmethod
+    def unfinished_message(cls, size: int) -> "Sending":
+        """Return a sending of a message between hosts that stops short of its end."""
+        announced = BUS_GREETING + MESSAGE_LENGTH.pack(size)
+        return cls(announced, b"m" * LARGE_CHUNK, size - MISSING_BYTES)
+
+    def cut(self) -> "Sending":
         """Return the same sending that stops short of its end."""
         whole = self.size + len(self.tail)
-        return msgspec.structs.replace(self, size=whole - missing_bytes, tail=b"")
+        return msgspec.structs.replace(self, size=whole - MISSING_BYTES, tail=b"")
 
 
 class Member:
@@ -135,11 +158,7 @@
 
     def settle(self) -> None:
         """Wait until nobody can send any more, for a while at most."""
-        until = time.monotonic() + SETTLE_MAX_S
-        while time.monotonic() < until:
-            if time.monotonic() - self._moved_at > SETTLED_S:
-                return
-            time.sleep(SELECT_S)
+        await_condition(lambda: time.monotonic() - self._moved_at > SETTLED_S)
 
     def _run(self) -> None:
         selector = selectors.DefaultSelector()
@@ -192,9 +211,8 @@
 
 def await_condition(condition: Callable[[], bool]) -> bool:
     """Wait until a condition holds, for a while at most; return whether it does."""
-    until = time.monotonic() + SETTLE_MAX_S
-    while not condition():
-        if time.monotonic() > until:
-            return False
-        time.sleep(SELECT_S)
+    try:
+        wait_until(condition, "the condition", SETTLE_MAX_S)
+    except TimeoutError:
+        return False
     return True
--- a/libs/standins/ruddersaddle_standins/tests/test_hostile_clients.py
+++ b/libs/standins/ruddersaddle_standins/tests/test_hostile_clients.py
@@ -10,11 +10,18 @@
 - Messages between hosts were read up to 16 MB from anybody who connects.
 """
 
-import struct
 import unittest
 
 from ruddersaddle_standins.clients import Client
-from ruddersaddle_standins.crowds import Crowd, Footprint, Sending, await_condition
+from ruddersaddle_standins.crowds import (
+    LARGE_CHUNK,
+    MISSING_BYTES,
+    UNENDED_BYTES,
+    Crowd,
+    Footprint,
+    Sending,
+    await_condition,
+)
 from ruddersaddle_standins.fleets import Fleet, Topology, caller_key
 from ruddersaddle_standins.processes import is_good
 
@@ -22,15 +29,8 @@
 """Default of `host.memory_mb`."""
 BODY_BYTES = 1 << 20
 """Default of `requests.body_max`."""
-LARGE_CHUNK = 65536
-MISSING_BYTES = 6
 CLIENTS = 150
-LONG_LINE = b"X-Long: " + b"v" * 60_000 + b"\r\n"
-UNENDED_BYTES = 16 << 20
-"""Bytes that a client sends of what has no end."""
 SPARE_DESCRIPTORS = 40
-BUS_GREETING = b"\x00SP\x00\x00\x70\x00\x00"
-"""The start of a connection of a bus socket (SP protocol 7/0)."""
 MESSAGE_BYTES = 16 << 20
 HOST = "host-1"
 
@@ -88,14 +88,14 @@
     def test_bodies_that_stop_short_of_their_end(self) -> None:
         announced = f"Content-Length: {BODY_BYTES}\r\n\r\n".encode()
         sized = Sending(head() + announced, b"t" * LARGE_CHUNK, BODY_BYTES - MISSING_BYTES)
-        self.assert_withstands([chunks().cut(MISSING_BYTES), sized] * CLIENTS)
+        self.assert_withstands([chunks().cut(), sized] * CLIENTS)
 
     def test_bodies_in_small_chunks(self) -> None:
-        small = [chunks(1).cut(MISSING_BYTES), chunks(4)]
+        small = [chunks(1).cut(), chunks(4)]
         self.assert_withstands(small * (CLIENTS // 15))
 
     def test_heads_far_over_the_limit(self) -> None:
-        self.assert_withstands([Sending(head(), LONG_LINE, 15 * len(LONG_LINE))] * CLIENTS)
+        self.assert_withstands([Sending.long_head(head())] * CLIENTS)
 
     def test_bodies_of_refused_requests(self) -> None:
         refused = head(key="unknown") + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -104,13 +104,12 @@
 
     def test_another_crowd_after_the_first(self) -> None:
         self.assert_withstands(
-            [chunks(1000).cut(MISSING_BYTES)] * CLIENTS,
-            [Sending(head(), LONG_LINE, 15 * len(LONG_LINE))] * CLIENTS,
+            [chunks(1000).cut()] * CLIENTS,
+            [Sending.long_head(head())] * CLIENTS,
         )
 
     def test_crowd_at_the_port_for_other_hosts(self) -> None:
-        announced = BUS_GREETING + struct.pack(">Q", MESSAGE_BYTES)
-        sending = Sending(announced, b"m" * LARGE_CHUNK, MESSAGE_BYTES - MISSING_BYTES)
+        sending = Sending.unfinished_message(MESSAGE_BYTES)
         self.assert_withstands([sending] * 20, address=self.fleet.peer_by_name[HOST])
 
 
